--- /dev/null
+++ b/core/daisycredit/credit.go
@@ -0,0 +1,70 @@
+// Package daisycredit shares the slots of a service's endpoints between VMs.
+//
+// One VM owns the slots of a service: the one that rendezvous hashing picks
+// among the live VMs. It lends slot credits to the VMs with demand, the most
+// urgent demand first. All counts are cumulative, so that lost, doubled and
+// reordered messages do no harm: the credits a VM holds at an endpoint are what
+// the owner has granted it less what it has returned.
+package daisycredit
+
+import (
+	"net/netip"
+
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// Term numbers the spells of an owner: its incarnation and how often it took the service over.
+type Term struct {
+	Owner       daisyvm.Name
+	Incarnation daisyvm.Incarnation
+	Takeover    uint64
+}
+
+// Held is what a borrower has at one endpoint.
+type Held struct {
+	Endpoint netip.AddrPort
+	// Returned counts all credits returned in this term.
+	Returned uint64
+	// InFlight counts the attempts under way.
+	InFlight uint32
+	// Broken says that the borrower keeps work away from the endpoint.
+	Broken bool
+}
+
+// Demand is what a borrower needs for one rank.
+type Demand struct {
+	// Waiting counts the requests that wait for a slot.
+	Waiting uint32
+	// InFlight counts the attempts under way.
+	InFlight uint32
+}
+
+// Report goes from a borrower to the owner.
+type Report struct {
+	Service  daisyservice.ID
+	Term     Term
+	Sequence uint64
+	Held     []Held
+	// Demand has one entry for each rank, the most urgent first.
+	Demand []Demand
+}
+
+// Granted is what the owner has lent to one borrower at one endpoint.
+type Granted struct {
+	Endpoint netip.AddrPort
+	// Granted counts all credits granted in this term.
+	Granted uint64
+}
+
+// Grant goes from the owner to a borrower.
+type Grant struct {
+	Service  daisyservice.ID
+	Term     Term
+	Sequence uint64
+	Granted  []Granted
+	// Target is how many credits the borrower should come down to as its attempts finish.
+	Target uint32
+	// Others has, for each rank, what the other VMs need and use.
+	Others []Demand
+}
--- /dev/null
+++ b/core/daisyendpoint/endpoint.go
@@ -0,0 +1,30 @@
+// Package daisyendpoint describes endpoints and what they report of their load.
+package daisyendpoint
+
+import (
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisyfleet"
+)
+
+// Endpoint is one server of a service as the intent declares it.
+type Endpoint struct {
+	Address netip.AddrPort
+	Zone    daisyfleet.ZoneID
+	// Slots is the number of requests it works on at a time.
+	Slots int
+	// Connections is the number of connections it accepts from all VMs together.
+	Connections int
+	// Draining says that an operator has asked for no new work on it.
+	Draining bool
+}
+
+// Report is what an endpoint says of its own load. It may lag and may be wrong.
+type Report struct {
+	// At is when the report arrived, not when the endpoint made it.
+	At       time.Time
+	InFlight int
+	Slots    int
+	Draining bool
+}
--- /dev/null
+++ b/core/daisyfleet/fleet.go
@@ -0,0 +1,62 @@
+// Package daisyfleet names fleets and their availability zones.
+//
+// Two fleets may use the same availability zone and service names, so no name
+// stands alone: an identity always carries its fleet.
+package daisyfleet
+
+import (
+	"strings"
+
+	"daisyyoke/core/daisyerror"
+)
+
+// Name names a fleet, for instance "vigia-lar".
+type Name string
+
+// ZoneID identifies an availability zone.
+type ZoneID struct {
+	Fleet Name
+	Zone  string
+}
+
+// String gives the id as FLEET/NAME.
+func (z ZoneID) String() string { return string(z.Fleet) + "/" + z.Zone }
+
+// ParseZoneID reads FLEET/NAME. It fails with daisyerror.InvalidSetting.
+func ParseZoneID(text string) (ZoneID, error) {
+	fleet, zone, ok := strings.Cut(text, "/")
+	if !ok || !ValidName(fleet) || !ValidName(zone) {
+		return ZoneID{}, daisyerror.InvalidSetting.New("availability zone %q: want FLEET/NAME in kebab case", text)
+	}
+	return ZoneID{Fleet: Name(fleet), Zone: zone}, nil
+}
+
+// AvailabilityZone is one availability zone of a fleet.
+type AvailabilityZone struct {
+	ID   ZoneID
+	City string
+}
+
+// MaxNameLength is the longest allowed name in bytes, that of a DNS label.
+const MaxNameLength = 63
+
+// ValidName reports whether text is a kebab-case DNS label: lower-case letters,
+// digits and inner hyphens, at most MaxNameLength bytes.
+func ValidName(text string) bool {
+	if text == "" || len(text) > MaxNameLength {
+		return false
+	}
+	if text[0] == '-' || text[len(text)-1] == '-' {
+		return false
+	}
+	for _, r := range text {
+		if !isNameRune(r) {
+			return false
+		}
+	}
+	return true
+}
+
+func isNameRune(r rune) bool {
+	return r == '-' || r >= 'a' && r <= 'z' || r >= '0' && r <= '9'
+}
--- /dev/null
+++ b/core/daisymessage/message.go
@@ -0,0 +1,59 @@
+// Package daisymessage holds the messages that VMs send each other, free of any encoding.
+package daisymessage
+
+import (
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// Message is one of Heartbeat, SnapshotWanted, SnapshotGiven, CreditReport,
+// CreditGrant and EndpointNews.
+type Message interface{ message() }
+
+// Heartbeat tells that a VM lives, what it has in force and what it can take.
+type Heartbeat struct {
+	VM       daisyvm.VM
+	Sequence uint64
+	Revision daisyconfig.Revision
+	Hash     daisyconfig.Hash
+	// Spare is the number of further requests that it could start at once.
+	Spare uint32
+	// Leaving says that a planned stop has begun.
+	Leaving bool
+	// Ready says that every service of its configuration can be served.
+	Ready bool
+	// Sent is the sender's clock, echoed back to measure the round trip.
+	Sent time.Time
+}
+
+// SnapshotWanted asks for a snapshot.
+type SnapshotWanted struct{ Hash daisyconfig.Hash }
+
+// SnapshotGiven answers SnapshotWanted.
+type SnapshotGiven struct{ Snapshot daisyconfig.Snapshot }
+
+// CreditReport carries a borrower's report to the owner of a service.
+type CreditReport struct{ Report daisycredit.Report }
+
+// CreditGrant carries the owner's grant to a borrower.
+type CreditGrant struct{ Grant daisycredit.Grant }
+
+// EndpointNews passes on what a VM has learned of an endpoint.
+type EndpointNews struct {
+	Service daisyservice.ID
+	Address netip.AddrPort
+	Report  daisyendpoint.Report
+}
+
+func (Heartbeat) message()      {}
+func (SnapshotWanted) message() {}
+func (SnapshotGiven) message()  {}
+func (CreditReport) message()   {}
+func (CreditGrant) message()    {}
+func (EndpointNews) message()   {}
--- /dev/null
+++ b/core/daisyrequest/request.go
@@ -0,0 +1,29 @@
+// Package daisyrequest describes a caller's request and what became of it.
+package daisyrequest
+
+import (
+	"time"
+
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
+)
+
+// ID identifies a request within the process that accepted it.
+type ID uint64
+
+// AttemptID identifies one send of a request to an endpoint within the process.
+type AttemptID uint64
+
+// Request is what routing has to know of a caller's request.
+type Request struct {
+	ID       ID
+	Service  daisyservice.ID
+	Rank     daisyrank.Index
+	Arrived  time.Time
+	Deadline time.Time
+	// Idempotent says that running it twice does the same as running it once (RFC 9110, 9.2.2).
+	Idempotent bool
+	// Hedgeable says that it is idempotent and has no body, so that a second
+	// send can run beside the first.
+	Hedgeable bool
+}
--- /dev/null
+++ b/core/daisyroute/decision.go
@@ -0,0 +1,84 @@
+package daisyroute
+
+import (
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyvm"
+)
+
+// Decision is something for the holder of a Dispatcher to do. It is one of Send,
+// Deliver, Fail, Cancel, Tell and Probe.
+type Decision interface{ decision() }
+
+// Send starts an attempt at an endpoint.
+type Send struct {
+	Request  daisyrequest.ID
+	Attempt  daisyrequest.AttemptID
+	Endpoint netip.AddrPort
+	// Deadline is when the attempt has to be given up.
+	Deadline time.Time
+	Reason   Reason
+	// Considered lists the endpoints that were weighed besides the chosen one.
+	Considered []netip.AddrPort
+	// Waited is how long the request waited for a slot.
+	Waited time.Duration
+}
+
+// Deliver passes the answer of an attempt on to the caller.
+type Deliver struct {
+	Request daisyrequest.ID
+	Attempt daisyrequest.AttemptID
+}
+
+// Fail answers the caller with a failure of daisyyoke's own.
+type Fail struct {
+	Request daisyrequest.ID
+	Failure daisyrequest.Failure
+}
+
+// Cancel gives an attempt up. The holder still reports its AttemptResolved or AttemptReleased.
+type Cancel struct{ Attempt daisyrequest.AttemptID }
+
+// Tell sends a message to another VM.
+type Tell struct {
+	To      daisyvm.Name
+	Message daisymessage.Message
+}
+
+// Probe asks an endpoint for its load.
+type Probe struct{ Endpoint netip.AddrPort }
+
+func (Send) decision()    {}
+func (Deliver) decision() {}
+func (Fail) decision()    {}
+func (Cancel) decision()  {}
+func (Tell) decision()    {}
+func (Probe) decision()   {}
+
+// Reason says why an attempt was made.
+type Reason int
+
+const (
+	// First is the first attempt of a request.
+	First Reason = iota
+	// Retry follows an attempt that failed.
+	Retry
+	// Hedge runs beside an attempt that is slow to answer.
+	Hedge
+)
+
+// String gives the reason in kebab case.
+func (r Reason) String() string {
+	switch r {
+	case First:
+		return "first"
+	case Retry:
+		return "retry"
+	case Hedge:
+		return "hedge"
+	}
+	return "unknown"
+}
