--- /dev/null
+++ b/io/daisycontroller/route.go
@@ -0,0 +1,186 @@
+package daisycontroller
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyroute"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// Sender sends messages to other VMs without blocking; a message may be lost.
+type Sender interface {
+	Send(to daisyvm.Name, message daisymessage.Message)
+}
+
+// Prober asks an endpoint for its load.
+type Prober interface {
+	Probe(ctx context.Context, endpoint netip.AddrPort) (daisyendpoint.Report, error)
+}
+
+// RouteOptions are what a Route controller depends on.
+type RouteOptions struct {
+	Self   daisyvm.VM
+	Sender Sender
+	Prober Prober
+	// Seed makes the random choices repeatable.
+	Seed uint64
+}
+
+// Route keeps the routing state of every service, a shard for each (fleet, service).
+type Route struct {
+	options RouteOptions
+	shards  atomic.Pointer[map[daisyservice.ID]*routeShard]
+	// changing serializes the changes of the shard map; requests never take it.
+	changing sync.Mutex
+	requests atomic.Uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+var _ Controller = (*Route)(nil)
+
+// NewRoute gives a controller without services; Apply brings them.
+func NewRoute(options RouteOptions) *Route {
+	c := &Route{options: options}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.shards.Store(&map[daisyservice.ID]*routeShard{})
+	return c
+}
+
+func (c *Route) controller() {}
+
+// Close stops the timers of all shards and waits for them.
+func (c *Route) Close() {
+	c.changing.Lock()
+	defer c.changing.Unlock()
+	c.cancel()
+	for _, s := range *c.shards.Load() {
+		s.close()
+	}
+}
+
+// Apply puts a confirmed configuration in force for new requests.
+func (c *Route) Apply(snapshot *daisyconfig.Snapshot) {
+	c.changing.Lock()
+	defer c.changing.Unlock()
+	shards := maps.Clone(*c.shards.Load())
+	declared := make(map[daisyservice.ID]bool)
+	for _, f := range snapshot.Intent.Fleets {
+		for _, v := range f.Services {
+			declared[v.ID] = true
+			c.applyService(shards, v)
+		}
+	}
+	for id, s := range shards {
+		if !declared[id] {
+			s.retire()
+		}
+	}
+	c.shards.Store(&shards)
+}
+
+func (c *Route) applyService(shards map[daisyservice.ID]*routeShard, service daisyservice.Service) {
+	if s := shards[service.ID]; s != nil {
+		s.change(service)
+		return
+	}
+	random := rand.New(rand.NewPCG(c.options.Seed, uint64(len(shards))))
+	dispatcher := daisyroute.NewDispatcher(c.options.Self, service, random)
+	shards[service.ID] = newRouteShard(c, service, dispatcher)
+}
+
+// FindService gives the declaration in force of a service.
+func (c *Route) FindService(id daisyservice.ID) (daisyservice.Service, bool) {
+	s := c.shard(id)
+	if s == nil {
+		return daisyservice.Service{}, false
+	}
+	service := s.service.Load()
+	if service == nil {
+		return daisyservice.Service{}, false
+	}
+	return *service, true
+}
+
+func (c *Route) shard(id daisyservice.ID) *routeShard { return (*c.shards.Load())[id] }
+
+// Begin hands a request to routing. The id of the request is set here. It fails
+// with daisyerror.NotFound for an unknown service.
+func (c *Route) Begin(request daisyrequest.Request) (*Ticket, error) {
+	s := c.shard(request.Service)
+	if s == nil {
+		return nil, daisyerror.NotFound.New("no service %s", request.Service)
+	}
+	request.ID = daisyrequest.ID(c.requests.Add(1))
+	t := &Ticket{shard: s, request: request, decisions: make(chan daisyroute.Decision, ticketDecisions)}
+	s.begin(t)
+	return t, nil
+}
+
+// SetPeers tells every shard which VMs share its service.
+func (c *Route) SetPeers(vms []daisyvm.VM) {
+	for _, s := range *c.shards.Load() {
+		s.handle(daisyroute.PeersChanged{VMs: vms})
+	}
+}
+
+// Receive takes a message of another VM that concerns a service.
+func (c *Route) Receive(from daisyvm.Name, service daisyservice.ID, message daisymessage.Message) {
+	if s := c.shard(service); s != nil {
+		s.handle(daisyroute.PeerMessage{From: from, Message: message})
+	}
+}
+
+// ticketDecisions bounds the decisions on one request, so that a shard never waits for a request.
+const ticketDecisions = 32
+
+// Ticket is a request in the hands of routing.
+type Ticket struct {
+	shard     *routeShard
+	request   daisyrequest.Request
+	decisions chan daisyroute.Decision
+}
+
+// Request gives the request with its id.
+func (t *Ticket) Request() daisyrequest.Request { return t.request }
+
+// Decisions gives the decisions on this request: Send, Deliver, Fail and Cancel.
+func (t *Ticket) Decisions() <-chan daisyroute.Decision { return t.decisions }
+
+// Resolve reports the outcome of an attempt.
+func (t *Ticket) Resolve(attempt daisyrequest.AttemptID, outcome daisyrequest.Outcome, resendable bool) {
+	t.shard.handle(daisyroute.AttemptResolved{Attempt: attempt, Outcome: outcome, Resendable: resendable})
+}
+
+// Release reports that the body of an answered attempt has ended.
+func (t *Ticket) Release(attempt daisyrequest.AttemptID, whole bool) {
+	t.shard.handle(daisyroute.AttemptReleased{Attempt: attempt, Whole: whole})
+}
+
+// Report passes on what an endpoint said of its load.
+func (t *Ticket) Report(endpoint netip.AddrPort, report daisyendpoint.Report) {
+	t.shard.handle(daisyroute.ReportReceived{Endpoint: endpoint, Report: report})
+}
+
+// Abandon says that the caller has gone.
+func (t *Ticket) Abandon() {
+	t.shard.handle(daisyroute.RequestAbandoned{Request: t.request.ID})
+}
+
+// Close ends the ticket; no decision arrives after it.
+func (t *Ticket) Close() { t.shard.end(t.request.ID) }
+
+// now is the one place where routing reads the clock.
+func now() time.Time { return time.Now() }
