--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -4,7 +4,8 @@
 // among the live VMs. It lends slot credits to the VMs with demand, the most
 // urgent demand first. All counts are cumulative, so that lost, doubled and
 // reordered messages do no harm: the credits a VM holds at an endpoint are what
-// the owner has granted it less what it has returned.
+// it claimed when the term began, and what the owner has granted it since, less
+// what it has returned.
 package daisycredit
 
 import (
@@ -14,20 +15,26 @@
 	"daisyyoke/core/daisyvm"
 )
 
-// Term numbers the spells of an owner: its incarnation and how often it took the service over.
+// Term is one spell of dealings between an owner and one borrower. The zero
+// Term in a Report asks the owner to begin one.
 type Term struct {
 	Owner       daisyvm.Name
 	Incarnation daisyvm.Incarnation
-	Takeover    uint64
+	// Takeover numbers the terms of an incarnation of the owner; it only goes up.
+	Takeover uint64
 }
 
 // Held is what a borrower has at one endpoint.
 type Held struct {
 	Endpoint netip.AddrPort
+	// Claimed counts the credits it had when the term began.
+	Claimed uint32
 	// Returned counts all credits returned in this term.
 	Returned uint64
 	// InFlight counts the attempts under way.
 	InFlight uint32
+	// Shed counts all attempts that the endpoint refused in this term.
+	Shed uint64
 	// Broken says that the borrower keeps work away from the endpoint.
 	Broken bool
 }
@@ -45,7 +52,10 @@
 	Service  daisyservice.ID
 	Term     Term
 	Sequence uint64
-	Held     []Held
+	// Acknowledged is the sequence of the latest Grant that arrived.
+	Acknowledged uint64
+	// Held has the endpoints that changed since the latest acknowledged report.
+	Held []Held
 	// Demand has one entry for each rank, the most urgent first.
 	Demand []Demand
 }
@@ -62,7 +72,10 @@
 	Service  daisyservice.ID
 	Term     Term
 	Sequence uint64
-	Granted  []Granted
+	// Acknowledged is the sequence of the latest Report that arrived.
+	Acknowledged uint64
+	// Granted has the endpoints that changed since the latest acknowledged grant.
+	Granted []Granted
 	// Target is how many credits the borrower should come down to as its attempts finish.
 	Target uint32
 	// Others has, for each rank, what the other VMs need and use.
