Let a sealed policy choose among the endpoints with a free slot

The policies have to be measured against each other, so the choice of an endpoint moves out of the dispatcher behind daisyroute.Policy: limit says how many attempts a VM may have at an endpoint, pick which free one a request takes. The free endpoints are kept in an incremental list. NewDispatcher takes options. Spare and Demand serve the heartbeats.

--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -21,6 +21,9 @@
 	// Deadline is when the attempt has to be given up.
 	Deadline time.Time
 	Reason   Reason
+	// Choice says why this endpoint was taken, out of Free ones with a free slot.
+	Choice Choice
+	Free   int
 	// Considered lists the endpoints that were weighed besides the chosen one.
 	Considered []netip.AddrPort
 	// Waited is how long the request waited for a slot.
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
@@ -17,23 +19,36 @@
 	retryAfter = time.Second
 )
 
+// Options are what a Dispatcher depends on.
+type Options struct {
+	Self    daisyvm.VM
+	Service daisyservice.Service
+	// Random is the source of all random choices.
+	Random *rand.Rand
+	// Policy is LeastOfTwo with reports when it is nil.
+	Policy Policy
+}
+
 // Dispatcher routes the requests of one service on one VM.
 type Dispatcher struct {
 	self      daisyvm.Name
 	service   daisyservice.Service
 	random    *rand.Rand
+	policy    Policy
 	endpoints []*endpoint
-	requests  map[daisyrequest.ID]*request
-	attempts  map[daisyrequest.AttemptID]*attempt
-	waiting   [][]*request
-	sent      daisyrequest.AttemptID
-}
-
-type endpoint struct {
-	address  netip.AddrPort
-	slots    int
-	draining bool
-	inFlight int
+	byAddress map[netip.AddrPort]*endpoint
+	// free lists the endpoints that may take a further attempt, in no order.
+	free []*endpoint
+	// spare is the number of further attempts that all endpoints may have.
+	spare int
+	// turn is the place of RoundRobin in endpoints.
+	turn     int
+	requests map[daisyrequest.ID]*request
+	attempts map[daisyrequest.AttemptID]*attempt
+	waiting  [][]*request
+	// inFlight counts the attempts under way by rank.
+	inFlight []int
+	sent     daisyrequest.AttemptID
 }
 
 type request struct {
@@ -41,26 +56,44 @@
 	attempts int
 	open     *attempt
 	reason   Reason
+	// failed is the endpoint that failed the request last.
+	failed *endpoint
 }
 
+// mayTake reports whether the request may go to the endpoint.
+func (r *request) mayTake(e *endpoint) bool { return e != r.failed }
+
 type attempt struct {
 	id       daisyrequest.AttemptID
 	request  *request
 	endpoint *endpoint
 }
 
-// NewDispatcher gives a dispatcher for a service on the VM self. All its random choices come from random.
-func NewDispatcher(self daisyvm.VM, service daisyservice.Service, random *rand.Rand) *Dispatcher {
+// NewDispatcher gives a dispatcher for a service on one VM.
+func NewDispatcher(options Options) *Dispatcher {
 	d := &Dispatcher{
-		self:     self.Name,
-		random:   random,
-		requests: make(map[daisyrequest.ID]*request),
-		attempts: make(map[daisyrequest.AttemptID]*attempt),
+		self:      options.Self.Name,
+		random:    options.Random,
+		policy:    options.Policy,
+		byAddress: make(map[netip.AddrPort]*endpoint),
+		requests:  make(map[daisyrequest.ID]*request),
+		attempts:  make(map[daisyrequest.AttemptID]*attempt),
+	}
+	if d.policy == nil {
+		d.policy = LeastOfTwo{Reports: true}
 	}
-	d.changeService(service)
+	d.changeService(options.Service)
 	return d
 }
 
+// Spare gives how many further requests could be started at once.
+func (d *Dispatcher) Spare() int { return d.spare }
+
+// Demand gives what a rank waits for and uses.
+func (d *Dispatcher) Demand(rank daisyrank.Index) daisycredit.Demand {
+	return daisycredit.Demand{Waiting: uint32(len(d.waiting[rank])), InFlight: uint32(d.inFlight[rank])}
+}
+
 // Handle takes an event that happened at now and gives what has to be done.
 func (d *Dispatcher) Handle(now time.Time, event Event) []Decision {
 	switch e := event.(type) {
@@ -77,7 +110,10 @@
 		return d.fill(now)
 	case TimePassed:
 		return d.expire(now)
-	case ReportReceived, ProbeFailed, PeerMessage, PeersChanged:
+	case ReportReceived:
+		d.takeReport(now, e.Endpoint, e.Report)
+		return d.fill(now)
+	case ProbeFailed, PeerMessage, PeersChanged:
 		return nil
 	}
 	return nil
@@ -97,23 +133,29 @@
 }
 
 func (d *Dispatcher) changeService(service daisyservice.Service) {
-	old := make(map[netip.AddrPort]*endpoint, len(d.endpoints))
-	for _, e := range d.endpoints {
-		old[e.address] = e
-	}
+	old := d.byAddress
 	d.service = service
 	d.endpoints = nil
+	d.byAddress = make(map[netip.AddrPort]*endpoint, len(service.Endpoints))
 	for _, s := range service.Endpoints {
 		e := old[s.Address]
 		if e == nil {
-			e = &endpoint{address: s.Address}
+			e = &endpoint{address: s.Address, place: notFree}
 		}
 		e.slots = s.Slots
 		e.draining = s.Draining
 		d.endpoints = append(d.endpoints, e)
+		d.byAddress[e.address] = e
+		delete(old, e.address)
+		d.refresh(e)
+	}
+	for _, e := range old {
+		e.draining = true
+		d.refresh(e)
 	}
 	for len(d.waiting) < len(service.Ranks) {
 		d.waiting = append(d.waiting, nil)
+		d.inFlight = append(d.inFlight, 0)
 	}
 }
 
@@ -167,6 +209,7 @@
 	}
 	if daisyrequest.RunOf(event.Outcome) == daisyrequest.NotRun && event.Resendable && r.attempts < maxAttempts {
 		r.reason = Retry
+		r.failed = d.attempts[event.Attempt].endpoint
 		d.waiting[r.Rank] = append([]*request{r}, d.waiting[r.Rank]...)
 		return nil
 	}
@@ -193,6 +236,8 @@
 	}
 	delete(d.attempts, id)
 	a.endpoint.inFlight--
+	d.inFlight[a.request.Rank]--
+	d.refresh(a.endpoint)
 	return d.fill(now)
 }
 
@@ -217,49 +262,39 @@
 	var decisions []Decision
 	for i := range d.waiting {
 		for len(d.waiting[i]) > 0 {
-			e := d.choose()
-			if e == nil {
-				return decisions
-			}
 			r := d.waiting[i][0]
+			c := d.pick(now, r)
+			if c.endpoint == nil {
+				break
+			}
 			d.waiting[i] = d.waiting[i][1:]
-			decisions = append(decisions, d.send(now, r, e))
+			decisions = append(decisions, d.send(now, r, c))
 		}
 	}
 	return decisions
 }
 
-func (d *Dispatcher) choose() *endpoint {
-	var free []*endpoint
-	for _, e := range d.endpoints {
-		if !e.draining && e.inFlight < e.slots {
-			free = append(free, e)
-		}
-	}
-	if len(free) == 0 {
-		return nil
-	}
-	a := free[d.random.IntN(len(free))]
-	b := free[d.random.IntN(len(free))]
-	if b.inFlight*a.slots < a.inFlight*b.slots {
-		return b
-	}
-	return a
-}
-
-func (d *Dispatcher) send(now time.Time, r *request, e *endpoint) Decision {
+func (d *Dispatcher) send(now time.Time, r *request, c candidate) Decision {
 	d.sent++
-	a := &attempt{id: d.sent, request: r, endpoint: e}
+	a := &attempt{id: d.sent, request: r, endpoint: c.endpoint}
 	d.attempts[a.id] = a
 	r.open = a
 	r.attempts++
-	e.inFlight++
-	return Send{
+	s := Send{
 		Request:  r.ID,
 		Attempt:  a.id,
-		Endpoint: e.address,
+		Endpoint: c.endpoint.address,
 		Deadline: r.Deadline,
 		Reason:   r.reason,
+		Choice:   c.choice,
+		Free:     len(d.free),
 		Waited:   now.Sub(r.Arrived),
 	}
+	if c.other != nil {
+		s.Considered = []netip.AddrPort{c.other.address}
+	}
+	c.endpoint.inFlight++
+	d.inFlight[r.Rank]++
+	d.refresh(c.endpoint)
+	return s
 }
