Add the owner of a key by rendezvous hashing, causes of failures and connection shares

Probing and credits both need one VM a service that every VM agrees on. Fail says why, for the log line. The release of a canceled attempt that was answered after all is spelt out.

--- a/core/daisyendpoint/endpoint.go
+++ b/core/daisyendpoint/endpoint.go
@@ -20,6 +20,16 @@
 	Draining bool
 }
 
+// ConnectionShare gives how many connections one of vms VMs may hold to the
+// endpoint: an even part of its limit, and at least as many as it has slots. A
+// limit of 0 means none is declared and gives 0.
+func (e Endpoint) ConnectionShare(vms int) int {
+	if e.Connections == 0 {
+		return 0
+	}
+	return max(e.Connections/max(vms, 1), e.Slots)
+}
+
 // Report is what an endpoint says of its own load. It may lag and may be wrong.
 type Report struct {
 	// At is when the report arrived, not when the endpoint made it.
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -10,7 +10,8 @@
 )
 
 // Decision is something for the holder of a Dispatcher to do. It is one of Send,
-// Deliver, Fail, Cancel, Tell and Probe.
+// Deliver, Fail, Cancel, Tell and Probe. Each request ends with exactly one Deliver
+// or Fail unless it is abandoned.
 type Decision interface{ decision() }
 
 // Send starts an attempt at an endpoint.
@@ -40,9 +41,13 @@
 type Fail struct {
 	Request daisyrequest.ID
 	Failure daisyrequest.Failure
+	Cause   Cause
+	// Waited is how long the request was in the hands of routing.
+	Waited time.Duration
 }
 
-// Cancel gives an attempt up. The holder still reports its AttemptResolved or AttemptReleased.
+// Cancel gives an attempt up. It holds its slot until the holder reports its
+// outcome and, when that is Answered, its AttemptReleased too.
 type Cancel struct{ Attempt daisyrequest.AttemptID }
 
 // Tell sends a message to another VM.
@@ -85,3 +90,44 @@
 	}
 	return "unknown"
 }
+
+// Cause says why routing failed a request.
+type Cause int
+
+const (
+	// QueueFull says that too many requests waited.
+	QueueFull Cause = iota
+	// CannotFinish says that the request could not have been answered by its deadline.
+	CannotFinish
+	// Expired says that the deadline passed.
+	Expired
+	// NoneUsable says that every endpoint is draining or gone.
+	NoneUsable
+	// AttemptsSpent says that the request was sent as often as one may be.
+	AttemptsSpent
+	// BudgetSpent says that the retry budget allowed no further send.
+	BudgetSpent
+	// NotRepeatable says that the request may not be sent again.
+	NotRepeatable
+)
+
+// String gives the cause in kebab case.
+func (c Cause) String() string {
+	switch c {
+	case QueueFull:
+		return "queue-full"
+	case CannotFinish:
+		return "cannot-finish"
+	case Expired:
+		return "expired"
+	case NoneUsable:
+		return "none-usable"
+	case AttemptsSpent:
+		return "attempts-spent"
+	case BudgetSpent:
+		return "budget-spent"
+	case NotRepeatable:
+		return "not-repeatable"
+	}
+	return "unknown"
+}
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -94,7 +94,8 @@
 	return daisycredit.Demand{Waiting: uint32(len(d.waiting[rank])), InFlight: uint32(d.inFlight[rank])}
 }
 
-// Handle takes an event that happened at now and gives what has to be done.
+// Handle takes an event that happened at now and gives what has to be done, in
+// order. The decisions are valid until the next call.
 func (d *Dispatcher) Handle(now time.Time, event Event) []Decision {
 	switch e := event.(type) {
 	case RequestArrived:
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -28,7 +28,8 @@
 type RequestAbandoned struct{ Request daisyrequest.ID }
 
 // AttemptResolved says that an answer's header arrived or that the attempt failed.
-// An attempt with any outcome but Answered holds its slot no longer.
+// An attempt with any outcome but Answered holds its slot no longer; one that is
+// Answered holds it until AttemptReleased, also when it was canceled before.
 type AttemptResolved struct {
 	Attempt daisyrequest.AttemptID
 	Outcome daisyrequest.Outcome
--- /dev/null
+++ b/core/daisyvm/owner.go
@@ -0,0 +1,27 @@
+package daisyvm
+
+import "github.com/cespare/xxhash/v2"
+
+// Owner gives the VM that owns a key by rendezvous hashing: every VM that sees the
+// same live VMs picks the same owner, and the loss of a VM moves only what it
+// owned. It gives the empty name when vms is empty.
+func Owner(vms []VM, key string) Name {
+	var owner Name
+	var best uint64
+	for _, v := range vms {
+		h := ownerHash(v.Name, key)
+		if owner == "" || h > best || h == best && v.Name < owner {
+			owner, best = v.Name, h
+		}
+	}
+	return owner
+}
+
+func ownerHash(name Name, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(name))
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
