--- /dev/null
+++ b/io/daisystand/endpoint_decode.go
@@ -0,0 +1,33 @@
+package daisystand
+
+import (
+	"encoding/json"
+	"io"
+
+	"daisyyoke/core/daisyerror"
+)
+
+// readFaults fails with daisyerror.InvalidRequest.
+func readFaults(r io.Reader) (Faults, error) {
+	var d faultsDocument
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&d); err != nil {
+		return Faults{}, daisyerror.InvalidRequest.Wrap(err, "faults")
+	}
+	if d.Slow < 0 {
+		return Faults{}, daisyerror.InvalidRequest.New("slow %v: want at least 0", d.Slow)
+	}
+	point, err := parseBreakPoint(d.Break)
+	if err != nil {
+		return Faults{}, err
+	}
+	return Faults{
+		Slow:     d.Slow,
+		FailFast: d.FailFast,
+		ShedAll:  d.ShedAll,
+		Draining: d.Draining,
+		Break:    point,
+		Freeze:   d.Freeze,
+	}, nil
+}
