--- a/io/daisystand/endpoint_codec.go
+++ b/io/daisystand/endpoint_codec.go
@@ -76,7 +76,7 @@
 func (e *Endpoint) serveRan(w http.ResponseWriter) {
 	ran := e.Ran()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(ranDocument{Total: ran.Total, Shed: ran.Shed, Canceled: ran.Canceled, Keys: ran.Keys})
+	_ = json.NewEncoder(w).Encode(ranDocument(ran))
 }
 
 // answer writes what the endpoint was asked, so that a caller can tell its own answer from another's.
