Carry the new credit fields between VMs and prove that no field is lost

The credit messages gained claims, sheds and acknowledgements after the codec was written, and nothing said so. A test now fills every field of every message by reflection and wants it back; it fails for any field without a mapping.

--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -219,10 +219,11 @@
 
 func (r *reading) report(w *daisywire.CreditReport) daisycredit.Report {
 	report := daisycredit.Report{
-		Service:  decodeServiceID(w.GetService()),
-		Term:     decodeTerm(w.GetTerm()),
-		Sequence: w.GetSequence(),
-		Demand:   decodeDemand(w.GetDemand()),
+		Service:      decodeServiceID(w.GetService()),
+		Term:         decodeTerm(w.GetTerm()),
+		Sequence:     w.GetSequence(),
+		Demand:       decodeDemand(w.GetDemand()),
+		Acknowledged: w.GetAcknowledged(),
 	}
 	for _, h := range w.GetHeld() {
 		report.Held = append(report.Held, daisycredit.Held{
@@ -230,6 +231,8 @@
 			Returned: h.GetReturned(),
 			InFlight: h.GetInFlight(),
 			Broken:   h.GetBroken(),
+			Claimed:  h.GetClaimed(),
+			Shed:     h.GetShed(),
 		})
 	}
 	return report
@@ -237,11 +240,12 @@
 
 func (r *reading) grant(w *daisywire.CreditGrant) daisycredit.Grant {
 	grant := daisycredit.Grant{
-		Service:  decodeServiceID(w.GetService()),
-		Term:     decodeTerm(w.GetTerm()),
-		Sequence: w.GetSequence(),
-		Target:   w.GetTarget(),
-		Others:   decodeDemand(w.GetOthers()),
+		Service:      decodeServiceID(w.GetService()),
+		Term:         decodeTerm(w.GetTerm()),
+		Sequence:     w.GetSequence(),
+		Target:       w.GetTarget(),
+		Acknowledged: w.GetAcknowledged(),
+		Others:       decodeDemand(w.GetOthers()),
 	}
 	for _, x := range w.GetGranted() {
 		grant.Granted = append(grant.Granted, daisycredit.Granted{Endpoint: r.address(x.GetEndpoint()), Granted: x.GetGranted()})
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -195,10 +195,11 @@
 
 func encodeReport(r daisycredit.Report) *daisywire.CreditReport {
 	w := &daisywire.CreditReport{
-		Service:  encodeServiceID(r.Service),
-		Term:     encodeTerm(r.Term),
-		Sequence: r.Sequence,
-		Demand:   encodeDemand(r.Demand),
+		Service:      encodeServiceID(r.Service),
+		Term:         encodeTerm(r.Term),
+		Sequence:     r.Sequence,
+		Demand:       encodeDemand(r.Demand),
+		Acknowledged: r.Acknowledged,
 	}
 	for _, h := range r.Held {
 		w.Held = append(w.Held, &daisywire.Held{
@@ -206,6 +207,8 @@
 			Returned: h.Returned,
 			InFlight: h.InFlight,
 			Broken:   h.Broken,
+			Claimed:  h.Claimed,
+			Shed:     h.Shed,
 		})
 	}
 	return w
@@ -213,11 +216,12 @@
 
 func encodeGrant(g daisycredit.Grant) *daisywire.CreditGrant {
 	w := &daisywire.CreditGrant{
-		Service:  encodeServiceID(g.Service),
-		Term:     encodeTerm(g.Term),
-		Sequence: g.Sequence,
-		Target:   g.Target,
-		Others:   encodeDemand(g.Others),
+		Service:      encodeServiceID(g.Service),
+		Term:         encodeTerm(g.Term),
+		Sequence:     g.Sequence,
+		Target:       g.Target,
+		Acknowledged: g.Acknowledged,
+		Others:       encodeDemand(g.Others),
 	}
 	for _, x := range g.Granted {
 		w.Granted = append(w.Granted, &daisywire.Granted{Endpoint: addressBytes(x.Endpoint), Granted: x.Granted})
--- /dev/null
+++ b/io/daisypeer/fields_test.go
@@ -0,0 +1,84 @@
+package daisypeer
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisymessage"
+)
+
+// filler sets every field of a value to something other than its zero.
+type filler struct{ next int }
+
+func (f *filler) fill(v reflect.Value) {
+	f.next++
+	switch v.Interface().(type) {
+	case netip.AddrPort:
+		v.Set(reflect.ValueOf(netip.AddrPortFrom(testEndpoint.Addr(), uint16(f.next))))
+		return
+	case time.Time:
+		v.Set(reflect.ValueOf(testNow.Add(time.Duration(f.next) * time.Millisecond)))
+		return
+	case time.Duration:
+		v.SetInt(int64(f.next) * int64(time.Millisecond))
+		return
+	case daisyconfig.Hash:
+		v.SetString(fmt.Sprintf("%064x", f.next))
+		return
+	}
+	f.fillKind(v)
+}
+
+func (f *filler) fillKind(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			f.fill(v.Field(i))
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
+		f.fill(v.Index(0))
+		f.fill(v.Index(1))
+	case reflect.String:
+		v.SetString(fmt.Sprintf("name-%d", f.next))
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(float64(f.next))
+	case reflect.Int:
+		v.SetInt(int64(f.next))
+	case reflect.Uint32, reflect.Uint64:
+		v.SetUint(uint64(f.next))
+	default:
+		panic("no value for " + v.Type().String())
+	}
+}
+
+func TestEveryFieldSurvivesItsEncoding(t *testing.T) {
+	for _, m := range testMessages() {
+		v := reflect.New(reflect.TypeOf(m)).Elem()
+		(&filler{}).fill(v)
+		if s, ok := v.Interface().(daisymessage.SnapshotGiven); ok {
+			for _, f := range s.Snapshot.Intent.Fleets {
+				f.Services[0].DefaultRank = 1
+				f.Services[1].DefaultRank = 1
+			}
+			v.Set(reflect.ValueOf(s))
+		}
+		e, d := testCodecs()
+		later := testNow.Add(time.Hour)
+		want := v.Interface().(daisymessage.Message)
+		frame, err := proto.Marshal(e.encode(later, want))
+		assert.NilError(t, err)
+		got, err := d.decode(later, frame)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want, compareAddresses...)
+	}
+}
