--- a/core/daisyservice/service.go
+++ b/core/daisyservice/service.go
@@ -22,7 +22,9 @@
 	// Ranks are the ranks it carries, the most urgent first.
 	Ranks       []daisyrank.Rank
 	DefaultRank daisyrank.Index
-	Endpoints   []daisyendpoint.Endpoint
+	// Protocol is what all its endpoints speak.
+	Protocol  Protocol
+	Endpoints []daisyendpoint.Endpoint
 }
 
 // Slots gives the slots of all endpoints together.
