Carry the protocol of a service between VMs

Decoding refuses a protocol that it does not know, so the test of all fields sets the one that is not the default in place of an arbitrary number.

--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -185,6 +185,10 @@
 		ID:          decodeServiceID(w.GetId()),
 		Ranks:       decodeRanks(w.GetRanks()),
 		DefaultRank: daisyrank.Index(w.GetDefaultRank()),
+		Protocol:    daisyservice.Protocol(w.GetProtocol()),
+	}
+	if s.Protocol > daisyservice.HTTP2 {
+		r.fail("protocol %d", s.Protocol)
 	}
 	if int(s.DefaultRank) >= len(s.Ranks) {
 		r.fail("default rank %d of %d", s.DefaultRank, len(s.Ranks))
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -164,7 +164,12 @@
 }
 
 func encodeService(s daisyservice.Service) *daisywire.Service {
-	w := &daisywire.Service{Id: encodeServiceID(s.ID), Ranks: encodeRanks(s.Ranks), DefaultRank: uint32(s.DefaultRank)}
+	w := &daisywire.Service{
+		Id:          encodeServiceID(s.ID),
+		Ranks:       encodeRanks(s.Ranks),
+		DefaultRank: uint32(s.DefaultRank),
+		Protocol:    uint32(s.Protocol),
+	}
 	for _, e := range s.Endpoints {
 		w.Endpoints = append(w.Endpoints, encodeEndpoint(e))
 	}
--- a/io/daisypeer/fields_test.go
+++ b/io/daisypeer/fields_test.go
@@ -12,6 +12,7 @@
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyservice"
 )
 
 // filler sets every field of a value to something other than its zero.
@@ -69,6 +70,8 @@
 			for _, f := range s.Snapshot.Intent.Fleets {
 				f.Services[0].DefaultRank = 1
 				f.Services[1].DefaultRank = 1
+				f.Services[0].Protocol = daisyservice.HTTP2
+				f.Services[1].Protocol = daisyservice.HTTP2
 			}
 			v.Set(reflect.ValueOf(s))
 		}
