--- /dev/null
+++ b/core/daisyqueue/admit.go
@@ -0,0 +1,130 @@
+package daisyqueue
+
+import (
+	"time"
+
+	"daisyyoke/core/daisyrank"
+)
+
+// Verdict is what Admit decides. It is one of Admitted, Refused and Displaced.
+type Verdict[T any] interface{ verdict(T) }
+
+// Admitted says that the request waits.
+type Admitted[T any] struct{}
+
+// Refused says that the request does not wait.
+type Refused[T any] struct {
+	Cause Cause
+	// RetryAfter is when the queue of the rank may have drained.
+	RetryAfter time.Duration
+}
+
+// Displaced says that the request waits in place of another, which is refused.
+type Displaced[T any] struct {
+	Item       *Item[T]
+	RetryAfter time.Duration
+}
+
+func (Admitted[T]) verdict(T)  {}
+func (Refused[T]) verdict(T)   {}
+func (Displaced[T]) verdict(T) {}
+
+// Cause says why a request is refused.
+type Cause int
+
+const (
+	// Full says that too many requests wait.
+	Full Cause = iota
+	// Hopeless says that the request could not finish by its deadline.
+	Hopeless
+)
+
+const (
+	leastRetryAfter = time.Second
+	mostRetryAfter  = time.Minute
+)
+
+// Admit lets a request wait if it can finish in time and there is room for it. At
+// a limit the latest deadline of the least urgent rank that holds more than its
+// floor of the room gives way.
+func (q *Queue[T]) Admit(now time.Time, item *Item[T]) Verdict[T] {
+	q.settle(now)
+	if q.hopeless(now, item) {
+		return Refused[T]{Cause: Hopeless, RetryAfter: q.retryAfter(item.Rank)}
+	}
+	q.Push(now, item)
+	out := q.overfull(item.Rank)
+	if out == nil {
+		return Admitted[T]{}
+	}
+	q.Remove(now, out)
+	after := q.retryAfter(out.Rank)
+	if out == item {
+		return Refused[T]{Cause: Full, RetryAfter: after}
+	}
+	return Displaced[T]{Item: out, RetryAfter: after}
+}
+
+// hopeless reports whether the request would still wait when it has to begin.
+func (q *Queue[T]) hopeless(now time.Time, item *Item[T]) bool {
+	switch q.options.Admission.(type) {
+	case AdmitAll:
+		return false
+	case RefuseHopeless:
+		wait := q.Wait(item.Rank)
+		finish := now.Add(wait).Add(q.ranks[item.Rank].account.answers.Median())
+		return wait > 0 && finish.After(item.Deadline)
+	}
+	return false
+}
+
+// Wait estimates how long a request of a rank that arrives now will wait: the
+// slot time of the requests before it, over the slots in use.
+func (q *Queue[T]) Wait(index daisyrank.Index) time.Duration {
+	if q.inFlight == 0 || q.waiting == 0 {
+		return 0
+	}
+	var before time.Duration
+	for _, r := range q.ranks[:index] {
+		before += time.Duration(r.earliest.Len()) * r.account.mean()
+	}
+	r := q.ranks[index]
+	own := time.Duration(r.earliest.Len()) * r.account.mean()
+	all := float64(before+own) / float64(q.inFlight)
+	share := max(r.account.share, r.declared.Floor, leastShare)
+	alone := float64(own) / (share * float64(q.inFlight))
+	if r.declared.Floor > 0 {
+		return time.Duration(min(max(all, alone), float64(own)/(r.declared.Floor*float64(q.inFlight))))
+	}
+	return time.Duration(max(all, alone))
+}
+
+// leastShare keeps the estimate for a rank without a floor finite.
+const leastShare = 0.001
+
+func (q *Queue[T]) retryAfter(index daisyrank.Index) time.Duration {
+	return min(max(q.Wait(index), leastRetryAfter), mostRetryAfter)
+}
+
+// overfull gives the request that has to go after one of a rank was added, or nil.
+func (q *Queue[T]) overfull(index daisyrank.Index) *Item[T] {
+	if q.ranks[index].earliest.Len() > q.options.Limits.Rank {
+		return q.last(index)
+	}
+	if q.waiting <= q.options.Limits.Service {
+		return nil
+	}
+	for i := len(q.ranks) - 1; i >= 0; i-- {
+		room := q.ranks[i].declared.Floor * float64(q.options.Limits.Service)
+		n := q.ranks[i].earliest.Len()
+		if n > 0 && float64(n) > room {
+			return q.last(daisyrank.Index(i))
+		}
+	}
+	return q.last(index)
+}
+
+func (q *Queue[T]) last(index daisyrank.Index) *Item[T] {
+	_, item, _ := q.ranks[index].latest.First()
+	return item
+}
--- /dev/null
+++ b/core/daisyqueue/load_test.go
@@ -0,0 +1,183 @@
+package daisyqueue_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"daisyyoke/core/daisyheap"
+	"daisyyoke/core/daisyqueue"
+	"daisyyoke/core/daisyrank"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var ranks = []daisyrank.Rank{
+	{Name: "urgent", Target: 250 * time.Millisecond, Worth: 100, Floor: 0.5},
+	{Name: "standard", Target: 2 * time.Second, Worth: 10, Floor: 0.3},
+	{Name: "bulk", Target: 10 * time.Minute, Worth: 1, Floor: 0.05},
+}
+
+// load drives a queue in virtual time: Poisson arrivals for each rank, and slots
+// with service times of 8 ms and an exponential part with a mean of 32 ms.
+type load struct {
+	slots int
+	// demand is the offered load of each rank as a part of the capacity.
+	demand  []float64
+	length  time.Duration
+	seed    uint64
+	options daisyqueue.Options
+}
+
+const (
+	fixedPart  = 8 * time.Millisecond
+	randomPart = 32 * time.Millisecond
+	meanTime   = fixedPart + randomPart
+)
+
+// tally is what became of the requests of one rank.
+type tally struct {
+	arrived, inTime, late, refused int
+	slotTime                       time.Duration
+}
+
+type item = daisyqueue.Item[time.Time]
+
+type running struct {
+	item   *item
+	begun  time.Time
+	charge daisyqueue.Charge
+	place  int
+}
+
+type simulation struct {
+	load
+	random  *rand.Rand
+	queue   *daisyqueue.Queue[time.Time]
+	now     time.Time
+	running *daisyheap.Heap[*running]
+	next    []time.Time
+	tallies []tally
+	mostLen int
+}
+
+func (l load) run() *simulation {
+	s := &simulation{load: l, random: rand.New(rand.NewPCG(l.seed, 0)), now: start}
+	if s.options.Limits.Rank == 0 {
+		s.options.Limits = daisyqueue.Limits{Rank: 4096, Service: 8192}
+	}
+	s.queue = daisyqueue.New[time.Time](ranks, s.options)
+	s.running = daisyheap.New[*running](daisyheap.Earliest)
+	s.tallies = make([]tally, len(ranks))
+	s.next = make([]time.Time, len(ranks))
+	for i := range ranks {
+		s.next[i] = start
+		s.plan(i)
+	}
+	for s.step() {
+		s.mostLen = max(s.mostLen, s.queue.Len())
+	}
+	return s
+}
+
+func (s *simulation) plan(rank int) {
+	if s.demand[rank] == 0 {
+		s.next[rank] = s.now.Add(1000 * time.Hour)
+		return
+	}
+	mean := float64(meanTime) / (s.demand[rank] * float64(s.slots))
+	s.next[rank] = s.next[rank].Add(time.Duration(mean * s.random.ExpFloat64()))
+}
+
+func (s *simulation) step() bool {
+	rank := 0
+	for i := range s.next {
+		if s.next[i].Before(s.next[rank]) {
+			rank = i
+		}
+	}
+	end, done, ok := s.running.First()
+	expiry := s.queue.NextExpiry()
+	switch {
+	case ok && !end.After(s.next[rank]) && (expiry.IsZero() || !end.After(expiry)):
+		s.now = end
+		s.end(done)
+	case !expiry.IsZero() && expiry.Before(s.next[rank]):
+		s.now = later(s.now, expiry)
+		s.expire()
+	default:
+		s.now = s.next[rank]
+		s.arrive(rank)
+	}
+	s.fill()
+	return s.now.Sub(start) < s.length
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (s *simulation) arrive(rank int) {
+	s.plan(rank)
+	s.tallies[rank].arrived++
+	i := &item{Value: s.now, Rank: daisyrank.Index(rank), Deadline: s.now.Add(ranks[rank].Target)}
+	switch v := s.queue.Admit(s.now, i).(type) {
+	case daisyqueue.Refused[time.Time]:
+		s.tallies[rank].refused++
+	case daisyqueue.Displaced[time.Time]:
+		s.tallies[v.Item.Rank].refused++
+	}
+}
+
+func (s *simulation) expire() {
+	for {
+		d, ok := s.queue.Expire(s.now).(daisyqueue.Drop[time.Time])
+		if !ok {
+			return
+		}
+		s.tallies[d.Item.Rank].refused++
+	}
+}
+
+func (s *simulation) fill() {
+	for s.running.Len() < s.slots {
+		switch v := s.queue.Next(s.now).(type) {
+		case daisyqueue.Idle[time.Time]:
+			return
+		case daisyqueue.Drop[time.Time]:
+			s.tallies[v.Item.Rank].refused++
+		case daisyqueue.Serve[time.Time]:
+			s.queue.Remove(s.now, v.Item)
+			r := &running{item: v.Item, begun: s.now, charge: s.queue.Started(s.now, v.Item.Rank)}
+			took := fixedPart + time.Duration(float64(randomPart)*s.random.ExpFloat64())
+			s.running.Push(s.now.Add(took), r, &r.place)
+		}
+	}
+}
+
+func (s *simulation) end(r *running) {
+	s.running.Remove(r.place)
+	took := s.now.Sub(r.begun)
+	s.queue.Ended(s.now, r.item.Rank, took, r.charge)
+	s.queue.Learn(r.item.Rank, took)
+	t := &s.tallies[r.item.Rank]
+	t.slotTime += took
+	if s.now.After(r.item.Deadline) {
+		t.late++
+		return
+	}
+	t.inTime++
+}
+
+// goodput gives the answers in time of a rank as a part of what all slots could give.
+func (s *simulation) goodput(rank int) float64 {
+	capacity := float64(s.slots) * float64(s.length) / float64(meanTime)
+	return float64(s.tallies[rank].inTime) / capacity
+}
+
+// slotShare gives the part of the slot time that a rank used.
+func (s *simulation) slotShare(rank int) float64 {
+	return float64(s.tallies[rank].slotTime) / (float64(s.slots) * float64(s.length))
+}
--- /dev/null
+++ b/core/daisyqueue/next.go
@@ -0,0 +1,116 @@
+package daisyqueue
+
+import "time"
+
+// Step is what Next gives. It is one of Serve, Drop and Idle.
+type Step[T any] interface{ step(T) }
+
+// Serve says that the request is the next to get a slot.
+type Serve[T any] struct{ Item *Item[T] }
+
+// Drop says that the request cannot finish by its deadline and has to be refused.
+type Drop[T any] struct{ Item *Item[T] }
+
+// Idle says that nothing waits.
+type Idle[T any] struct{}
+
+func (Serve[T]) step(T) {}
+func (Drop[T]) step(T)  {}
+func (Idle[T]) step(T)  {}
+
+// overloadTime is how long LatestWhenOverloaded takes the latest deadline first after a drop.
+const overloadTime = time.Second
+
+// Next gives the request that a free slot should go to. A request to serve goes
+// on waiting until Remove; a dropped one waits no longer.
+func (q *Queue[T]) Next(now time.Time) Step[T] {
+	q.settle(now)
+	r := q.turn()
+	if r == nil {
+		return Idle[T]{}
+	}
+	item := r.head(now, q.options.Order)
+	if now.Before(item.Deadline) && (q.waiting == 1 || !r.late(now, item)) {
+		return Serve[T]{Item: item}
+	}
+	return q.drop(now, r, item)
+}
+
+// Expire gives a request whose time to begin has passed while no slot was free, or Idle.
+func (q *Queue[T]) Expire(now time.Time) Step[T] {
+	for _, r := range q.ranks {
+		_, item, ok := r.earliest.First()
+		if ok && !now.Before(r.start(item)) {
+			return q.drop(now, r, item)
+		}
+	}
+	return Idle[T]{}
+}
+
+// NextExpiry gives when Expire will have a request next; the zero time means never.
+func (q *Queue[T]) NextExpiry() time.Time {
+	var next time.Time
+	for _, r := range q.ranks {
+		_, item, ok := r.earliest.First()
+		if !ok {
+			continue
+		}
+		start := r.start(item)
+		if next.IsZero() || start.Before(next) {
+			next = start
+		}
+	}
+	return next
+}
+
+// turn gives the rank whose turn it is: the most urgent one that is owed slot
+// time, or else the most urgent one.
+func (q *Queue[T]) turn() *rank[T] {
+	var first *rank[T]
+	for _, r := range q.ranks {
+		if r.earliest.Len() == 0 {
+			continue
+		}
+		if r.declared.Floor > 0 && r.account.owed >= 0 {
+			return r
+		}
+		if first == nil {
+			first = r
+		}
+	}
+	return first
+}
+
+func (r *rank[T]) head(now time.Time, order Order) *Item[T] {
+	switch order.(type) {
+	case LatestWhenOverloaded:
+		if now.Before(r.overloadedUntil) {
+			_, item, _ := r.latest.First()
+			return item
+		}
+	case EarliestFirst:
+	}
+	_, item, _ := r.earliest.First()
+	return item
+}
+
+// late reports whether the request would probably not finish, while another of
+// its rank waits that has more time left.
+func (r *rank[T]) late(now time.Time, item *Item[T]) bool {
+	margin := r.account.answers.Median()
+	if r.earliest.Len() > 1 {
+		margin = r.account.answers.P95()
+	}
+	return now.Add(margin).After(item.Deadline)
+}
+
+// start gives the time by which the request has to begin to be more likely to finish than not.
+func (r *rank[T]) start(item *Item[T]) time.Time {
+	return item.Deadline.Add(-r.account.answers.Median())
+}
+
+func (q *Queue[T]) drop(now time.Time, r *rank[T], item *Item[T]) Step[T] {
+	q.Remove(now, item)
+	r.overloadedUntil = now.Add(overloadTime)
+	return Drop[T]{Item: item}
+}
--- /dev/null
+++ b/core/daisyqueue/queue.go
@@ -0,0 +1,153 @@
+// Package daisyqueue orders the requests of one service that wait at one VM for a slot.
+//
+// Requests wait by rank and within a rank by deadline. A rank that got less than
+// its floor of the slot time while it had work goes before the others. Requests
+// that cannot finish by their deadline are refused, and the number that may wait
+// is bounded.
+package daisyqueue
+
+import (
+	"time"
+
+	"daisyyoke/core/daisyheap"
+	"daisyyoke/core/daisyrank"
+)
+
+// Item is one waiting request. Its owner keeps it in memory and changes nothing
+// but Value while it waits.
+type Item[T any] struct {
+	Value    T
+	Rank     daisyrank.Index
+	Deadline time.Time
+
+	// early and late are the places in the heaps of the rank.
+	early, late int
+	waits       bool
+}
+
+// Waits reports whether the item is in a queue.
+func (i *Item[T]) Waits() bool { return i.waits }
+
+// Limits bound how many requests wait.
+type Limits struct {
+	// Rank bounds the requests of one rank, Service those of all ranks.
+	Rank    int
+	Service int
+}
+
+// Options are the choices of a queue.
+type Options struct {
+	Limits Limits
+	// Order is LatestWhenOverloaded when it is nil.
+	Order Order
+	// Admission is RefuseHopeless when it is nil.
+	Admission Admission
+}
+
+// Order says which request of a rank goes first. It is one of EarliestFirst and
+// LatestWhenOverloaded.
+type Order interface{ order() }
+
+// EarliestFirst takes the earliest deadline first.
+type EarliestFirst struct{}
+
+// LatestWhenOverloaded takes the latest deadline first for a second after a
+// request of the rank could not finish in time, and the earliest otherwise.
+type LatestWhenOverloaded struct{}
+
+func (EarliestFirst) order()        {}
+func (LatestWhenOverloaded) order() {}
+
+// Admission says which requests may begin to wait. It is one of RefuseHopeless and AdmitAll.
+type Admission interface{ admission() }
+
+// RefuseHopeless refuses a request that would have to wait too long to finish by its deadline.
+type RefuseHopeless struct{}
+
+// AdmitAll admits every request, up to the limits.
+type AdmitAll struct{}
+
+func (RefuseHopeless) admission() {}
+func (AdmitAll) admission()       {}
+
+// Queue holds the waiting requests of one service. The time given to its methods must not go back.
+type Queue[T any] struct {
+	options Options
+	ranks   []*rank[T]
+	waiting int
+	// inFlight counts the attempts under way, of all ranks.
+	inFlight  int
+	accounted time.Time
+}
+
+type rank[T any] struct {
+	declared daisyrank.Rank
+	earliest *daisyheap.Heap[*Item[T]]
+	latest   *daisyheap.Heap[*Item[T]]
+	account  account
+	// overloadedUntil is when LatestWhenOverloaded goes back to the earliest deadline.
+	overloadedUntil time.Time
+}
+
+// New gives an empty queue for ranks, the most urgent first.
+func New[T any](ranks []daisyrank.Rank, options Options) *Queue[T] {
+	if options.Order == nil {
+		options.Order = LatestWhenOverloaded{}
+	}
+	if options.Admission == nil {
+		options.Admission = RefuseHopeless{}
+	}
+	q := &Queue[T]{options: options}
+	q.SetRanks(ranks)
+	return q
+}
+
+// SetRanks changes the declaration of the ranks. Ranks that are no longer
+// declared lose their floor and keep what waits.
+func (q *Queue[T]) SetRanks(ranks []daisyrank.Rank) {
+	for len(q.ranks) < len(ranks) {
+		q.ranks = append(q.ranks, &rank[T]{
+			earliest: daisyheap.New[*Item[T]](daisyheap.Earliest),
+			latest:   daisyheap.New[*Item[T]](daisyheap.Latest),
+			account:  account{share: 1},
+		})
+	}
+	for i, r := range q.ranks {
+		r.declared.Floor = 0
+		if i < len(ranks) {
+			r.declared = ranks[i]
+		}
+	}
+}
+
+// Len gives how many requests wait.
+func (q *Queue[T]) Len() int { return q.waiting }
+
+// Waiting gives how many requests of a rank wait.
+func (q *Queue[T]) Waiting(index daisyrank.Index) int { return q.ranks[index].earliest.Len() }
+
+// InFlight gives how many attempts of a rank are under way.
+func (q *Queue[T]) InFlight(index daisyrank.Index) int { return q.ranks[index].account.inFlight }
+
+// Push lets a request wait regardless of limits and estimates; Admit applies them.
+func (q *Queue[T]) Push(now time.Time, item *Item[T]) {
+	q.settle(now)
+	r := q.ranks[item.Rank]
+	r.earliest.Push(item.Deadline, item, &item.early)
+	r.latest.Push(item.Deadline, item, &item.late)
+	item.waits = true
+	q.waiting++
+}
+
+// Remove takes a request out; one that does not wait is left alone.
+func (q *Queue[T]) Remove(now time.Time, item *Item[T]) {
+	if !item.waits {
+		return
+	}
+	q.settle(now)
+	r := q.ranks[item.Rank]
+	r.earliest.Remove(item.early)
+	r.latest.Remove(item.late)
+	item.waits = false
+	q.waiting--
+}
