--- /dev/null
+++ b/io/daisymetric/metrics.go
@@ -0,0 +1,135 @@
+// Package daisymetric counts what a VM does, for Prometheus.
+//
+// The names of metrics are in snake case: the exposition format allows no hyphen in them.
+package daisymetric
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// Metrics holds the metrics of one VM. Its methods do nothing on a nil pointer,
+// and all of them are safe for concurrent use.
+type Metrics struct {
+	set      *metrics.Set
+	ranks    cache[rankKey, *Rank]
+	counters cache[string, *metrics.Counter]
+	probes   cache[probeKey, *metrics.Counter]
+}
+
+type rankKey struct {
+	service daisyservice.ID
+	rank    daisyrank.Name
+}
+
+type probeKey struct {
+	service daisyservice.ID
+	result  string
+}
+
+// New gives metrics that all stand at zero.
+func New() *Metrics { return &Metrics{set: metrics.NewSet()} }
+
+// WritePrometheus writes all metrics and those of the process in the Prometheus text format.
+func (m *Metrics) WritePrometheus(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// AddGauge adds a value that is read whenever the metrics are written. The name may carry labels.
+func (m *Metrics) AddGauge(name string, read func() float64) {
+	if m != nil {
+		m.set.GetOrCreateGauge(name, read)
+	}
+}
+
+// Rank gives the metrics of one rank of a service.
+func (m *Metrics) Rank(service daisyservice.ID, rank daisyrank.Name) *Rank {
+	if m == nil {
+		return nil
+	}
+	return m.ranks.get(rankKey{service: service, rank: rank}, func() *Rank {
+		return newRank(m.set, service, rank)
+	})
+}
+
+// Probe counts a probe of an endpoint of the service.
+func (m *Metrics) Probe(service daisyservice.ID, ok bool) {
+	if m == nil {
+		return
+	}
+	result := "failed"
+	if ok {
+		result = "answered"
+	}
+	m.probes.get(probeKey{service: service, result: result}, func() *metrics.Counter {
+		return m.set.GetOrCreateCounter(fmt.Sprintf(`daisyyoke_probes_total{fleet=%q,service=%q,result=%q}`,
+			string(service.Fleet), service.Name, result))
+	}).Inc()
+}
+
+// Refused counts a request that the chain of filters answered with this status.
+func (m *Metrics) Refused(status int) {
+	if m != nil {
+		m.counter(fmt.Sprintf(`daisyyoke_refused_by_filters_total{status="%d"}`, status)).Inc()
+	}
+}
+
+// MessageSent counts a message to another VM.
+func (m *Metrics) MessageSent(kind string, bytes int) {
+	if m == nil {
+		return
+	}
+	m.counter(fmt.Sprintf(`daisyyoke_peer_messages_total{direction="sent",kind=%q}`, kind)).Inc()
+	m.counter(fmt.Sprintf(`daisyyoke_peer_bytes_total{direction="sent",kind=%q}`, kind)).Add(bytes)
+}
+
+// MessageReceived counts a message of another VM.
+func (m *Metrics) MessageReceived(_ daisyvm.Name, kind string, bytes int) {
+	if m == nil {
+		return
+	}
+	m.counter(fmt.Sprintf(`daisyyoke_peer_messages_total{direction="received",kind=%q}`, kind)).Inc()
+	m.counter(fmt.Sprintf(`daisyyoke_peer_bytes_total{direction="received",kind=%q}`, kind)).Add(bytes)
+}
+
+func (m *Metrics) counter(name string) *metrics.Counter {
+	return m.counters.get(name, func() *metrics.Counter { return m.set.GetOrCreateCounter(name) })
+}
+
+// cache finds a metric without building its name each time.
+type cache[K comparable, V any] struct {
+	mu    sync.RWMutex
+	items map[K]V
+}
+
+func (c *cache[K, V]) get(key K, create func() V) V {
+	c.mu.RLock()
+	v, ok := c.items[key]
+	c.mu.RUnlock()
+	if ok {
+		return v
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v, ok := c.items[key]; ok {
+		return v
+	}
+	if c.items == nil {
+		c.items = make(map[K]V)
+	}
+	v = create()
+	c.items[key] = v
+	return v
+}
+
+// seconds gives a duration in the unit of Prometheus.
+func seconds(d time.Duration) float64 { return d.Seconds() }
