--- a/core/daisyconfig/config.go
+++ b/core/daisyconfig/config.go
@@ -36,8 +36,10 @@
 
 // Snapshot is one confirmed configuration; it never changes once made.
 type Snapshot struct {
-	Revision    Revision
-	Hash        Hash
+	Revision Revision
+	Hash     Hash
+	// Previous is the hash of the snapshot of the revision before; empty for the first.
+	Previous    Hash
 	Intent      Intent
 	ConfirmedAt time.Time
 	ConfirmedBy string
