Set down the platform's interface with an embedded one

Cause: what must last lives in the platform, whose answers can be lost. Conclusion: callers have to say what they do on a conflict and on an unknown outcome.

--- /dev/null
+++ b/io/daisyplatform/embedded.go
@@ -0,0 +1,252 @@
+package daisyplatform
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyvm"
+)
+
+const (
+	// embeddedShards is the number of shards of an embedded platform.
+	embeddedShards = 16
+	// MaxLag bounds how old a lagging read can be.
+	MaxLag = time.Minute
+	// announcementLife is how long a VM stays on the list after it last announced itself.
+	announcementLife = 30 * time.Second
+)
+
+// Embedded is a platform in memory, for trials in one process and for the
+// stand-in. It has no outages of its own; Faulty adds them.
+type Embedded struct {
+	shards [embeddedShards]embeddedShard
+}
+
+// embeddedShard holds the rows, objects and VMs whose names hash to it.
+type embeddedShard struct {
+	mu      sync.Mutex
+	rows    map[string][]writtenRow
+	objects map[string][]byte
+	vms     map[daisyvm.Name][]announcedVM
+}
+
+// writtenRow is one version of a row; older ones are kept for lagging reads.
+type writtenRow struct {
+	row Row
+	at  time.Time
+}
+
+type announcedVM struct {
+	vm ListedVM
+	at time.Time
+}
+
+var _ Platform = (*Embedded)(nil)
+
+// NewEmbedded gives an empty platform.
+func NewEmbedded() *Embedded {
+	e := &Embedded{}
+	for i := range e.shards {
+		s := &e.shards[i]
+		s.rows = make(map[string][]writtenRow)
+		s.objects = make(map[string][]byte)
+		s.vms = make(map[daisyvm.Name][]announcedVM)
+	}
+	return e
+}
+
+func (e *Embedded) shard(name string) *embeddedShard {
+	return &e.shards[xxhash.Sum64String(name)%embeddedShards]
+}
+
+// GetRow answers RowRead or NotFound.
+func (e *Embedded) GetRow(_ context.Context, key string) Answer { return e.getRow(key, 0) }
+
+// getRow reads a row as it was a while ago.
+func (e *Embedded) getRow(key string, lag time.Duration) Answer {
+	if err := checkName(key); err != nil {
+		return Unavailable{Err: err}
+	}
+	s := e.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := versionAt(s.rows[key], time.Now().Add(-lag))
+	if !ok {
+		return NotFound{}
+	}
+	return RowRead{Row: copyRow(w.row)}
+}
+
+func versionAt(versions []writtenRow, at time.Time) (writtenRow, bool) {
+	for _, w := range slices.Backward(versions) {
+		if !w.at.After(at) {
+			return w, true
+		}
+	}
+	return writtenRow{}, false
+}
+
+func copyRow(r Row) Row {
+	r.Value = slices.Clone(r.Value)
+	return r
+}
+
+// SwapRow answers RowWritten, Conflict, or Unavailable for a row that is too large.
+func (e *Embedded) SwapRow(_ context.Context, key string, expected Version, value []byte) Answer {
+	if err := checkRow(key, value); err != nil {
+		return Unavailable{Err: err}
+	}
+	s := e.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	versions := s.rows[key]
+	var current Version
+	if len(versions) > 0 {
+		current = versions[len(versions)-1].row.Version
+	}
+	if current != expected {
+		return Conflict{}
+	}
+	now := time.Now()
+	written := Row{Key: key, Version: current + 1, Value: slices.Clone(value)}
+	s.rows[key] = append(forget(versions, now.Add(-MaxLag)), writtenRow{row: written, at: now})
+	return RowWritten{Version: written.Version}
+}
+
+// forget drops the versions that no lagging read can see any more.
+func forget(versions []writtenRow, before time.Time) []writtenRow {
+	first := 0
+	for first+1 < len(versions) && versions[first+1].at.Before(before) {
+		first++
+	}
+	return slices.Clone(versions[first:])
+}
+
+// ListRows answers RowsListed.
+func (e *Embedded) ListRows(_ context.Context, prefix string) Answer { return e.listRows(prefix, 0) }
+
+func (e *Embedded) listRows(prefix string, lag time.Duration) Answer {
+	at := time.Now().Add(-lag)
+	var rows []Row
+	for i := range e.shards {
+		rows = append(rows, e.shards[i].list(prefix, at)...)
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return RowsListed{Rows: rows}
+}
+
+func (s *embeddedShard) list(prefix string, at time.Time) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []Row
+	for k, versions := range s.rows {
+		if !strings.HasPrefix(k, prefix) {
+			continue
+		}
+		if w, ok := versionAt(versions, at); ok {
+			rows = append(rows, copyRow(w.row))
+		}
+	}
+	return rows
+}
+
+// PutObject answers ObjectWritten, or Unavailable for an object that is too large.
+func (e *Embedded) PutObject(_ context.Context, name string, data []byte) Answer {
+	if err := checkObject(name, data); err != nil {
+		return Unavailable{Err: err}
+	}
+	s := e.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.objects[name]; !ok {
+		s.objects[name] = slices.Clone(data)
+	}
+	return ObjectWritten{}
+}
+
+// GetObject answers ObjectRead or NotFound.
+func (e *Embedded) GetObject(_ context.Context, name string) Answer {
+	if err := checkName(name); err != nil {
+		return Unavailable{Err: err}
+	}
+	s := e.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[name]
+	if !ok {
+		return NotFound{}
+	}
+	return ObjectRead{Data: slices.Clone(data)}
+}
+
+// AnnounceVM answers VMAnnounced.
+func (e *Embedded) AnnounceVM(_ context.Context, vm ListedVM) Answer {
+	s := e.shard(string(vm.Name))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	kept := slices.DeleteFunc(slices.Clone(s.vms[vm.Name]), func(a announcedVM) bool {
+		return a.at.Before(now.Add(-MaxLag - announcementLife))
+	})
+	s.vms[vm.Name] = append(kept, announcedVM{vm: vm, at: now})
+	return VMAnnounced{}
+}
+
+// ListVMs answers VMsListed.
+func (e *Embedded) ListVMs(_ context.Context) Answer { return e.listVMs(0) }
+
+func (e *Embedded) listVMs(lag time.Duration) Answer {
+	at := time.Now().Add(-lag)
+	var vms []ListedVM
+	for i := range e.shards {
+		vms = append(vms, e.shards[i].listVMs(at)...)
+	}
+	slices.SortFunc(vms, func(a, b ListedVM) int { return cmp.Compare(a.Name, b.Name) })
+	return VMsListed{VMs: vms}
+}
+
+func (s *embeddedShard) listVMs(at time.Time) []ListedVM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var vms []ListedVM
+	for _, announced := range s.vms {
+		for _, a := range slices.Backward(announced) {
+			if a.at.After(at) {
+				continue
+			}
+			if a.at.After(at.Add(-announcementLife)) {
+				vms = append(vms, a.vm)
+			}
+			break
+		}
+	}
+	return vms
+}
+
+func checkName(name string) error {
+	if name == "" || len(name) > MaxNameLength {
+		return daisyerror.InvalidRequest.New("name %q has to be 1 to %d bytes long", name, MaxNameLength)
+	}
+	return nil
+}
+
+func checkRow(key string, value []byte) error {
+	if len(value) > MaxValueSize {
+		return daisyerror.InvalidRequest.New("row %q has %d bytes, more than %d", key, len(value), MaxValueSize)
+	}
+	return checkName(key)
+}
+
+func checkObject(name string, data []byte) error {
+	if len(data) > MaxObjectSize {
+		return daisyerror.InvalidRequest.New("object %q has %d bytes, more than %d", name, len(data), MaxObjectSize)
+	}
+	return checkName(name)
+}
--- /dev/null
+++ b/io/daisysnapshot/document.go
@@ -0,0 +1,210 @@
+package daisysnapshot
+
+import (
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyfleet"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
+)
+
+type snapshotDocument struct {
+	Revision    uint64         `json:"revision"`
+	Previous    string         `json:"previous,omitempty"`
+	PlanID      string         `json:"plan-id,omitempty"`
+	ConfirmedBy string         `json:"confirmed-by,omitempty"`
+	ConfirmedAt time.Time      `json:"confirmed-at"`
+	Intent      intentDocument `json:"intent"`
+}
+
+type intentDocument struct {
+	Fleets []fleetDocument `json:"fleets"`
+}
+
+type fleetDocument struct {
+	Name     string            `json:"name"`
+	Zones    []zoneDocument    `json:"availability-zones,omitempty"`
+	Ranks    []rankDocument    `json:"ranks,omitempty"`
+	Services []serviceDocument `json:"services,omitempty"`
+}
+
+type zoneDocument struct {
+	Name string `json:"name"`
+	City string `json:"city,omitempty"`
+}
+
+type rankDocument struct {
+	Name   string  `json:"name"`
+	Target string  `json:"target"`
+	Worth  float64 `json:"worth"`
+	Floor  float64 `json:"floor"`
+}
+
+type serviceDocument struct {
+	Name        string             `json:"name"`
+	Ranks       []string           `json:"ranks,omitempty"`
+	DefaultRank int                `json:"default-rank"`
+	Endpoints   []endpointDocument `json:"endpoints,omitempty"`
+}
+
+type endpointDocument struct {
+	Address     netip.AddrPort `json:"address"`
+	Zone        string         `json:"availability-zone,omitempty"`
+	Slots       int            `json:"slots"`
+	Connections int            `json:"connections,omitempty"`
+	Draining    bool           `json:"draining,omitempty"`
+}
+
+func snapshotOf(s *daisyconfig.Snapshot) snapshotDocument {
+	return snapshotDocument{
+		Revision:    uint64(s.Revision),
+		Previous:    string(s.Previous),
+		PlanID:      s.PlanID,
+		ConfirmedBy: s.ConfirmedBy,
+		ConfirmedAt: s.ConfirmedAt.UTC().Round(0),
+		Intent:      intentOf(s.Intent),
+	}
+}
+
+func intentOf(i daisyconfig.Intent) intentDocument {
+	var d intentDocument
+	for _, f := range i.Fleets {
+		d.Fleets = append(d.Fleets, fleetOf(f))
+	}
+	return d
+}
+
+func fleetOf(f daisyconfig.Fleet) fleetDocument {
+	d := fleetDocument{Name: string(f.Name)}
+	for _, z := range f.AvailabilityZones {
+		d.Zones = append(d.Zones, zoneDocument{Name: z.ID.Zone, City: z.City})
+	}
+	for _, r := range f.Ranks {
+		d.Ranks = append(d.Ranks, rankDocument{
+			Name:   string(r.Name),
+			Target: r.Target.String(),
+			Worth:  r.Worth,
+			Floor:  r.Floor,
+		})
+	}
+	for _, s := range f.Services {
+		d.Services = append(d.Services, serviceOf(s))
+	}
+	return d
+}
+
+func serviceOf(s daisyservice.Service) serviceDocument {
+	d := serviceDocument{Name: s.ID.Name, DefaultRank: int(s.DefaultRank)}
+	for _, r := range s.Ranks {
+		d.Ranks = append(d.Ranks, string(r.Name))
+	}
+	for _, e := range s.Endpoints {
+		d.Endpoints = append(d.Endpoints, endpointDocument{
+			Address:     e.Address,
+			Zone:        e.Zone.Zone,
+			Slots:       e.Slots,
+			Connections: e.Connections,
+			Draining:    e.Draining,
+		})
+	}
+	return d
+}
+
+func (d snapshotDocument) snapshot() (*daisyconfig.Snapshot, error) {
+	intent, err := d.Intent.intent()
+	if err != nil {
+		return nil, err
+	}
+	if d.Revision == 0 {
+		return nil, daisyerror.InvalidRequest.New("snapshot without a revision")
+	}
+	return &daisyconfig.Snapshot{
+		Revision:    daisyconfig.Revision(d.Revision),
+		Previous:    daisyconfig.Hash(d.Previous),
+		PlanID:      d.PlanID,
+		ConfirmedBy: d.ConfirmedBy,
+		ConfirmedAt: d.ConfirmedAt,
+		Intent:      intent,
+	}, nil
+}
+
+func (d intentDocument) intent() (daisyconfig.Intent, error) {
+	var i daisyconfig.Intent
+	for _, f := range d.Fleets {
+		fleet, err := f.fleet()
+		if err != nil {
+			return daisyconfig.Intent{}, err
+		}
+		i.Fleets = append(i.Fleets, fleet)
+	}
+	return i, nil
+}
+
+func (d fleetDocument) fleet() (daisyconfig.Fleet, error) {
+	f := daisyconfig.Fleet{Name: daisyfleet.Name(d.Name)}
+	if !daisyfleet.ValidName(d.Name) {
+		return f, daisyerror.InvalidRequest.New("fleet name %q", d.Name)
+	}
+	for _, z := range d.Zones {
+		id := daisyfleet.ZoneID{Fleet: f.Name, Zone: z.Name}
+		f.AvailabilityZones = append(f.AvailabilityZones, daisyfleet.AvailabilityZone{ID: id, City: z.City})
+	}
+	for _, r := range d.Ranks {
+		target, err := time.ParseDuration(r.Target)
+		if err != nil {
+			return f, daisyerror.InvalidRequest.Wrap(err, "rank %q of fleet %s", r.Name, f.Name)
+		}
+		f.Ranks = append(f.Ranks, daisyrank.Rank{Name: daisyrank.Name(r.Name), Target: target, Worth: r.Worth, Floor: r.Floor})
+	}
+	for _, s := range d.Services {
+		service, err := s.service(f)
+		if err != nil {
+			return f, err
+		}
+		f.Services = append(f.Services, service)
+	}
+	return f, nil
+}
+
+func (d serviceDocument) service(fleet daisyconfig.Fleet) (daisyservice.Service, error) {
+	s := daisyservice.Service{
+		ID:          daisyservice.ID{Fleet: fleet.Name, Name: d.Name},
+		DefaultRank: daisyrank.Index(d.DefaultRank),
+	}
+	for _, n := range d.Ranks {
+		r, ok := findRank(fleet.Ranks, daisyrank.Name(n))
+		if !ok {
+			return s, daisyerror.InvalidRequest.New("service %s: rank %q is not declared", s.ID, n)
+		}
+		s.Ranks = append(s.Ranks, r)
+	}
+	if d.DefaultRank < 0 || d.DefaultRank > 0 && d.DefaultRank >= len(s.Ranks) {
+		return s, daisyerror.InvalidRequest.New("service %s: default rank %d", s.ID, d.DefaultRank)
+	}
+	for _, e := range d.Endpoints {
+		if !e.Address.IsValid() || e.Slots < 0 || e.Connections < 0 {
+			return s, daisyerror.InvalidRequest.New("service %s: endpoint %s", s.ID, e.Address)
+		}
+		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{
+			Address:     e.Address,
+			Zone:        daisyfleet.ZoneID{Fleet: fleet.Name, Zone: e.Zone},
+			Slots:       e.Slots,
+			Connections: e.Connections,
+			Draining:    e.Draining,
+		})
+	}
+	return s, nil
+}
+
+func findRank(ranks []daisyrank.Rank, name daisyrank.Name) (daisyrank.Rank, bool) {
+	for _, r := range ranks {
+		if r.Name == name {
+			return r, true
+		}
+	}
+	return daisyrank.Rank{}, false
+}
