Keep the configuration in force and operators' plans

Cause: intent has to become a configuration on every VM, once, and stay. Conclusion: TestPlanLife takes plans through all states in virtual time.

--- /dev/null
+++ b/io/daisycontroller/plan.go
@@ -0,0 +1,276 @@
+package daisycontroller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/joomcode/errorx"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyplan"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisyplatform"
+	"daisyyoke/io/daisysnapshot"
+)
+
+const (
+	// planPrefix begins the key of a plan's row; its id follows.
+	planPrefix = "plan/"
+	// intentPrefix begins the name of an intent's object; its hash follows.
+	intentPrefix = "intent/"
+	// planTimeout bounds what an operator waits for the platform.
+	planTimeout = 10 * time.Second
+	// planDay is the layout of the day in a plan's id, and planTime that of the time.
+	planDay  = "20060102"
+	planTime = planDay + "-150405"
+)
+
+// PlanOptions are what a Plan controller depends on.
+type PlanOptions struct {
+	Self     daisyvm.VM
+	Platform daisyplatform.Platform
+	Config   *Config
+	Logger   hclog.Logger
+	// Seed makes the random parts of plan ids, together with the name of the VM.
+	Seed uint64
+}
+
+// Plan keeps operators' plans. They lie in the platform, so that any VM can show,
+// confirm and discard each of them.
+type Plan struct {
+	options PlanOptions
+	ctx     context.Context
+	cancel  context.CancelFunc
+	ended   sync.WaitGroup
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// written has the rows that this VM wrote, since a read that follows may lag.
+	written map[daisyplan.ID]planRow
+}
+
+// planRow is a plan's row.
+type planRow struct {
+	record  daisyplan.Record
+	version daisyplatform.Version
+}
+
+var _ Controller = (*Plan)(nil)
+
+// NewPlan gives a controller for plans.
+func NewPlan(options PlanOptions) *Plan {
+	if options.Logger == nil {
+		options.Logger = hclog.NewNullLogger()
+	}
+	c := &Plan{
+		options: options,
+		random:  newRandom(options.Seed, options.Self.Name),
+		written: make(map[daisyplan.ID]planRow),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+func (c *Plan) controller() {}
+
+// Close gives up the operations under way and waits for them.
+func (c *Plan) Close() {
+	c.mu.Lock()
+	c.cancel()
+	c.mu.Unlock()
+	c.ended.Wait()
+}
+
+// begin bounds an operation by its caller, by planTimeout and by Close. It fails
+// with daisyerror.Closed.
+func (c *Plan) begin(ctx context.Context) (context.Context, func(), error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return nil, nil, daisyerror.Closed.New("plans are closed")
+	}
+	c.ended.Add(1)
+	bounded, cancel := context.WithTimeout(ctx, planTimeout)
+	stop := context.AfterFunc(c.ctx, cancel)
+	return bounded, func() {
+		stop()
+		cancel()
+		c.ended.Done()
+	}, nil
+}
+
+// Create makes a plan that leads to the intent; nothing takes effect. An endpoint
+// that is draining stays so. It fails with daisyerror.Unavailable when the
+// platform cannot keep the plan.
+func (c *Plan) Create(ctx context.Context, intent daisyconfig.Intent, operator string) (daisyplan.Plan, error) {
+	return c.create(ctx, operator, func(inForce daisyconfig.Intent) (daisyconfig.Intent, error) {
+		return daisyplan.KeepDraining(inForce, intent), nil
+	})
+}
+
+// DrainEndpoint makes a plan that gives an endpoint no new work. It fails with
+// daisyerror.NotFound for an unknown endpoint, else as Create does.
+func (c *Plan) DrainEndpoint(ctx context.Context, id daisyconfig.EndpointID, operator string) (daisyplan.Plan, error) {
+	return c.setDraining(ctx, id, operator, true)
+}
+
+// ResumeEndpoint makes a plan that gives an endpoint work again. It fails as DrainEndpoint does.
+func (c *Plan) ResumeEndpoint(ctx context.Context, id daisyconfig.EndpointID, operator string) (daisyplan.Plan, error) {
+	return c.setDraining(ctx, id, operator, false)
+}
+
+func (c *Plan) setDraining(ctx context.Context, id daisyconfig.EndpointID, operator string, draining bool) (daisyplan.Plan, error) {
+	return c.create(ctx, operator, func(inForce daisyconfig.Intent) (daisyconfig.Intent, error) {
+		return daisyplan.SetDraining(inForce, id, draining)
+	})
+}
+
+// Restore makes a plan that goes back to the intent of an earlier revision, its
+// draining endpoints included. It fails with daisyerror.NotFound for an unknown revision.
+func (c *Plan) Restore(ctx context.Context, revision daisyconfig.Revision, operator string) (daisyplan.Plan, error) {
+	s, err := c.options.Config.View(ctx, revision)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	return c.create(ctx, operator, func(daisyconfig.Intent) (daisyconfig.Intent, error) {
+		return s.Intent, nil
+	})
+}
+
+func (c *Plan) create(ctx context.Context, operator string, change func(daisyconfig.Intent) (daisyconfig.Intent, error)) (daisyplan.Plan, error) {
+	ctx, end, err := c.begin(ctx)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	defer end()
+	base, err := c.newest(ctx)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	var inForce daisyconfig.Intent
+	if base != nil {
+		inForce = base.Intent
+	}
+	intent, err := change(inForce)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	p := daisyplan.Make(base, intent, now())
+	p.CreatedBy = operator
+	if p.IntentHash, err = c.putIntent(ctx, intent); err != nil {
+		return daisyplan.Plan{}, err
+	}
+	if p.ID, err = c.insert(ctx, p.Record); err != nil {
+		return daisyplan.Plan{}, err
+	}
+	c.options.Logger.Info("plan created", "plan", p.ID, "base", p.Base, "changes", p.ChangeCount, "by", operator)
+	return p, nil
+}
+
+// newest gives the newest confirmed snapshot that the platform or this VM knows
+// of; it is nil when there is none.
+func (c *Plan) newest(ctx context.Context) (*daisyconfig.Snapshot, error) {
+	var s *daisyconfig.Snapshot
+	err := persist(ctx, func() error {
+		row, err := getHead(ctx, c.options.Platform)
+		if err != nil {
+			return err
+		}
+		s = c.options.Config.InForce()
+		if row.version == 0 || s != nil && s.Revision >= row.head.Revision {
+			return nil
+		}
+		s, err = fetchSnapshot(ctx, c.options.Platform, row.head.Hash)
+		return err
+	})
+	return s, err
+}
+
+// putIntent keeps an intent in the object store. It fails with
+// daisyerror.InvalidRequest for an intent that cannot be read back.
+func (c *Plan) putIntent(ctx context.Context, intent daisyconfig.Intent) (daisyconfig.Hash, error) {
+	data, hash, err := daisysnapshot.EncodeIntent(intent)
+	if err != nil {
+		return "", err
+	}
+	if _, _, err := daisysnapshot.DecodeIntent(data); err != nil {
+		return "", err
+	}
+	return hash, putObject(ctx, c.options.Platform, intentPrefix+string(hash), data)
+}
+
+// insert writes the row of a new plan under an id that is free.
+func (c *Plan) insert(ctx context.Context, record daisyplan.Record) (daisyplan.ID, error) {
+	for {
+		record.ID = c.newID(record.CreatedAt)
+		err := c.swap(ctx, planRow{record: record})
+		if err == nil || !errorx.IsOfType(err, errRowChanged) {
+			return record.ID, err
+		}
+	}
+}
+
+func (c *Plan) newID(at time.Time) daisyplan.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return daisyplan.ID(fmt.Sprintf("%s-%06x", at.UTC().Format(planTime), c.random.Uint32N(1<<24)))
+}
+
+// View gives a plan with all that it means. It fails with daisyerror.NotFound for
+// an id that the platform does not show, or not yet.
+func (c *Plan) View(ctx context.Context, id daisyplan.ID) (daisyplan.Plan, error) {
+	ctx, end, err := c.begin(ctx)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	defer end()
+	row, err := c.find(ctx, id)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	state, err := c.judge(ctx, row.record)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	return c.expand(ctx, row.record, state)
+}
+
+// expand works out again what a plan means, from what it was made of.
+func (c *Plan) expand(ctx context.Context, record daisyplan.Record, state daisyplan.State) (daisyplan.Plan, error) {
+	var base *daisyconfig.Snapshot
+	var intent daisyconfig.Intent
+	err := persist(ctx, func() error {
+		var err error
+		if record.BaseHash != "" {
+			if base, err = fetchSnapshot(ctx, c.options.Platform, record.BaseHash); err != nil {
+				return err
+			}
+		}
+		intent, err = c.getIntent(ctx, record.IntentHash)
+		return err
+	})
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	p := daisyplan.Make(base, intent, record.CreatedAt)
+	p.Record = record
+	p.State = state
+	return p, nil
+}
+
+func (c *Plan) getIntent(ctx context.Context, hash daisyconfig.Hash) (daisyconfig.Intent, error) {
+	data, err := getObject(ctx, c.options.Platform, intentPrefix+string(hash))
+	if err != nil {
+		return daisyconfig.Intent{}, err
+	}
+	intent, got, err := daisysnapshot.DecodeIntent(data)
+	if err == nil && got != hash {
+		err = daisyerror.InvalidRequest.New("intent %s has the hash %s", hash, got)
+	}
+	return intent, err
+}
--- /dev/null
+++ b/io/daisycontroller/plan_confirm.go
@@ -0,0 +1,225 @@
+package daisycontroller
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyplan"
+	"daisyyoke/io/daisyplatform"
+	"daisyyoke/io/daisysnapshot"
+)
+
+// Confirm makes a plan the confirmed configuration. Confirming a plan that is
+// confirmed already gives it as it is. It fails with daisyerror.Stale when another
+// plan was confirmed first, with daisyerror.InvalidRequest for a plan that was
+// discarded or has expired, with daisyerror.Unavailable when nothing was changed,
+// and with daisyerror.Unknown when the plan may have been confirmed: confirming it
+// again finds out.
+func (c *Plan) Confirm(ctx context.Context, id daisyplan.ID, operator string) (daisyplan.Plan, error) {
+	ctx, end, err := c.begin(ctx)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	defer end()
+	var p daisyplan.Plan
+	err = repeat(ctx, errRowChanged, func() error {
+		var err error
+		p, err = c.confirm(ctx, id, operator)
+		return err
+	})
+	return p, err
+}
+
+func (c *Plan) confirm(ctx context.Context, id daisyplan.ID, operator string) (daisyplan.Plan, error) {
+	row, err := c.find(ctx, id)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	state, err := c.judge(ctx, row.record)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	switch s := state.(type) {
+	case daisyplan.Confirmed:
+		if _, ok := row.record.State.(daisyplan.Confirming); ok {
+			return c.carryThrough(ctx, row, operator)
+		}
+		return c.expand(ctx, row.record, s)
+	case daisyplan.Open, daisyplan.Confirming:
+		return c.carryThrough(ctx, row, operator)
+	case daisyplan.Superseded:
+		return daisyplan.Plan{}, stale(id, row.record.Base, s.Revision, s.By)
+	case daisyplan.Discarded:
+		return daisyplan.Plan{}, daisyerror.InvalidRequest.New("plan %s was discarded by %s", id, s.By)
+	case daisyplan.Expired:
+		return daisyplan.Plan{}, daisyerror.InvalidRequest.New("plan %s expired at %s; make a new one", id, row.record.Expires)
+	}
+	return daisyplan.Plan{}, daisyerror.Internal.New("plan %s in an unknown state", id)
+}
+
+func stale(id daisyplan.ID, base, revision daisyconfig.Revision, by string) error {
+	return daisyerror.Stale.New(
+		"plan %s was made from revision %d, but revision %d, confirmed by %s, came first; look at it with config view and make a new plan",
+		id, base, revision, by)
+}
+
+// carryThrough takes an open plan through all steps of a confirmation. Each step
+// can be repeated, and only the write of the head row makes the plan take effect.
+func (c *Plan) carryThrough(ctx context.Context, row planRow, operator string) (daisyplan.Plan, error) {
+	p, err := c.expand(ctx, row.record, row.record.State)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	if _, ok := row.record.State.(daisyplan.Open); ok {
+		row.record.State = daisyplan.Confirming{By: operator, At: now()}
+		if err := c.swap(ctx, row); err != nil {
+			return daisyplan.Plan{}, err
+		}
+	}
+	s, err := c.putSnapshot(ctx, p, operator)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	if s, err = c.swapHead(ctx, s); err != nil {
+		return daisyplan.Plan{}, err
+	}
+	c.options.Config.Adopt(s)
+	c.options.Logger.Info("plan confirmed", "plan", p.ID, "revision", s.Revision, "hash", s.Hash, "by", s.ConfirmedBy)
+	p.State = daisyplan.Confirmed{Revision: s.Revision, By: s.ConfirmedBy, At: s.ConfirmedAt}
+	c.record(p.Record)
+	return p, nil
+}
+
+// putSnapshot keeps the snapshot that the plan leads to in the object store.
+func (c *Plan) putSnapshot(ctx context.Context, p daisyplan.Plan, operator string) (*daisyconfig.Snapshot, error) {
+	s := &daisyconfig.Snapshot{
+		Revision:    p.Base + 1,
+		Previous:    p.BaseHash,
+		PlanID:      string(p.ID),
+		ConfirmedBy: operator,
+		ConfirmedAt: now().UTC().Round(0),
+		Intent:      p.Intent,
+	}
+	data, hash, err := daisysnapshot.Encode(s)
+	if err != nil {
+		return nil, err
+	}
+	s.Hash = hash
+	return s, putObject(ctx, c.options.Platform, snapshotPrefix+string(hash), data)
+}
+
+// swapHead writes the head row over the one of the revision before. It gives the
+// snapshot that the plan was confirmed as, which another VM may have made.
+func (c *Plan) swapHead(ctx context.Context, s *daisyconfig.Snapshot) (*daisyconfig.Snapshot, error) {
+	value, err := daisysnapshot.EncodeHead(s.Head())
+	if err != nil {
+		return nil, err
+	}
+	w := &headWrite{plan: c, snapshot: s, value: value}
+	err = persist(ctx, func() error { return w.try(ctx) })
+	if err == nil {
+		return w.snapshot, nil
+	}
+	if w.lost && errorx.IsOfType(err, daisyerror.Unavailable) {
+		return nil, daisyerror.Unknown.Wrap(err, "plan %s may be confirmed; confirm it again to find out", s.PlanID)
+	}
+	return nil, err
+}
+
+// headWrite is one attempt to make a snapshot the head.
+type headWrite struct {
+	plan     *Plan
+	snapshot *daisyconfig.Snapshot
+	value    []byte
+	// lost says that the reply to an earlier write was lost.
+	lost bool
+}
+
+// try reads the head and writes it if it is the base. It fails with
+// daisyerror.Unavailable when another try is worth it.
+func (w *headWrite) try(ctx context.Context) error {
+	platform := w.plan.options.Platform
+	row, err := getHead(ctx, platform)
+	if err != nil {
+		return err
+	}
+	base := w.snapshot.Revision - 1
+	if row.head.Revision > base {
+		return w.resolve(ctx, row.head)
+	}
+	if row.head.Revision < base {
+		return daisyerror.Unavailable.New("the head row shows revision %d, less than %d: the read lags", row.head.Revision, base)
+	}
+	switch a := platform.SwapRow(ctx, headKey, row.version, w.value).(type) {
+	case daisyplatform.RowWritten:
+		return nil
+	case daisyplatform.Conflict:
+		return daisyerror.Unavailable.New("the head row has changed, and reads lag")
+	case daisyplatform.Unknown:
+		w.lost = true
+		return unavailable(a.Err, "write the head row")
+	case daisyplatform.Unavailable:
+		return unavailable(a.Err, "write the head row")
+	default:
+		return unexpected(a, "write the head row")
+	}
+}
+
+// resolve finds out which plan followed the base.
+func (w *headWrite) resolve(ctx context.Context, head daisyconfig.Head) error {
+	s, err := fetchSnapshot(ctx, w.plan.options.Platform, head.Hash)
+	if err != nil {
+		return err
+	}
+	next, err := followChain(ctx, w.plan.options.Platform, s, w.snapshot.Revision)
+	if err != nil {
+		return err
+	}
+	if next.PlanID == w.snapshot.PlanID {
+		w.snapshot = next
+		return nil
+	}
+	return stale(daisyplan.ID(w.snapshot.PlanID), w.snapshot.Revision-1, head.Revision, head.ConfirmedBy)
+}
+
+// record notes in the plan's row that it is confirmed, so that lists need not look
+// it up. The plan is confirmed whether or not this succeeds.
+func (c *Plan) record(record daisyplan.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.ended.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, platformTimeout)
+		defer cancel()
+		row, err := c.find(ctx, record.ID)
+		if err == nil {
+			row.record.State = record.State
+			err = c.swap(ctx, row)
+		}
+		if err != nil {
+			c.options.Logger.Warn("plan not recorded as confirmed", "plan", record.ID, "error", err)
+		}
+	})
+}
+
+// ConfirmFirst confirms an intent as revision 1, unless something is confirmed already.
+func (c *Plan) ConfirmFirst(ctx context.Context, intent daisyconfig.Intent, operator string) error {
+	s, err := c.newest(ctx)
+	if err != nil || s != nil {
+		return err
+	}
+	p, err := c.Create(ctx, intent, operator)
+	if err != nil {
+		return err
+	}
+	_, err = c.Confirm(ctx, p.ID, operator)
+	if errorx.IsOfType(err, daisyerror.Stale) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/io/daisycontroller/plan_row.go
@@ -0,0 +1,273 @@
+package daisycontroller
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyplan"
+	"daisyyoke/io/daisyplatform"
+	"daisyyoke/io/daisysnapshot"
+)
+
+// errRowChanged marks a row that is not of the expected version any more.
+var errRowChanged = daisyerror.Stale.NewSubtype("row-changed")
+
+// find gives the newest known row of a plan.
+func (c *Plan) find(ctx context.Context, id daisyplan.ID) (planRow, error) {
+	var row planRow
+	err := persist(ctx, func() error {
+		var err error
+		row, err = c.getRow(ctx, id)
+		return err
+	})
+	return row, err
+}
+
+func (c *Plan) getRow(ctx context.Context, id daisyplan.ID) (planRow, error) {
+	what := "read plan " + string(id)
+	if !validPlanID(id) {
+		return planRow{}, daisyerror.NotFound.New("no plan %s", id)
+	}
+	switch a := c.options.Platform.GetRow(ctx, planPrefix+string(id)).(type) {
+	case daisyplatform.RowRead:
+		return c.newestRow(id, a.Row)
+	case daisyplatform.NotFound:
+		if row, ok := c.writtenRow(id); ok {
+			return row, nil
+		}
+		return planRow{}, daisyerror.NotFound.New("no plan %s", id)
+	case daisyplatform.Unavailable:
+		return planRow{}, unavailable(a.Err, what)
+	default:
+		return planRow{}, unexpected(a, what)
+	}
+}
+
+// validPlanID keeps anything but digits, letters and hyphens out of the table's keys.
+func validPlanID(id daisyplan.ID) bool {
+	rest := strings.Trim(string(id), "0123456789abcdefghijklmnopqrstuvwxyz-")
+	return id != "" && len(id) <= daisyplatform.MaxNameLength/2 && rest == ""
+}
+
+func (c *Plan) newestRow(id daisyplan.ID, row daisyplatform.Row) (planRow, error) {
+	if w, ok := c.writtenRow(id); ok && w.version > row.Version {
+		return w, nil
+	}
+	record, err := daisysnapshot.DecodeRecord(row.Value)
+	return planRow{record: record, version: row.Version}, err
+}
+
+func (c *Plan) writtenRow(id daisyplan.ID) (planRow, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	row, ok := c.written[id]
+	return row, ok
+}
+
+// remember keeps a written row for as long as its plan can be confirmed.
+func (c *Plan) remember(row planRow) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := now()
+	for id, w := range c.written {
+		if !at.Before(w.record.Expires) {
+			delete(c.written, id)
+		}
+	}
+	c.written[row.record.ID] = row
+}
+
+// swap writes a plan's row over the version that it carries. A lost reply is
+// recognised by what is read back. It fails with errRowChanged.
+func (c *Plan) swap(ctx context.Context, row planRow) error {
+	value, err := daisysnapshot.EncodeRecord(row.record)
+	if err != nil {
+		return err
+	}
+	key := planPrefix + string(row.record.ID)
+	what := "write plan " + string(row.record.ID)
+	lost := false
+	return persist(ctx, func() error {
+		switch a := c.options.Platform.SwapRow(ctx, key, row.version, value).(type) {
+		case daisyplatform.RowWritten:
+			c.remember(planRow{record: row.record, version: a.Version})
+			return nil
+		case daisyplatform.Conflict:
+			if lost {
+				return c.readBack(ctx, row, value)
+			}
+			return errRowChanged.New("plan %s was changed by somebody else", row.record.ID)
+		case daisyplatform.Unknown:
+			lost = true
+			return unavailable(a.Err, what)
+		case daisyplatform.Unavailable:
+			return unavailable(a.Err, what)
+		default:
+			return unexpected(a, what)
+		}
+	})
+}
+
+// readBack finds out whether a write whose reply was lost is what the row holds.
+// The row has left the written version, so that a read that still shows it lags.
+func (c *Plan) readBack(ctx context.Context, row planRow, value []byte) error {
+	what := "read back plan " + string(row.record.ID)
+	switch a := c.options.Platform.GetRow(ctx, planPrefix+string(row.record.ID)).(type) {
+	case daisyplatform.RowRead:
+		if a.Row.Version <= row.version {
+			return daisyerror.Unavailable.New("%s: the read lags", what)
+		}
+		if !bytes.Equal(a.Row.Value, value) {
+			return errRowChanged.New("plan %s was changed by somebody else", row.record.ID)
+		}
+		c.remember(planRow{record: row.record, version: a.Row.Version})
+		return nil
+	case daisyplatform.NotFound:
+		return daisyerror.Unavailable.New("%s: the read lags", what)
+	case daisyplatform.Unavailable:
+		return unavailable(a.Err, what)
+	default:
+		return unexpected(a, what)
+	}
+}
+
+// List gives the plans of the last days, the newest first.
+func (c *Plan) List(ctx context.Context) ([]daisyplan.Record, error) {
+	ctx, end, err := c.begin(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	today := now().UTC()
+	var records []daisyplan.Record
+	for _, day := range []time.Time{today.Add(-daisyplan.Lifetime), today} {
+		found, err := c.listDay(ctx, day)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, found...)
+	}
+	for i := range records {
+		if records[i].State, err = c.judge(ctx, records[i]); err != nil {
+			return nil, err
+		}
+	}
+	slices.Reverse(records)
+	return records, nil
+}
+
+func (c *Plan) listDay(ctx context.Context, day time.Time) ([]daisyplan.Record, error) {
+	prefix := planPrefix + day.Format(planDay) + "-"
+	var rows []daisyplatform.Row
+	err := persist(ctx, func() error {
+		switch a := c.options.Platform.ListRows(ctx, prefix).(type) {
+		case daisyplatform.RowsListed:
+			rows = a.Rows
+			return nil
+		case daisyplatform.Unavailable:
+			return unavailable(a.Err, "list plans")
+		default:
+			return unexpected(a, "list plans")
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return c.mergeDay(prefix, rows)
+}
+
+// mergeDay adds what this VM wrote and a lagging list does not show yet.
+func (c *Plan) mergeDay(prefix string, rows []daisyplatform.Row) ([]daisyplan.Record, error) {
+	var records []daisyplan.Record
+	listed := make(map[daisyplan.ID]bool)
+	for _, r := range rows {
+		id := daisyplan.ID(strings.TrimPrefix(r.Key, planPrefix))
+		listed[id] = true
+		row, err := c.newestRow(id, r)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, row.record)
+	}
+	c.mu.Lock()
+	for id, w := range c.written {
+		if !listed[id] && strings.HasPrefix(planPrefix+string(id), prefix) {
+			records = append(records, w.record)
+		}
+	}
+	c.mu.Unlock()
+	slices.SortFunc(records, func(a, b daisyplan.Record) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return records, nil
+}
+
+// Discard ends a plan that nobody wants. It fails with daisyerror.InvalidRequest
+// for a plan that is not open any more.
+func (c *Plan) Discard(ctx context.Context, id daisyplan.ID, operator string) error {
+	ctx, end, err := c.begin(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	return repeat(ctx, errRowChanged, func() error { return c.discard(ctx, id, operator) })
+}
+
+func (c *Plan) discard(ctx context.Context, id daisyplan.ID, operator string) error {
+	row, err := c.find(ctx, id)
+	if err != nil {
+		return err
+	}
+	switch s := row.record.State.(type) {
+	case daisyplan.Open:
+		row.record.State = daisyplan.Discarded{By: operator, At: now()}
+		return c.swap(ctx, row)
+	case daisyplan.Discarded:
+		return nil
+	case daisyplan.Confirming:
+		return daisyerror.InvalidRequest.New("plan %s is being confirmed by %s; confirm it again to learn the result", id, s.By)
+	case daisyplan.Confirmed:
+		return daisyerror.InvalidRequest.New("plan %s is confirmed as revision %d; to go back, make a new plan", id, s.Revision)
+	case daisyplan.Expired, daisyplan.Superseded:
+	}
+	return nil
+}
+
+// judge gives the state of a plan from its record and from what was confirmed after its base.
+func (c *Plan) judge(ctx context.Context, record daisyplan.Record) (daisyplan.State, error) {
+	var successor daisyplan.Successor
+	err := persist(ctx, func() error {
+		row, err := getHead(ctx, c.options.Platform)
+		if err != nil {
+			return err
+		}
+		successor, err = c.successor(ctx, record, row.head)
+		return err
+	})
+	return daisyplan.Judge(record, successor, now()), err
+}
+
+// successor finds the snapshot that followed a plan's base, given the head that the table shows.
+func (c *Plan) successor(ctx context.Context, record daisyplan.Record, head daisyconfig.Head) (daisyplan.Successor, error) {
+	if s := c.options.Config.InForce(); s != nil && s.Revision > head.Revision {
+		head = s.Head()
+	}
+	if head.Revision <= record.Base {
+		return daisyplan.Successor{Head: head}, nil
+	}
+	next := daisyconfig.Head{Revision: record.Base + 1}
+	if _, ok := record.State.(daisyplan.Confirming); ok {
+		s, err := fetchSnapshot(ctx, c.options.Platform, head.Hash)
+		if err != nil {
+			return daisyplan.Successor{}, err
+		}
+		if s, err = followChain(ctx, c.options.Platform, s, record.Base+1); err != nil {
+			return daisyplan.Successor{}, err
+		}
+		next = s.Head()
+	}
+	return daisyplan.Successor{Head: head, Next: next}, nil
+}
--- /dev/null
+++ b/io/daisycontroller/plan_test.go
@@ -0,0 +1,131 @@
+package daisycontroller_test
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyfleet"
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyplan"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisycontroller"
+	"daisyyoke/io/daisyplatform"
+)
+
+var lookups = daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"}
+
+// testIntent declares one service with the given number of endpoints.
+func testIntent(endpoints int) daisyconfig.Intent {
+	zone := daisyfleet.ZoneID{Fleet: "vigia-lar", Zone: "a"}
+	ranks := []daisyrank.Rank{{Name: "urgent", Target: time.Second, Worth: 10, Floor: 0.5}}
+	s := daisyservice.Service{ID: lookups, Ranks: ranks}
+	for i := range endpoints {
+		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{Address: endpointAddress(i), Zone: zone, Slots: 3, Connections: 250})
+	}
+	return daisyconfig.Intent{Fleets: []daisyconfig.Fleet{{
+		Name:              "vigia-lar",
+		AvailabilityZones: []daisyfleet.AvailabilityZone{{ID: zone, City: "lisboa"}},
+		Ranks:             ranks,
+		Services:          []daisyservice.Service{s},
+	}}}
+}
+
+func endpointAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 9000)
+}
+
+type silence struct{}
+
+func (silence) Send(daisyvm.Name, daisymessage.Message) {}
+
+// stateVM is a VM as far as its configuration goes.
+type stateVM struct {
+	config *daisycontroller.Config
+	plans  *daisycontroller.Plan
+}
+
+func newStateVM(t *testing.T, name daisyvm.Name, platform daisyplatform.Platform, sender daisycontroller.Sender, seed uint64) *stateVM {
+	t.Helper()
+	self := daisyvm.VM{Name: name}
+	config := daisycontroller.NewConfig(daisycontroller.ConfigOptions{Self: self, Platform: platform, Sender: sender, Seed: seed})
+	plans := daisycontroller.NewPlan(daisycontroller.PlanOptions{Self: self, Platform: platform, Config: config, Seed: seed})
+	return &stateVM{config: config, plans: plans}
+}
+
+func (v *stateVM) Close() {
+	v.plans.Close()
+	v.config.Close()
+}
+
+func TestPlanLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		platform := daisyplatform.NewEmbedded()
+		v := newStateVM(t, "vm-1", platform, silence{}, 1)
+		defer v.Close()
+		synctest.Wait()
+		assert.DeepEqual(t, v.config.Waiting(), daisyconfig.Waiting(daisyconfig.NothingConfirmed{}))
+
+		first, err := v.plans.Create(ctx, testIntent(2), "ana")
+		assert.NilError(t, err)
+		rival, err := v.plans.Create(ctx, testIntent(3), "rui")
+		assert.NilError(t, err)
+		unwanted, err := v.plans.Create(ctx, testIntent(4), "rui")
+		assert.NilError(t, err)
+		assert.NilError(t, v.plans.Discard(ctx, unwanted.ID, "rui"))
+		p, err := v.plans.Confirm(ctx, first.ID, "ana")
+		assert.NilError(t, err)
+		assert.Equal(t, daisyplan.StateName(p.State), "confirmed")
+		synctest.Wait()
+		assert.Equal(t, v.config.InForce().PlanID, string(first.ID))
+
+		p, err = v.plans.Confirm(ctx, first.ID, "eva")
+		assert.NilError(t, err)
+		assert.Equal(t, p.State.(daisyplan.Confirmed).By, "ana")
+		_, err = v.plans.Confirm(ctx, rival.ID, "rui")
+		assert.Assert(t, errorx.IsOfType(err, daisyerror.Stale), "%v", err)
+		_, err = v.plans.Confirm(ctx, unwanted.ID, "rui")
+		assert.Assert(t, errorx.IsOfType(err, daisyerror.InvalidRequest), "%v", err)
+		assert.Assert(t, errorx.IsOfType(v.plans.Discard(ctx, first.ID, "rui"), daisyerror.InvalidRequest))
+
+		drain, err := v.plans.DrainEndpoint(ctx, daisyconfig.EndpointID{Service: lookups, Address: endpointAddress(1)}, "ana")
+		assert.NilError(t, err)
+		assert.Equal(t, len(drain.Losing), 1)
+		_, err = v.plans.Confirm(ctx, drain.ID, "ana")
+		assert.NilError(t, err)
+		again, err := v.plans.Create(ctx, testIntent(2), "ana")
+		assert.NilError(t, err)
+		assert.Equal(t, len(again.Changes), 0, "stating the intent again must not resume the endpoint")
+		time.Sleep(daisyplan.Lifetime)
+		_, err = v.plans.Confirm(ctx, again.ID, "ana")
+		assert.Assert(t, errorx.IsOfType(err, daisyerror.InvalidRequest), "%v", err)
+
+		history, err := v.config.History(ctx, 10)
+		assert.NilError(t, err)
+		assert.Equal(t, len(history), 2)
+		back, err := v.plans.Restore(ctx, 1, "ana")
+		assert.NilError(t, err)
+		assert.Equal(t, len(back.Changes), 1)
+		states := map[daisyplan.ID]string{}
+		records, err := v.plans.List(ctx)
+		assert.NilError(t, err)
+		for _, r := range records {
+			states[r.ID] = daisyplan.StateName(r.State)
+		}
+		want := map[daisyplan.ID]string{
+			first.ID: "confirmed", rival.ID: "superseded", unwanted.ID: "discarded",
+			drain.ID: "confirmed", again.ID: "expired", back.ID: "open",
+		}
+		assert.DeepEqual(t, states, want)
+	})
+}
--- /dev/null
+++ b/io/daisycontroller/store.go
@@ -0,0 +1,80 @@
+package daisycontroller
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/io/daisyplatform"
+	"daisyyoke/io/daisysnapshot"
+)
+
+// unavailable gives the error for an operation that the platform did not carry
+// out. A request that the platform can never take is not worth another try.
+func unavailable(err error, what string) error {
+	if errorx.IsOfType(err, daisyerror.InvalidRequest) {
+		return err
+	}
+	return daisyerror.Unavailable.Wrap(err, "%s", what)
+}
+
+func unexpected(answer daisyplatform.Answer, what string) error {
+	return daisyerror.Internal.New("%s: unexpected answer %s", what, daisyplatform.AnswerName(answer))
+}
+
+// getObject reads an object, once. Whatever names an object was written after it,
+// so that an object which is not found is one that a lagging read does not show yet.
+func getObject(ctx context.Context, objects daisyplatform.Objects, name string) ([]byte, error) {
+	what := "read object " + name
+	switch a := objects.GetObject(ctx, name).(type) {
+	case daisyplatform.ObjectRead:
+		return a.Data, nil
+	case daisyplatform.NotFound:
+		return nil, daisyerror.Unavailable.New("%s: not found, or not yet", what)
+	case daisyplatform.Unavailable:
+		return nil, unavailable(a.Err, what)
+	default:
+		return nil, unexpected(a, what)
+	}
+}
+
+// putObject writes an object until the store has it or ctx ends; writing it twice does no harm.
+func putObject(ctx context.Context, objects daisyplatform.Objects, name string, data []byte) error {
+	what := "write object " + name
+	return persist(ctx, func() error {
+		switch a := objects.PutObject(ctx, name, data).(type) {
+		case daisyplatform.ObjectWritten:
+			return nil
+		case daisyplatform.Unknown:
+			return unavailable(a.Err, what)
+		case daisyplatform.Unavailable:
+			return unavailable(a.Err, what)
+		default:
+			return unexpected(a, what)
+		}
+	})
+}
+
+// headRow is the head row with its version; both are zero when there is none.
+type headRow struct {
+	head    daisyconfig.Head
+	version daisyplatform.Version
+}
+
+// getHead reads the head row, once. What it gives may lag.
+func getHead(ctx context.Context, table daisyplatform.Table) (headRow, error) {
+	const what = "read the head row"
+	switch a := table.GetRow(ctx, headKey).(type) {
+	case daisyplatform.RowRead:
+		head, err := daisysnapshot.DecodeHead(a.Row.Value)
+		return headRow{head: head, version: a.Row.Version}, err
+	case daisyplatform.NotFound:
+		return headRow{}, nil
+	case daisyplatform.Unavailable:
+		return headRow{}, unavailable(a.Err, what)
+	default:
+		return headRow{}, unexpected(a, what)
+	}
+}
