--- a/core/daisyplan/change.go
+++ b/core/daisyplan/change.go
@@ -10,8 +10,8 @@
 // Change is one difference between the configuration in force and the intent. It
 // is one of FleetAdded, FleetRemoved, ZoneAdded, ZoneRemoved, ZoneChanged,
 // RankAdded, RankRemoved, RankChanged, RanksReordered, ServiceAdded,
-// ServiceRemoved, ServiceRanksChanged, EndpointAdded, EndpointRemoved,
-// EndpointChanged, EndpointDrained and EndpointResumed.
+// ServiceRemoved, ServiceRanksChanged, ProtocolChanged, EndpointAdded,
+// EndpointRemoved, EndpointChanged, EndpointDrained and EndpointResumed.
 type Change interface{ change() }
 
 // FleetAdded says that a fleet is new.
@@ -66,6 +66,12 @@
 	DefaultBefore, DefaultAfter daisyrank.Name
 }
 
+// ProtocolChanged says that the endpoints of a service are spoken to in another protocol.
+type ProtocolChanged struct {
+	Service       daisyservice.ID
+	Before, After daisyservice.Protocol
+}
+
 // EndpointAdded says that an endpoint is new.
 type EndpointAdded struct {
 	Service  daisyservice.ID
@@ -108,6 +114,7 @@
 func (ServiceAdded) change()        {}
 func (ServiceRemoved) change()      {}
 func (ServiceRanksChanged) change() {}
+func (ProtocolChanged) change()     {}
 func (EndpointAdded) change()       {}
 func (EndpointRemoved) change()     {}
 func (EndpointChanged) change()     {}
--- a/core/daisyplan/compare.go
+++ b/core/daisyplan/compare.go
@@ -132,6 +132,7 @@
 	}
 	if p.before != nil && p.after != nil {
 		changes = append(changes, compareServiceRanks(before, after)...)
+		changes = append(changes, compareProtocol(before, after)...)
 	}
 	for _, e := range match(before.Endpoints, after.Endpoints, endpointKey) {
 		changes = append(changes, compareEndpoint(before.ID, after.ID, e)...)
@@ -153,6 +154,14 @@
 	return []Change{c}
 }
 
+// compareProtocol tells of another protocol, which all endpoints have to speak at once.
+func compareProtocol(before, after daisyservice.Service) []Change {
+	if before.Protocol == after.Protocol {
+		return nil
+	}
+	return []Change{ProtocolChanged{Service: after.ID, Before: before.Protocol, After: after.Protocol}}
+}
+
 func defaultRank(s daisyservice.Service) daisyrank.Name {
 	if int(s.DefaultRank) >= len(s.Ranks) {
 		return ""
@@ -192,7 +201,7 @@
 			ids = append(ids, daisyconfig.EndpointID{Service: c.Service, Address: c.Endpoint.Address})
 		case FleetAdded, FleetRemoved, ZoneAdded, ZoneRemoved, ZoneChanged, RankAdded, RankRemoved,
 			RankChanged, RanksReordered, ServiceAdded, ServiceRemoved, ServiceRanksChanged,
-			EndpointAdded, EndpointChanged, EndpointResumed:
+			ProtocolChanged, EndpointAdded, EndpointChanged, EndpointResumed:
 		}
 	}
 	return ids
--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -14,6 +14,7 @@
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisyplatform"
+	"daisyyoke/io/daisysnapshot"
 )
 
 // headKey is the key of the row that names the confirmed configuration.
@@ -158,11 +159,26 @@
 	case daisymessage.SnapshotWanted:
 		c.handle(daisyconfig.SnapshotAsked{From: from})
 	case daisymessage.SnapshotGiven:
-		c.handle(daisyconfig.SnapshotOffered{From: from, Snapshot: &m.Snapshot})
-	case daisymessage.CreditReport, daisymessage.CreditGrant, daisymessage.EndpointNews:
+		c.check(from, &m.Snapshot)
+	case daisymessage.CreditReport, daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.StopWanted:
 	}
 }
 
+// check takes a snapshot from another VM if its hash is that of its content. A VM
+// of another version may know fields that got lost on the way; then the snapshot
+// comes from the platform.
+func (c *Config) check(from daisyvm.Name, snapshot *daisyconfig.Snapshot) {
+	if s := c.InForce(); s != nil && s.Hash == snapshot.Hash {
+		return
+	}
+	hash, err := daisysnapshot.Hash(snapshot)
+	if err != nil || hash != snapshot.Hash {
+		c.options.Logger.Error("snapshot refused", "from", from, "said", snapshot.Hash, "hash", hash, "error", err)
+		return
+	}
+	c.handle(daisyconfig.SnapshotOffered{From: from, Snapshot: snapshot})
+}
+
 func (c *Config) hear(from daisyvm.Name, heartbeat daisymessage.Heartbeat) {
 	c.mu.Lock()
 	c.heads[from] = InForceAt{VM: from, Revision: heartbeat.Revision, Hash: heartbeat.Hash, Heard: now()}
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -141,6 +141,7 @@
 		ConfirmedAt: timeOf(w.GetConfirmedAtNanoseconds()),
 		ConfirmedBy: w.GetConfirmedBy(),
 		PlanID:      w.GetPlanId(),
+		Previous:    decodeHash(w.GetPrevious()),
 	}
 	for _, f := range w.GetIntent().GetFleets() {
 		s.Intent.Fleets = append(s.Intent.Fleets, r.fleet(f))
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -129,6 +129,7 @@
 		ConfirmedAtNanoseconds: nanoseconds(s.ConfirmedAt),
 		ConfirmedBy:            s.ConfirmedBy,
 		PlanId:                 s.PlanID,
+		Previous:               hashBytes(s.Previous),
 	}
 	for _, f := range s.Intent.Fleets {
 		w.Intent.Fleets = append(w.Intent.Fleets, encodeFleet(f))
--- a/io/daisysnapshot/codec.go
+++ b/io/daisysnapshot/codec.go
@@ -25,6 +25,15 @@
 	return encode(snapshotOf(snapshot))
 }
 
+// Hash gives the hash of a snapshot, worked out anew. The Hash of the snapshot itself is not read.
+func Hash(snapshot *daisyconfig.Snapshot) (daisyconfig.Hash, error) {
+	plain, err := json.Marshal(snapshotOf(snapshot))
+	if err != nil {
+		return "", daisyerror.InvalidRequest.Wrap(err, "encode")
+	}
+	return hashOf(plain), nil
+}
+
 // Decode reads a snapshot and sets its Hash from what was read. It fails with
 // daisyerror.InvalidRequest.
 func Decode(data []byte) (*daisyconfig.Snapshot, error) {
--- a/io/daisysnapshot/document.go
+++ b/io/daisysnapshot/document.go
@@ -48,6 +48,7 @@
 	Name        string             `json:"name"`
 	Ranks       []string           `json:"ranks,omitempty"`
 	DefaultRank int                `json:"default-rank"`
+	Protocol    string             `json:"protocol,omitempty"`
 	Endpoints   []endpointDocument `json:"endpoints,omitempty"`
 }
 
@@ -99,6 +100,9 @@
 
 func serviceOf(s daisyservice.Service) serviceDocument {
 	d := serviceDocument{Name: s.ID.Name, DefaultRank: int(s.DefaultRank)}
+	if s.Protocol != daisyservice.HTTP1 {
+		d.Protocol = s.Protocol.String()
+	}
 	for _, r := range s.Ranks {
 		d.Ranks = append(d.Ranks, string(r.Name))
 	}
@@ -185,6 +189,10 @@
 	if d.DefaultRank < 0 || d.DefaultRank > 0 && d.DefaultRank >= len(s.Ranks) {
 		return s, daisyerror.InvalidRequest.New("service %s: default rank %d", s.ID, d.DefaultRank)
 	}
+	var ok bool
+	if s.Protocol, ok = parseProtocol(d.Protocol); !ok {
+		return s, daisyerror.InvalidRequest.New("service %s: protocol %q", s.ID, d.Protocol)
+	}
 	for _, e := range d.Endpoints {
 		if !e.Address.IsValid() || e.Slots < 0 || e.Connections < 0 {
 			return s, daisyerror.InvalidRequest.New("service %s: endpoint %s", s.ID, e.Address)
@@ -200,6 +208,18 @@
 	return s, nil
 }
 
+func parseProtocol(name string) (daisyservice.Protocol, bool) {
+	if name == "" {
+		return daisyservice.HTTP1, true
+	}
+	for _, p := range []daisyservice.Protocol{daisyservice.HTTP1, daisyservice.HTTP2} {
+		if p.String() == name {
+			return p, true
+		}
+	}
+	return daisyservice.HTTP1, false
+}
+
 func findRank(ranks []daisyrank.Rank, name daisyrank.Name) (daisyrank.Rank, bool) {
 	for _, r := range ranks {
 		if r.Name == name {
