--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -24,6 +24,14 @@
 	Takeover uint64
 }
 
+// after reports whether t began after u, a term with the same owner.
+func (t Term) after(u Term) bool {
+	if t.Incarnation != u.Incarnation {
+		return t.Incarnation > u.Incarnation
+	}
+	return t.Takeover > u.Takeover
+}
+
 // Held is what a borrower has at one endpoint.
 type Held struct {
 	Endpoint netip.AddrPort
@@ -49,8 +57,9 @@
 
 // Report goes from a borrower to the owner.
 type Report struct {
-	Service  daisyservice.ID
-	Term     Term
+	Service daisyservice.ID
+	Term    Term
+	// Sequence numbers the reports; it is 0 on one that only acknowledges.
 	Sequence uint64
 	// Acknowledged is the sequence of the latest Grant that arrived.
 	Acknowledged uint64
@@ -65,12 +74,16 @@
 	Endpoint netip.AddrPort
 	// Granted counts all credits granted in this term.
 	Granted uint64
+	// Recalled counts all credits that the borrower has to return in this term,
+	// as soon as its attempts allow, whatever its Target.
+	Recalled uint64
 }
 
 // Grant goes from the owner to a borrower.
 type Grant struct {
-	Service  daisyservice.ID
-	Term     Term
+	Service daisyservice.ID
+	Term    Term
+	// Sequence numbers the grants; it is 0 on one that only acknowledges.
 	Sequence uint64
 	// Acknowledged is the sequence of the latest Report that arrived.
 	Acknowledged uint64
--- /dev/null
+++ b/core/daisycredit/credit_test.go
@@ -0,0 +1,335 @@
+package daisycredit
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+const testSlots = 3
+
+func testService(endpoints int) daisyservice.Service {
+	s := daisyservice.Service{
+		ID:    daisyservice.ID{Fleet: "vigia-lar", Name: "visit-lookups"},
+		Ranks: []daisyrank.Rank{{Name: "urgent", Floor: 0.5}, {Name: "standard", Floor: 0.3}, {Name: "bulk", Floor: 0.05}},
+	}
+	for i := range endpoints {
+		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+			Zone:    daisyfleet.ZoneID{Fleet: "vigia-lar", Zone: fmt.Sprint("z", i%4)},
+			Slots:   testSlots,
+		})
+	}
+	return s
+}
+
+// cluster connects owners and borrowers by a list of messages in transit.
+type cluster struct {
+	now       time.Time
+	service   daisyservice.Service
+	vms       []daisyvm.VM
+	borrowers []*Borrower
+	owners    []*Owner
+	waiting   []int
+	transit   []transit
+	dead      map[daisyvm.Name]bool
+}
+
+type transit struct {
+	from, to int
+	report   *Report
+	grant    *Grant
+}
+
+func newCluster(vms, endpoints int) *cluster {
+	c := &cluster{now: time.Unix(0, 0), service: testService(endpoints), dead: make(map[daisyvm.Name]bool)}
+	for i := range vms {
+		name := daisyvm.Name(fmt.Sprint("vm-", i))
+		c.vms = append(c.vms, daisyvm.VM{Name: name, Incarnation: 1, Zone: daisyfleet.ZoneID{Fleet: "vigia-lar", Zone: fmt.Sprint("z", i%4)}})
+	}
+	for _, v := range c.vms {
+		c.borrowers = append(c.borrowers, NewBorrower(v, c.service))
+		c.owners = append(c.owners, nil)
+		c.waiting = append(c.waiting, 0)
+	}
+	c.tellVMs()
+	return c
+}
+
+func (c *cluster) tellVMs() {
+	var live []daisyvm.VM
+	for _, v := range c.vms {
+		if !c.dead[v.Name] {
+			live = append(live, v)
+		}
+	}
+	owner, _ := ChooseOwner(c.service.ID, live)
+	for i, v := range c.vms {
+		if c.dead[v.Name] {
+			continue
+		}
+		c.borrowers[i].SetVMs(c.now, live)
+		switch {
+		case v.Name != owner.Name:
+			c.owners[i] = nil
+		case c.owners[i] == nil:
+			c.owners[i] = NewOwner(c.now, OwnerOptions{Self: v, Service: c.service, After: uint64(c.now.UnixMicro())})
+			c.owners[i].SetVMs(c.now, live)
+		default:
+			c.owners[i].SetVMs(c.now, live)
+		}
+	}
+}
+
+func (c *cluster) index(name daisyvm.Name) int {
+	for i, v := range c.vms {
+		if v.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *cluster) flush() {
+	for i := range c.vms {
+		if c.dead[c.vms[i].Name] {
+			continue
+		}
+		c.borrowers[i].SetDemand(c.now, []Demand{{Waiting: uint32(c.waiting[i]), InFlight: uint32(c.borrowers[i].inFlight())}})
+		if r, ok := c.borrowers[i].Flush(c.now); ok {
+			c.transit = append(c.transit, transit{from: i, to: c.index(c.borrowers[i].Owner().Name), report: &r})
+		}
+		if o := c.owners[i]; o != nil {
+			for _, l := range o.Flush(c.now) {
+				c.transit = append(c.transit, transit{from: i, to: c.index(l.To), grant: &l.Grant})
+			}
+		}
+	}
+}
+
+func (c *cluster) deliver(k int, keep bool) {
+	m := c.transit[k]
+	if !keep {
+		c.transit = append(c.transit[:k:k], c.transit[k+1:]...)
+	}
+	to, from := c.vms[m.to].Name, c.vms[m.from].Name
+	switch {
+	case c.dead[to]:
+	case m.grant != nil:
+		c.borrowers[m.to].Receive(c.now, from, *m.grant)
+	case c.owners[m.to] != nil:
+		c.owners[m.to].Receive(c.now, from, *m.report)
+	}
+}
+
+// run lets time pass on a perfect network.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(time.Millisecond) {
+		c.flush()
+		for len(c.transit) > 0 {
+			c.deliver(0, false)
+		}
+		c.work()
+	}
+}
+
+// work starts whatever may start.
+func (c *cluster) work() {
+	for i, b := range c.borrowers {
+		for _, e := range c.service.Endpoints {
+			for c.waiting[i] > 0 && b.Idle(e.Address) > 0 {
+				b.Take(e.Address)
+				c.waiting[i]--
+			}
+		}
+	}
+}
+
+func (c *cluster) held(endpoint netip.AddrPort) int {
+	sum := 0
+	for i, b := range c.borrowers {
+		if !c.dead[c.vms[i].Name] {
+			sum += b.Held(endpoint)
+		}
+	}
+	return sum
+}
+
+func (c *cluster) owner() *Owner {
+	for i, o := range c.owners {
+		if o != nil && !c.dead[c.vms[i].Name] {
+			return o
+		}
+	}
+	return nil
+}
+
+// check asserts that no slot is lent twice and, in a quiet state, that none is lost.
+func (c *cluster) check(t assert.TestingT, quiet bool) {
+	o := c.owner()
+	for _, p := range o.pools {
+		held := c.held(p.Address)
+		assert.Assert(t, held <= p.Slots, "%s: %d held of %d", p.Address, held, p.Slots)
+		if quiet {
+			assert.Equal(t, held, o.lent(p), "%s: the book differs from what is held", p.Address)
+		}
+	}
+}
+
+func TestCreditsNeverExceedSlotsWhateverBecomesOfMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(rapid.IntRange(1, 6).Draw(t, "vms"), rapid.IntRange(1, 4).Draw(t, "endpoints"))
+		c.run(200 * time.Millisecond)
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			c.step(t)
+			c.check(t, false)
+		}
+		c.run(3 * time.Second)
+		c.check(t, true)
+	})
+}
+
+func (c *cluster) step(t *rapid.T) {
+	c.now = c.now.Add(time.Duration(rapid.IntRange(0, 7).Draw(t, "milliseconds")) * time.Millisecond)
+	i := rapid.IntRange(0, len(c.vms)-1).Draw(t, "vm")
+	e := c.service.Endpoints[rapid.IntRange(0, len(c.service.Endpoints)-1).Draw(t, "endpoint")].Address
+	b := c.borrowers[i]
+	switch rapid.IntRange(0, 9).Draw(t, "action") {
+	case 0, 1:
+		c.waiting[i] += rapid.IntRange(1, 9).Draw(t, "arrivals")
+		c.work()
+	case 2, 3:
+		if b.lines[e].inFlight > 0 {
+			b.Release(c.now, e)
+			c.work()
+		}
+	case 4:
+		b.SetBroken(c.now, e, rapid.Bool().Draw(t, "broken"))
+	case 5:
+		c.waiting[i] = 0
+	default:
+		c.flush()
+	}
+	for range min(len(c.transit), rapid.IntRange(0, 4).Draw(t, "deliveries")) {
+		k := rapid.IntRange(0, len(c.transit)-1).Draw(t, "message")
+		switch rapid.IntRange(0, 3).Draw(t, "fate") {
+		case 0:
+			c.transit = append(c.transit[:k:k], c.transit[k+1:]...)
+		case 1:
+			c.deliver(k, true)
+		default:
+			c.deliver(k, false)
+		}
+		if len(c.transit) == 0 {
+			return
+		}
+	}
+}
+
+func TestWorkAtOneVMGetsAllSlots(t *testing.T) {
+	c := newCluster(6, 11)
+	c.run(200 * time.Millisecond)
+	c.waiting[2] = 100
+	c.run(100 * time.Millisecond)
+	assert.Equal(t, c.borrowers[2].inFlight(), 33)
+	c.check(t, true)
+}
+
+func TestSlotsOfADeadVMComeBack(t *testing.T) {
+	for dead := range 6 {
+		c := newCluster(6, 11)
+		c.run(200 * time.Millisecond)
+		c.waiting[dead] = 100
+		c.run(100 * time.Millisecond)
+		c.dead[c.vms[dead].Name] = true
+		c.tellVMs()
+		survivor := (dead + 1) % 6
+		c.waiting[survivor] = 100
+		c.run(300 * time.Millisecond)
+		assert.Equal(t, c.borrowers[survivor].inFlight(), 33, "vm %d died", dead)
+		c.check(t, true)
+	}
+}
+
+func TestNewOwnerKeepsWhatBorrowersHold(t *testing.T) {
+	c := newCluster(6, 11)
+	c.run(200 * time.Millisecond)
+	for i := range c.waiting {
+		c.waiting[i] = 5
+	}
+	c.run(100 * time.Millisecond)
+	owner := c.index(c.owner().options.Self.Name)
+	c.dead[c.vms[owner].Name] = true
+	c.tellVMs()
+	for range 300 {
+		c.run(time.Millisecond)
+		c.check(t, false)
+	}
+	c.check(t, true)
+}
+
+func TestPausedVMDropsItsIdleCredits(t *testing.T) {
+	c := newCluster(2, 4)
+	c.run(200 * time.Millisecond)
+	b := c.borrowers[0]
+	assert.Assert(t, b.held() > 0)
+	b.Flush(c.now.Add(silentAfter))
+	assert.Equal(t, b.held(), 0)
+	assert.Assert(t, b.Guessing())
+}
+
+func TestBorrowerWithoutAnOwnerGuessesWithinItsShare(t *testing.T) {
+	service := testService(4)
+	c := newCluster(3, 4)
+	b := NewBorrower(c.vms[0], service)
+	b.SetVMs(c.now, c.vms)
+	started := 0
+	for _, e := range service.Endpoints {
+		for b.Idle(e.Address) > 0 {
+			b.Take(e.Address)
+			started++
+		}
+	}
+	assert.Equal(t, started, 4)
+}
+
+func TestAllocateGivesFloorsThenUrgency(t *testing.T) {
+	ranks := testService(1).Ranks
+	for _, x := range []struct{ needs, want []int }{
+		{[]int{0, 0, 0}, []int{0, 0, 0}},
+		{[]int{5, 5, 5}, []int{5, 5, 5}},
+		{[]int{0, 0, 99}, []int{0, 0, 30}},
+		{[]int{99, 0, 0}, []int{30, 0, 0}},
+		{[]int{99, 99, 99}, []int{19, 9, 2}},
+		{[]int{10, 99, 99}, []int{10, 18, 2}},
+		{[]int{99, 4, 1}, []int{25, 4, 1}},
+	} {
+		assert.DeepEqual(t, Allocate(30, ranks, x.needs), x.want)
+	}
+}
+
+func TestChooseOwnerMovesOnlyTheServicesOfALostVM(t *testing.T) {
+	vms := newCluster(6, 1).vms
+	moved := 0
+	for i := range 600 {
+		id := daisyservice.ID{Fleet: "vigia-lar", Name: fmt.Sprint("s", i)}
+		before, _ := ChooseOwner(id, vms)
+		after, _ := ChooseOwner(id, vms[1:])
+		if before.Name != vms[0].Name {
+			assert.Equal(t, before.Name, after.Name)
+			continue
+		}
+		moved++
+	}
+	assert.Assert(t, moved > 50 && moved < 150, "%d of 600", moved)
+}
--- /dev/null
+++ b/core/daisycredit/owner.go
@@ -0,0 +1,333 @@
+package daisycredit
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+const (
+	// rebuildWithin is how long a new owner waits for the claims of all borrowers before it lends.
+	rebuildWithin = 100 * time.Millisecond
+	// saturatedAfter is how long work has to wait before credits are overcommitted.
+	saturatedAfter = 20 * time.Millisecond
+	// shedPause is how long an endpoint that sheds gets no overcommitted credits.
+	shedPause = 5 * time.Second
+	// demandMemory is the time over which the demand of a VM is averaged.
+	demandMemory = 500 * time.Millisecond
+)
+
+// Letter is a grant with the VM that it goes to.
+type Letter struct {
+	To    daisyvm.Name
+	Grant Grant
+}
+
+// OwnerOptions describe a takeover.
+type OwnerOptions struct {
+	Self    daisyvm.VM
+	Service daisyservice.Service
+	// After is the number of the last term of an earlier Owner of the service on
+	// this VM: the numbers of an incarnation only go up.
+	After uint64
+	// Overcommit is the number of credits above its slots that an endpoint gets
+	// under saturation, so that a slot is not idle for a round trip between two
+	// attempts.
+	Overcommit int
+}
+
+// Owner lends the slots of a service. It is not safe for concurrent use.
+type Owner struct {
+	options OwnerOptions
+	service daisyservice.Service
+	terms   uint64
+	// rebuilt is when lending begins even if borrowers have not claimed.
+	rebuilt  time.Time
+	settled  bool
+	accounts []*account
+	pools    []*pool
+	// saturated is since when work has waited without a break.
+	saturated time.Time
+}
+
+// pool is the slots of one endpoint.
+type pool struct {
+	daisyendpoint.Endpoint
+	// calm is when the endpoint last shed plus shedPause.
+	calm time.Time
+}
+
+// account is what one borrower has.
+type account struct {
+	vm    daisyvm.VM
+	term  Term
+	lines map[netip.AddrPort]*loan
+	// claimed says that the borrower has reported in this term.
+	claimed  bool
+	sequence uint64
+	demand   []Demand
+	// smooth is the average of the credits that the borrower needs.
+	smooth  float64
+	updated time.Time
+	target  int
+	// covered has the credits granted by each grant that the last report had not seen.
+	covered []cover
+	pace    pace
+}
+
+// loan is what one borrower has at one endpoint.
+type loan struct {
+	claimed  uint32
+	granted  uint64
+	recalled uint64
+	returned uint64
+	shed     uint64
+	broken   bool
+	changed  uint64
+}
+
+func (l *loan) held() int { return max(0, int(l.claimed)+int(l.granted)-int(l.returned)) }
+
+// coming counts the held credits that the borrower has not been told to return.
+func (l *loan) coming() int {
+	return l.held() - max(0, int(l.recalled)-int(l.returned))
+}
+
+type cover struct {
+	sequence uint64
+	credits  int
+}
+
+// NewOwner begins a takeover; SetVMs names the borrowers.
+func NewOwner(now time.Time, options OwnerOptions) *Owner {
+	o := &Owner{options: options, terms: options.After, rebuilt: now.Add(rebuildWithin)}
+	o.setService(options.Service)
+	return o
+}
+
+// LastTerm gives the number of the latest term.
+func (o *Owner) LastTerm() uint64 { return o.terms }
+
+// SetService puts a newly confirmed declaration of the service in force.
+func (o *Owner) SetService(now time.Time, service daisyservice.Service) {
+	o.setService(service)
+	o.lend(now)
+}
+
+func (o *Owner) setService(service daisyservice.Service) {
+	old := make(map[netip.AddrPort]*pool, len(o.pools))
+	for _, p := range o.pools {
+		old[p.Address] = p
+	}
+	o.service = service
+	o.pools = nil
+	for _, e := range service.Endpoints {
+		p := old[e.Address]
+		if p == nil {
+			p = &pool{}
+		}
+		p.Endpoint = e
+		o.pools = append(o.pools, p)
+	}
+}
+
+// SetVMs brings the live VMs. The credits of a VM that is gone or was restarted come back.
+func (o *Owner) SetVMs(now time.Time, vms []daisyvm.VM) {
+	o.accounts = slices.DeleteFunc(o.accounts, func(a *account) bool {
+		return !slices.ContainsFunc(vms, func(v daisyvm.VM) bool {
+			return v.Name == a.vm.Name && v.Incarnation == a.vm.Incarnation
+		})
+	})
+	for _, v := range vms {
+		if o.account(v.Name) == nil {
+			a := &account{vm: v, pace: pace{gap: messageGap}, lines: make(map[netip.AddrPort]*loan)}
+			if v.Name == o.options.Self.Name {
+				a.pace.gap = 0
+			}
+			o.accounts = append(o.accounts, a)
+			o.openTerm(now, a)
+		}
+	}
+	slices.SortFunc(o.accounts, func(a, b *account) int { return strings.Compare(string(a.vm.Name), string(b.vm.Name)) })
+	o.lend(now)
+}
+
+func (o *Owner) account(name daisyvm.Name) *account {
+	for _, a := range o.accounts {
+		if a.vm.Name == name {
+			return a
+		}
+	}
+	return nil
+}
+
+// openTerm begins a term. Until the borrower claims, it is taken to hold what it held.
+func (o *Owner) openTerm(now time.Time, a *account) {
+	o.terms++
+	a.term = Term{Owner: o.options.Self.Name, Incarnation: o.options.Self.Incarnation, Takeover: o.terms}
+	a.claimed = false
+	a.sequence = 0
+	a.demand = nil
+	a.covered = nil
+	for k, l := range a.lines {
+		a.lines[k] = &loan{claimed: uint32(l.held()), broken: l.broken}
+	}
+	a.pace.forget()
+	a.pace.urge(now)
+}
+
+// Receive takes a report.
+func (o *Owner) Receive(now time.Time, from daisyvm.Name, report Report) {
+	a := o.account(from)
+	if a == nil {
+		return
+	}
+	if report.Term != a.term {
+		o.misaddressed(now, a, report)
+		return
+	}
+	if !a.claimed {
+		clear(a.lines)
+		a.claimed = true
+	}
+	a.pace.acknowledge(now, report.Acknowledged)
+	for _, h := range report.Held {
+		o.takeHeld(now, a, h, report.Sequence > a.sequence)
+	}
+	if report.Sequence > 0 {
+		a.pace.answer(now)
+	}
+	if report.Sequence > a.sequence {
+		a.sequence = report.Sequence
+		a.demand = report.Demand
+		a.covered = slices.DeleteFunc(a.covered, func(c cover) bool { return c.sequence <= report.Acknowledged })
+	}
+	o.lend(now)
+}
+
+// misaddressed answers a report of another term. A borrower without one gets a new one.
+func (o *Owner) misaddressed(now time.Time, a *account, report Report) {
+	if report.Term == (Term{}) {
+		o.openTerm(now, a)
+		return
+	}
+	a.pace.urge(now)
+}
+
+func (o *Owner) takeHeld(now time.Time, a *account, h Held, latest bool) {
+	l := a.line(h.Endpoint)
+	l.claimed = max(l.claimed, h.Claimed)
+	l.returned = max(l.returned, h.Returned)
+	if latest {
+		l.broken = h.Broken
+	}
+	if h.Shed > l.shed {
+		l.shed = h.Shed
+		o.noteShed(now, h.Endpoint)
+	}
+}
+
+func (o *Owner) noteShed(now time.Time, endpoint netip.AddrPort) {
+	for _, p := range o.pools {
+		if p.Address == endpoint {
+			p.calm = now.Add(shedPause)
+		}
+	}
+}
+
+func (a *account) line(endpoint netip.AddrPort) *loan {
+	l := a.lines[endpoint]
+	if l == nil {
+		l = &loan{}
+		a.lines[endpoint] = l
+	}
+	return l
+}
+
+func (a *account) held() int {
+	sum := 0
+	for _, l := range a.lines {
+		sum += l.held()
+	}
+	return sum
+}
+
+// Flush gives the grants that are due at now.
+func (o *Owner) Flush(now time.Time) []Letter {
+	o.check(now)
+	var letters []Letter
+	for _, a := range o.accounts {
+		switch {
+		case a.pace.hasNews(now):
+			letters = append(letters, Letter{To: a.vm.Name, Grant: o.grant(now, a)})
+		case a.pace.hasAnswer(now):
+			a.pace.answered(now)
+			answer := Grant{Service: o.service.ID, Term: a.term, Acknowledged: a.sequence}
+			letters = append(letters, Letter{To: a.vm.Name, Grant: answer})
+		}
+	}
+	return letters
+}
+
+func (o *Owner) grant(now time.Time, a *account) Grant {
+	g := Grant{
+		Service:      o.service.ID,
+		Term:         a.term,
+		Acknowledged: a.sequence,
+		Target:       uint32(max(0, a.target)),
+		Others:       o.others(a),
+	}
+	for _, p := range o.pools {
+		l := a.lines[p.Address]
+		if l != nil && l.changed > a.pace.acknowledged {
+			g.Granted = append(g.Granted, Granted{Endpoint: p.Address, Granted: l.granted, Recalled: l.recalled})
+		}
+	}
+	g.Sequence = a.pace.number(now)
+	return g
+}
+
+func (o *Owner) others(a *account) []Demand {
+	sums := make([]Demand, len(o.service.Ranks))
+	for _, b := range o.accounts {
+		if a == b {
+			continue
+		}
+		for i := range min(len(sums), len(b.demand)) {
+			sums[i].Waiting += b.demand[i].Waiting
+			sums[i].InFlight += b.demand[i].InFlight
+		}
+	}
+	return sums
+}
+
+// check ends the rebuilding and takes back the credits of silent borrowers.
+func (o *Owner) check(now time.Time) {
+	if !o.settled && !now.Before(o.rebuilt) {
+		o.lend(now)
+	}
+	for _, a := range o.accounts {
+		if a.pace.silent(now) && (a.claimed || len(a.lines) > 0) {
+			clear(a.lines)
+			o.openTerm(now, a)
+			o.lend(now)
+		}
+	}
+}
+
+// NextWake gives when Flush has to be called next; the zero time means never.
+func (o *Owner) NextWake() time.Time {
+	var wake time.Time
+	if !o.settled {
+		wake = o.rebuilt
+	}
+	for _, a := range o.accounts {
+		wake = earlier(wake, a.pace.wake())
+	}
+	return wake
+}
--- a/io/daisypeer/codec_test.go
+++ b/io/daisypeer/codec_test.go
@@ -102,7 +102,7 @@
 			Service:  testService,
 			Term:     testTerm,
 			Sequence: 9,
-			Granted:  []daisycredit.Granted{{Endpoint: testEndpoint, Granted: 17}},
+			Granted:  []daisycredit.Granted{{Endpoint: testEndpoint, Granted: 17, Recalled: 3}},
 			Target:   5,
 			Others:   demand,
 		}},
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -253,7 +253,11 @@
 		Others:       decodeDemand(w.GetOthers()),
 	}
 	for _, x := range w.GetGranted() {
-		grant.Granted = append(grant.Granted, daisycredit.Granted{Endpoint: r.address(x.GetEndpoint()), Granted: x.GetGranted()})
+		grant.Granted = append(grant.Granted, daisycredit.Granted{
+			Endpoint: r.address(x.GetEndpoint()),
+			Granted:  x.GetGranted(),
+			Recalled: x.GetRecalled(),
+		})
 	}
 	return grant
 }
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -230,7 +230,11 @@
 		Others:       encodeDemand(g.Others),
 	}
 	for _, x := range g.Granted {
-		w.Granted = append(w.Granted, &daisywire.Granted{Endpoint: addressBytes(x.Endpoint), Granted: x.Granted})
+		w.Granted = append(w.Granted, &daisywire.Granted{
+			Endpoint: addressBytes(x.Endpoint),
+			Granted:  x.Granted,
+			Recalled: x.Recalled,
+		})
 	}
 	return w
 }
