--- a/io/daisyoperator/handler.go
+++ b/io/daisyoperator/handler.go
@@ -51,8 +51,8 @@
 	h.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, struct{}{}) })
 	h.mux.HandleFunc("GET /readyz", h.serveReadiness)
 	h.mux.HandleFunc("GET /metrics", h.serveMetrics)
-	for pattern, decode := range decoders {
-		h.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) { h.serve(w, r, decode) })
+	for p, d := range decoders {
+		h.mux.HandleFunc(p, func(w http.ResponseWriter, r *http.Request) { h.serve(w, r, d) })
 	}
 	return h
 }
