--- a/io/daisyload/fate.go
+++ b/io/daisytrial/fate.go
@@ -1,6 +1,6 @@
-// Package daisyload drives bounded load at entry VMs as callers do, and keeps a
+// Package daisytrial drives bounded load at entry VMs as callers do, and keeps a
 // ledger of what became of each request.
-package daisyload
+package daisytrial
 
 import (
 	"time"
--- a/io/daisyload/report.go
+++ b/io/daisytrial/report.go
@@ -1,4 +1,4 @@
-package daisyload
+package daisytrial
 
 import (
 	"fmt"
