--- a/io/daisyconnection/pool.go
+++ b/io/daisyconnection/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyservice"
 )
@@ -70,7 +71,7 @@
 
 	mu        sync.Mutex
 	endpoints map[Target]*endpoint
-	declared  map[Target]int
+	declared  map[Target]daisyendpoint.Endpoint
 	vms       int
 	closed    bool
 }
@@ -82,7 +83,7 @@
 		http1:     newTransport(limits, daisyservice.HTTP1),
 		http2:     newTransport(limits, daisyservice.HTTP2),
 		endpoints: make(map[Target]*endpoint),
-		declared:  make(map[Target]int),
+		declared:  make(map[Target]daisyendpoint.Endpoint),
 		vms:       1,
 	}
 }
@@ -123,13 +124,13 @@
 
 // Apply takes the limits of the declared endpoints and lets go of the others.
 func (p *Pool) Apply(snapshot *daisyconfig.Snapshot) {
-	declared := make(map[Target]int)
+	declared := make(map[Target]daisyendpoint.Endpoint)
 	for _, f := range snapshot.Intent.Fleets {
 		for _, s := range f.Services {
 			for _, e := range s.Endpoints {
 				t := Target{Address: e.Address, Protocol: s.Protocol}
-				if n, ok := declared[t]; !ok || e.Connections < n {
-					declared[t] = e.Connections
+				if o, ok := declared[t]; !ok || e.Connections < o.Connections {
+					declared[t] = e
 				}
 			}
 		}
@@ -160,11 +161,11 @@
 }
 
 func (p *Pool) share(target Target) int {
-	n := p.declared[target]
-	if n == 0 {
-		n = p.limits.Connections
+	e := p.declared[target]
+	if e.Connections == 0 {
+		return p.limits.Connections
 	}
-	return max(n/p.vms, 1)
+	return e.ConnectionShare(p.vms)
 }
 
 func (p *Pool) endpoint(target Target) (*endpoint, error) {
--- /dev/null
+++ b/io/daisyload/load_test.go
@@ -0,0 +1,90 @@
+package daisyload_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisyconnection"
+	"daisyyoke/io/daisyload"
+	"daisyyoke/io/daisystand"
+)
+
+var now = time.Date(2026, 11, 2, 8, 0, 0, 0, time.UTC)
+
+var cases = []struct {
+	name   string
+	values []string
+	want   daisyendpoint.Report
+	ok     bool
+}{
+	{name: "all", values: []string{"in-flight=2, slots=3, draining=?1"}, want: daisyendpoint.Report{At: now, InFlight: 2, Slots: 3, Draining: true}, ok: true},
+	{name: "two fields", values: []string{"in-flight=0", "slots=3"}, want: daisyendpoint.Report{At: now, Slots: 3}, ok: true},
+	{name: "bare flag", values: []string{"in-flight=0, slots=3, draining"}, want: daisyendpoint.Report{At: now, Slots: 3, Draining: true}, ok: true},
+	{name: "unknown member", values: []string{"in-flight=0, slots=3, heat=4;x=1"}, want: daisyendpoint.Report{At: now, Slots: 3}, ok: true},
+	{name: "last wins", values: []string{"in-flight=0, slots=3, in-flight=1"}, want: daisyendpoint.Report{At: now, InFlight: 1, Slots: 3}, ok: true},
+	{name: "empty", values: []string{""}},
+	{name: "no slots", values: []string{"in-flight=2"}},
+	{name: "zero slots", values: []string{"in-flight=2, slots=0"}},
+	{name: "negative", values: []string{"in-flight=-1, slots=3"}},
+	{name: "huge", values: []string{"in-flight=999999999999, slots=3"}},
+	{name: "decimal", values: []string{"in-flight=1.5, slots=3"}},
+	{name: "string", values: []string{`in-flight="1", slots=3`}},
+	{name: "list", values: []string{"in-flight=(1 2), slots=3"}},
+	{name: "flag as number", values: []string{"in-flight=1, slots=3, draining=1"}},
+	{name: "cut", values: []string{"in-flight=1, slots="}},
+	{name: "upper case", values: []string{"In-Flight=1, slots=3"}},
+}
+
+func TestParse(t *testing.T) {
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := daisyload.Parse(now, c.values)
+			assert.Equal(t, err == nil, c.ok, "%v", err)
+			assert.Equal(t, got, c.want)
+			assert.Assert(t, err == nil || errorx.IsOfType(err, daisyerror.InvalidRequest))
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, c := range cases {
+		f.Add(c.values[0])
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		got, err := daisyload.Parse(now, []string{value})
+		if err != nil {
+			assert.Equal(t, got, daisyendpoint.Report{})
+			return
+		}
+		assert.Assert(t, got.InFlight >= 0 && got.Slots >= 1)
+	})
+}
+
+func TestProbe(t *testing.T) {
+	for _, protocol := range []daisyservice.Protocol{daisyservice.HTTP1, daisyservice.HTTP2} {
+		endpoint := daisystand.NewEndpoint(daisystand.EndpointOptions{Slots: 3})
+		endpoint.SetFaults(daisystand.Faults{Draining: true})
+		server := daisystand.NewEndpointServer(httptest.NewUnstartedServer(nil).Listener, endpoint)
+		defer server.Close()
+		pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
+		defer pool.Close()
+		service := daisyservice.Service{ID: daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"}, Protocol: protocol}
+		for range 2 {
+			report, err := daisyload.NewProber(pool).Probe(context.Background(), service, server.Address())
+			assert.NilError(t, err)
+			assert.Equal(t, report.Slots, 3)
+			assert.Assert(t, report.Draining)
+		}
+		_, err := daisyload.NewProber(pool).Probe(context.Background(), service, netip.MustParseAddrPort("127.0.0.1:1"))
+		assert.Assert(t, errorx.IsOfType(err, daisyerror.Unavailable), "%v", err)
+	}
+}
