--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -17,6 +17,7 @@
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisymetric"
 )
 
 // Sender sends messages to other VMs without blocking; a message may be lost.
@@ -26,7 +27,7 @@
 
 // Prober asks an endpoint for its load.
 type Prober interface {
-	Probe(ctx context.Context, endpoint netip.AddrPort) (daisyendpoint.Report, error)
+	Probe(ctx context.Context, service daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, error)
 }
 
 // RouteOptions are what a Route controller depends on.
@@ -34,6 +35,8 @@
 	Self   daisyvm.VM
 	Sender Sender
 	Prober Prober
+	// Metrics count the probes; nil counts nothing.
+	Metrics *daisymetric.Metrics
 	// Seed makes the random choices repeatable.
 	Seed uint64
 }
@@ -45,27 +48,25 @@
 	// changing serializes the changes of the shard map; requests never take it.
 	changing sync.Mutex
 	requests atomic.Uint64
-	ctx      context.Context
-	cancel   context.CancelFunc
+	probes   *probes
 }
 
 var _ Controller = (*Route)(nil)
 
 // NewRoute gives a controller without services; Apply brings them.
 func NewRoute(options RouteOptions) *Route {
-	c := &Route{options: options}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c := &Route{options: options, probes: newProbes(options.Prober, options.Metrics)}
 	c.shards.Store(&map[daisyservice.ID]*routeShard{})
 	return c
 }
 
 func (c *Route) controller() {}
 
-// Close stops the timers of all shards and waits for them.
+// Close stops the probes and the timers of all shards and waits for them.
 func (c *Route) Close() {
 	c.changing.Lock()
 	defer c.changing.Unlock()
-	c.cancel()
+	c.probes.close()
 	for _, s := range *c.shards.Load() {
 		s.close()
 	}
@@ -84,8 +85,9 @@
 		}
 	}
 	for id, s := range shards {
-		if !declared[id] {
-			s.retire()
+		if !declared[id] && s.retire() {
+			s.close()
+			delete(shards, id)
 		}
 	}
 	c.shards.Store(&shards)
@@ -129,6 +131,15 @@
 	return t, nil
 }
 
+// Spare gives how many further requests of all services could be started at once.
+func (c *Route) Spare() int {
+	spare := 0
+	for _, s := range *c.shards.Load() {
+		spare += s.spare()
+	}
+	return spare
+}
+
 // SetPeers tells every shard which VMs share its service.
 func (c *Route) SetPeers(vms []daisyvm.VM) {
 	for _, s := range *c.shards.Load() {
@@ -161,12 +172,12 @@
 
 // Resolve reports the outcome of an attempt.
 func (t *Ticket) Resolve(attempt daisyrequest.AttemptID, outcome daisyrequest.Outcome, resendable bool) {
-	t.shard.handle(daisyroute.AttemptResolved{Attempt: attempt, Outcome: outcome, Resendable: resendable})
+	t.shard.resolve(daisyroute.AttemptResolved{Attempt: attempt, Outcome: outcome, Resendable: resendable})
 }
 
 // Release reports that the body of an answered attempt has ended.
 func (t *Ticket) Release(attempt daisyrequest.AttemptID, whole bool) {
-	t.shard.handle(daisyroute.AttemptReleased{Attempt: attempt, Whole: whole})
+	t.shard.release(daisyroute.AttemptReleased{Attempt: attempt, Whole: whole})
 }
 
 // Report passes on what an endpoint said of its load.
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -1,10 +1,12 @@
 package daisycontroller
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
@@ -21,6 +23,8 @@
 	tickets    map[daisyrequest.ID]*Ticket
 	attempts   map[daisyrequest.AttemptID]*Ticket
 	wake       time.Time
+	// probing has the endpoints with a probe under way.
+	probing map[netip.AddrPort]bool
 
 	timer *time.Timer
 	done  chan struct{}
@@ -33,6 +37,7 @@
 		dispatcher: dispatcher,
 		tickets:    make(map[daisyrequest.ID]*Ticket),
 		attempts:   make(map[daisyrequest.AttemptID]*Ticket),
+		probing:    make(map[netip.AddrPort]bool),
 		timer:      time.NewTimer(time.Hour),
 		done:       make(chan struct{}),
 	}
@@ -42,7 +47,7 @@
 		for {
 			select {
 			case <-s.timer.C:
-				s.handle(daisyroute.TimePassed{})
+				s.pass()
 			case <-s.done:
 				return
 			}
@@ -62,8 +67,22 @@
 	s.handle(daisyroute.ServiceChanged{Service: service})
 }
 
-// retire keeps the shard for the requests it still has, and hides it from new ones.
-func (s *routeShard) retire() { s.service.Store(nil) }
+// retire hides the shard from new requests, and reports whether it has none left.
+func (s *routeShard) retire() bool {
+	s.service.Store(nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tickets)+len(s.attempts)+len(s.probing) == 0
+}
+
+func (s *routeShard) spare() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.service.Load() == nil {
+		return 0
+	}
+	return s.dispatcher.Spare()
+}
 
 func (s *routeShard) begin(t *Ticket) {
 	s.mu.Lock()
@@ -84,6 +103,43 @@
 	s.step(event)
 }
 
+// pass tells the dispatcher that the time of its wake has come.
+func (s *routeShard) pass() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake = time.Time{}
+	s.step(daisyroute.TimePassed{})
+}
+
+// resolve takes the outcome of an attempt; only an answered one is heard of again.
+func (s *routeShard) resolve(event daisyroute.AttemptResolved) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, answered := event.Outcome.(daisyrequest.Answered); !answered {
+		delete(s.attempts, event.Attempt)
+	}
+	s.step(event)
+}
+
+func (s *routeShard) release(event daisyroute.AttemptReleased) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.attempts, event.Attempt)
+	s.step(event)
+}
+
+// probed takes the result of a probe; a nil error brings a report.
+func (s *routeShard) probed(endpoint netip.AddrPort, report daisyendpoint.Report, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.probing, endpoint)
+	if err != nil {
+		s.step(daisyroute.ProbeFailed{Endpoint: endpoint})
+		return
+	}
+	s.step(daisyroute.ReportReceived{Endpoint: endpoint, Report: report})
+}
+
 // step runs under the lock of the shard.
 func (s *routeShard) step(event daisyroute.Event) {
 	for _, d := range s.dispatcher.Handle(now(), event) {
@@ -106,6 +162,17 @@
 	case daisyroute.Tell:
 		s.route.options.Sender.Send(d.To, d.Message)
 	case daisyroute.Probe:
+		s.probe(d.Endpoint)
+	}
+}
+
+func (s *routeShard) probe(endpoint netip.AddrPort) {
+	service := s.service.Load()
+	if service == nil || s.probing[endpoint] {
+		return
+	}
+	if s.route.probes.add(probe{shard: s, service: *service, endpoint: endpoint}) {
+		s.probing[endpoint] = true
 	}
 }
 
