--- /dev/null
+++ b/core/daisymeasure/fleet.go
@@ -0,0 +1,110 @@
+package daisymeasure
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// Fleet is the size of what is measured.
+type Fleet struct {
+	Name daisyfleet.Name
+	VMs  int
+	// Endpoints has the number of endpoints of each service.
+	Endpoints []int
+	Slots     int
+	Zones     int
+	// Near and Far are the delays one way within and between availability zones.
+	Near, Far time.Duration
+}
+
+// Portugal is the fleet of Vigia Lar, with at most limit services.
+func Portugal(limit int) Fleet {
+	return Fleet{
+		Name:      "vigia-lar",
+		VMs:       6,
+		Endpoints: []int{11, 11, 11, 12}[:limit],
+		Slots:     3,
+		Zones:     4,
+		Near:      100 * time.Microsecond,
+		Far:       time.Millisecond,
+	}
+}
+
+// Czechia is the fleet of the Association, with at most limit services.
+func Czechia(limit int) Fleet {
+	return Fleet{
+		Name:      "grave-maps",
+		VMs:       5,
+		Endpoints: []int{7, 7, 8, 8}[:limit],
+		Slots:     2,
+		Zones:     3,
+		Near:      100 * time.Microsecond,
+		Far:       1500 * time.Microsecond,
+	}
+}
+
+// The ranks in the order of urgency.
+const (
+	Urgent daisyrank.Index = iota
+	Standard
+	Bulk
+	ranks
+)
+
+func (f Fleet) ranks() []daisyrank.Rank {
+	return []daisyrank.Rank{
+		{Name: "urgent", Target: 250 * time.Millisecond, Worth: 100, Floor: 0.5},
+		{Name: "standard", Target: 2 * time.Second, Worth: 10, Floor: 0.3},
+		{Name: "bulk", Target: 10 * time.Minute, Worth: 1, Floor: 0.05},
+	}
+}
+
+// meanWork is the mean time that an endpoint works on a request of each rank.
+var meanWork = [ranks]time.Duration{20 * time.Millisecond, 60 * time.Millisecond, 200 * time.Millisecond}
+
+// workSpread is the standard deviation of the logarithm of that time.
+const workSpread = 0.6
+
+func (f Fleet) zone(i int) daisyfleet.ZoneID {
+	return daisyfleet.ZoneID{Fleet: f.Name, Zone: fmt.Sprint("zone-", i%f.Zones)}
+}
+
+func (f Fleet) vm(i int) daisyvm.VM {
+	address := netip.AddrFrom4([4]byte{10, 1, 0, byte(i)})
+	return daisyvm.VM{
+		Name:        daisyvm.Name(fmt.Sprint("vm-", i)),
+		Incarnation: 1,
+		Zone:        f.zone(i),
+		Callers:     netip.AddrPortFrom(address, 80),
+		Peers:       netip.AddrPortFrom(address, 81),
+	}
+}
+
+func (f Fleet) service(i int) daisyservice.Service {
+	s := daisyservice.Service{ID: daisyservice.ID{Fleet: f.Name, Name: fmt.Sprint("service-", i)}, Ranks: f.ranks()}
+	for j := range f.Endpoints[i] {
+		address := netip.AddrFrom4([4]byte{10, 2, byte(i), byte(j)})
+		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{
+			Address:     netip.AddrPortFrom(address, 80),
+			Zone:        f.zone(j),
+			Slots:       f.Slots,
+			Connections: 250,
+		})
+	}
+	return s
+}
+
+// delay is the time one way between two availability zones.
+func (f Fleet) delay(a, b daisyfleet.ZoneID) time.Duration {
+	if a == b {
+		return f.Near
+	}
+	return f.Far
+}
