Stream requests and answers through typed attempts

Each attempt owns its answer and reaches the socket at most once; its outcome says whether a byte left. Hop-by-hop fields are removed, Via and Forwarded appended, trailers and interim answers passed on.

--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -2,46 +2,242 @@
 
 import (
 	"context"
+	"io"
+	"maps"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
+	"daisyyoke/io/daisyconnection"
+	"daisyyoke/io/daisyfilter"
+	"daisyyoke/io/daisyload"
 	"daisyyoke/io/daisyproblem"
 )
 
-// attempt is one send to an endpoint.
+var (
+	errDeadline = daisyerror.Unknown.New("the deadline of the attempt passed")
+	errGivenUp  = daisyerror.Unknown.New("the attempt was given up")
+	errStalled  = daisyerror.Unknown.New("the endpoint sent no byte of its answer's body for too long")
+)
+
+// maxShedBody is how much of a shed answer's body is read to keep the connection, in bytes.
+const maxShedBody = 4 << 10
+
+// attempt is one send to an endpoint. It owns the endpoint's answer until the
+// exchange takes it, so no other attempt or caller can come by it.
 type attempt struct {
-	id       daisyrequest.AttemptID
-	cancel   context.CancelFunc
+	exchange *exchange
+	send     daisyroute.Send
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	body     *view
+	started  time.Time
+
+	mu       sync.Mutex
 	response *http.Response
-	// done is closed when response is set or the attempt has failed.
-	done chan struct{}
-}
-
-func newAttempt(ctx context.Context, x *exchange, send daisyroute.Send) *attempt {
-	ctx, cancel := context.WithDeadline(ctx, send.Deadline)
-	a := &attempt{id: send.Attempt, cancel: cancel, done: make(chan struct{})}
-	request := x.call.HTTP.Clone(ctx)
-	request.URL.Scheme = "http"
-	request.URL.Host = send.Endpoint.String()
-	request.RequestURI = ""
-	go func() {
-		start := time.Now()
-		response, err := x.forwarder.transport.RoundTrip(request)
-		a.response = response
-		close(a.done)
-		x.ticket.Resolve(a.id, outcomeOf(response, err, time.Since(start)), false)
-	}()
+	took     time.Duration
+	interim  []interim
+	// gone says that the answer was taken or that nobody wants it any more.
+	gone bool
+}
+
+// interim is an answer with a status of 1xx.
+type interim struct {
+	status int
+	header textproto.MIMEHeader
+}
+
+func newAttempt(x *exchange, send daisyroute.Send) *attempt {
+	a := &attempt{exchange: x, send: send, started: time.Now()}
+	a.ctx, a.cancel = context.WithCancelCause(context.WithoutCancel(x.call.HTTP.Context()))
+	request := a.newRequest()
+	x.forwarder.ended.Go(func() {
+		timer := time.AfterFunc(time.Until(send.Deadline), func() { a.cancel(errDeadline) })
+		response, err := x.forwarder.pool.RoundTrip(request, x.target(send.Endpoint))
+		timer.Stop()
+		a.finish(response, err)
+	})
 	return a
 }
 
-func outcomeOf(response *http.Response, err error, took time.Duration) daisyrequest.Outcome {
+func (a *attempt) newRequest() *http.Request {
+	x := a.exchange
+	in := x.call.HTTP
+	target := url.URL{
+		Scheme:     "http",
+		Host:       a.send.Endpoint.String(),
+		Path:       in.URL.Path,
+		RawPath:    in.URL.RawPath,
+		RawQuery:   in.URL.RawQuery,
+		ForceQuery: in.URL.ForceQuery,
+	}
+	header := x.header
+	if a.send.Reason != daisyroute.First {
+		header = maps.Clone(header)
+	}
+	header[daisyfilter.TimeoutHeader] = []string{formatTimeout(a.send.Deadline.Sub(a.started))}
+	request := &http.Request{
+		Method: in.Method,
+		URL:    &target,
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header:        header,
+		Host:          in.Host,
+		ContentLength: in.ContentLength,
+	}
+	if x.source != nil {
+		a.body = x.source.newView()
+		request.Body = a.body
+		request.Trailer = a.body.trailer
+	}
+	trace := &httptrace.ClientTrace{Got1xxResponse: a.gotInterim}
+	return request.WithContext(httptrace.WithClientTrace(a.ctx, trace))
+}
+
+// gotInterim holds an interim answer back when another attempt may give the final one.
+func (a *attempt) gotInterim(status int, header textproto.MIMEHeader) error {
+	if status == http.StatusContinue {
+		// The server says this itself when the body is asked for.
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.interim) == maxInterim {
+		return nil
+	}
+	a.interim = append(a.interim, interim{status: status, header: header})
+	if !a.exchange.call.Request.Hedgeable {
+		a.exchange.interimArrived(a)
+	}
+	return nil
+}
+
+func (a *attempt) takeInterim() []interim {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	i := a.interim
+	a.interim = nil
+	return i
+}
+
+// finish reports what became of the attempt.
+func (a *attempt) finish(response *http.Response, err error) {
+	took := time.Since(a.started)
+	outcome := a.outcome(response, err, took)
+	if response != nil {
+		a.reportLoad(response)
+	}
+	if _, ok := outcome.(daisyrequest.Answered); ok && !a.keep(response, took) {
+		outcome = daisyrequest.Canceled{}
+	}
+	if _, ok := outcome.(daisyrequest.Answered); !ok {
+		a.drop(response)
+	}
+	a.exchange.ticket.Resolve(a.send.Attempt, outcome, a.exchange.source.resendable())
+}
+
+// keep stores the answer unless nobody wants it any more.
+func (a *attempt) keep(response *http.Response, took time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gone {
+		return false
+	}
+	a.response = response
+	a.took = took
+	return true
+}
+
+// drop ends an answer that is not passed on.
+func (a *attempt) drop(response *http.Response) {
+	if a.body != nil {
+		_ = a.body.Close()
+	}
+	if response != nil {
+		_, _ = io.CopyN(io.Discard, response.Body, maxShedBody)
+		_ = response.Body.Close()
+	}
+	a.cancel(errGivenUp)
+}
+
+func (a *attempt) outcome(response *http.Response, err error, took time.Duration) daisyrequest.Outcome {
 	if err != nil {
-		return daisyrequest.BrokenOff{Cause: err}
+		return a.failure(err, took)
+	}
+	if a.ctx.Err() != nil {
+		return a.interrupted()
+	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return daisyrequest.BrokenOff{Cause: daisyerror.InvalidRequest.New("%v switched protocols unasked", a.send.Endpoint)}
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(daisyproblem.RunHeader) == daisyproblem.NotRunValue {
 		return daisyrequest.Shed{Took: took}
 	}
 	return daisyrequest.Answered{Status: response.StatusCode, Took: took}
 }
+
+func (a *attempt) failure(err error, took time.Duration) daisyrequest.Outcome {
+	switch {
+	case errorx.IsOfType(err, daisyconnection.NotSent):
+		return daisyrequest.NotSent{Cause: err}
+	case errorx.IsOfType(err, daisyconnection.Refused):
+		return daisyrequest.Shed{Took: took}
+	case a.ctx.Err() != nil:
+		return a.interrupted()
+	case a.exchange.source.broken():
+		return daisyrequest.Canceled{}
+	}
+	return daisyrequest.BrokenOff{Cause: err}
+}
+
+func (a *attempt) interrupted() daisyrequest.Outcome {
+	if context.Cause(a.ctx) == errDeadline {
+		return daisyrequest.TimedOut{}
+	}
+	return daisyrequest.Canceled{}
+}
+
+func (a *attempt) reportLoad(response *http.Response) {
+	values := response.Header[daisyload.Header]
+	if len(values) == 0 {
+		return
+	}
+	report, err := daisyload.Parse(time.Now(), values)
+	if err == nil {
+		a.exchange.ticket.Report(a.send.Endpoint, report)
+	}
+}
+
+// take hands the answer over to the exchange.
+func (a *attempt) take() *http.Response {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gone = true
+	return a.response
+}
+
+// giveUp cancels the attempt unless its answer was taken. Whatever arrives later is dropped.
+func (a *attempt) giveUp() {
+	a.mu.Lock()
+	gone, response := a.gone, a.response
+	a.gone = true
+	a.mu.Unlock()
+	if gone {
+		return
+	}
+	a.cancel(errGivenUp)
+	if a.body != nil {
+		_ = a.body.Close()
+	}
+	if response != nil {
+		_ = response.Body.Close()
+		a.exchange.ticket.Release(a.send.Attempt, false)
+	}
+}
--- /dev/null
+++ b/io/daisyforward/deliver.go
@@ -0,0 +1,202 @@
+package daisyforward
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/io/daisymetric"
+	"daisyyoke/io/daisyproblem"
+)
+
+// deliver passes an endpoint's answer on. It panics with http.ErrAbortHandler when the answer breaks off.
+func (x *exchange) deliver(a *attempt) {
+	x.outcome = daisymetric.Cut
+	response := a.take()
+	x.passInterim(a)
+	incomingHeader(x.writer.Header(), response, x.forwarder.self)
+	x.extendWrite()
+	x.writer.WriteHeader(response.StatusCode)
+	x.metrics.Added(time.Since(x.call.Arrived) - a.send.Waited - a.took)
+	err := newPump(x, a, response).run()
+	if err == nil {
+		x.passTrailers(response)
+	}
+	_ = response.Body.Close()
+	x.ticket.Release(a.send.Attempt, err == nil)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	x.outcome = daisymetric.Served
+}
+
+func (x *exchange) extendWrite() {
+	_ = x.control.SetWriteDeadline(time.Now().Add(x.forwarder.limits.Stall))
+}
+
+func (x *exchange) writeProblem(p daisyproblem.Problem) {
+	x.extendWrite()
+	p.Write(x.writer)
+}
+
+// refuseBody answers a caller whose body broke off or stalled.
+func (x *exchange) refuseBody() {
+	p := daisyproblem.Problem{
+		Status: http.StatusBadRequest,
+		Title:  "The body of the request broke off",
+		Run:    daisyrequest.MayHaveRun,
+	}
+	if errors.Is(x.source.failure(), os.ErrDeadlineExceeded) {
+		p.Status = http.StatusRequestTimeout
+		p.Title = "No byte of the request's body arrived for too long"
+	}
+	if len(x.attempts) == 0 {
+		p.Run = daisyrequest.NotRun
+	}
+	x.writeProblem(p)
+}
+
+// interimArrived tells the exchange that a holds interim answers.
+func (x *exchange) interimArrived(a *attempt) {
+	select {
+	case x.interim <- a:
+	default:
+	}
+}
+
+func (x *exchange) passInterim(a *attempt) {
+	if !x.call.HTTP.ProtoAtLeast(1, 1) {
+		return
+	}
+	h := x.writer.Header()
+	for _, i := range a.takeInterim() {
+		copyEndToEnd(h, http.Header(i.header))
+		x.extendWrite()
+		x.writer.WriteHeader(i.status)
+		clear(h)
+	}
+}
+
+// passTrailers runs after the body: the library sends what was announced, and the rest with a prefix.
+func (x *exchange) passTrailers(response *http.Response) {
+	h := x.writer.Header()
+	announced := make(map[string]bool)
+	for _, k := range h["Trailer"] {
+		announced[k] = true
+	}
+	for k, v := range response.Trailer {
+		if announced[k] {
+			h[k] = v
+			continue
+		}
+		h[http.TrailerPrefix+k] = v
+	}
+}
+
+// pump copies an answer's body to the caller and passes on what has arrived at once.
+type pump struct {
+	exchange *exchange
+	attempt  *attempt
+	response *http.Response
+	timer    *time.Timer
+
+	mu sync.Mutex
+	// due is when the read under way has taken too long; zero while there is none.
+	due time.Time
+	// unsent says that the header waits for the first byte of the body.
+	unsent bool
+}
+
+func newPump(x *exchange, a *attempt, response *http.Response) *pump {
+	return &pump{exchange: x, attempt: a, response: response, unsent: response.ContentLength > 0}
+}
+
+func (p *pump) run() error {
+	if p.response.Body == http.NoBody {
+		return nil
+	}
+	if p.response.ContentLength < 0 {
+		if err := p.flush(); err != nil {
+			return err
+		}
+	}
+	p.timer = time.AfterFunc(p.patience(), p.tick)
+	defer p.timer.Stop()
+	chunk := getChunk()
+	defer putChunk(chunk)
+	for passed := int64(0); ; {
+		n, err := p.read(*chunk)
+		passed += int64(n)
+		ended := err == io.EOF
+		if n > 0 {
+			if err := p.pass((*chunk)[:n], ended || passed == p.response.ContentLength); err != nil {
+				return err
+			}
+		}
+		if ended {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (p *pump) patience() time.Duration {
+	if p.unsent {
+		return headerDelay
+	}
+	return p.exchange.forwarder.limits.Stall
+}
+
+func (p *pump) read(chunk []byte) (int, error) {
+	p.mu.Lock()
+	patience := p.patience()
+	p.due = time.Now().Add(patience)
+	p.timer.Reset(patience)
+	p.mu.Unlock()
+	n, err := p.response.Body.Read(chunk)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.due = time.Time{}
+	p.unsent = false
+	return n, err
+}
+
+// tick runs when a read takes long: it sends a header that waits, and later gives the answer up.
+func (p *pump) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.due.IsZero() || time.Now().Before(p.due) {
+		return
+	}
+	if !p.unsent {
+		p.attempt.cancel(errStalled)
+		return
+	}
+	p.unsent = false
+	_ = p.flush()
+	p.due = time.Now().Add(p.patience())
+	p.timer.Reset(p.patience())
+}
+
+// pass writes bytes to the caller; the last ones leave when the handler returns.
+func (p *pump) pass(bytes []byte, last bool) error {
+	p.exchange.extendWrite()
+	if _, err := p.exchange.writer.Write(bytes); err != nil {
+		return err
+	}
+	if last {
+		return nil
+	}
+	return p.exchange.control.Flush()
+}
+
+func (p *pump) flush() error {
+	p.exchange.extendWrite()
+	return p.exchange.control.Flush()
+}
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -1,38 +1,76 @@
 // Package daisyforward sends requests to endpoints and passes their answers back.
+//
+// Bodies stream in both directions and are never held whole. An attempt reaches
+// the socket at most once; whether there is another one is for routing to decide.
 package daisyforward
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"net/netip"
+	"sync"
+	"time"
 
+	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisyconnection"
 	"daisyyoke/io/daisycontroller"
 	"daisyyoke/io/daisyfilter"
+	"daisyyoke/io/daisylog"
+	"daisyyoke/io/daisymetric"
 	"daisyyoke/io/daisyproblem"
 )
 
+// Options are what a Forwarder depends on.
+type Options struct {
+	Self   daisyvm.Name
+	Routes *daisycontroller.Route
+	Pool   *daisyconnection.Pool
+	Limits Limits
+	// Log gets a line for each decision; nil writes none.
+	Log *daisylog.Log
+	// Metrics count requests and attempts; nil counts nothing.
+	Metrics *daisymetric.Metrics
+}
+
 // Forwarder carries out what routing decides on each request.
 type Forwarder struct {
-	routes    *daisycontroller.Route
-	transport http.RoundTripper
+	self    daisyvm.Name
+	routes  *daisycontroller.Route
+	pool    *daisyconnection.Pool
+	limits  Limits
+	log     *daisylog.Log
+	metrics *daisymetric.Metrics
+	ended   sync.WaitGroup
 }
 
-// New gives a forwarder that asks routes and sends over transport.
-func New(routes *daisycontroller.Route, transport http.RoundTripper) *Forwarder {
-	return &Forwarder{routes: routes, transport: transport}
+// New gives a forwarder.
+func New(options Options) *Forwarder {
+	return &Forwarder{
+		self:    options.Self,
+		routes:  options.Routes,
+		pool:    options.Pool,
+		limits:  options.Limits,
+		log:     options.Log,
+		metrics: options.Metrics,
+	}
 }
 
-// Forward takes one request to its end.
+// Close waits for every attempt. The requests have to have ended.
+func (f *Forwarder) Close() { f.ended.Wait() }
+
+// Forward takes one request to its end. It panics with http.ErrAbortHandler when
+// an answer that has begun breaks off, which breaks it off towards the caller too.
 func (f *Forwarder) Forward(w http.ResponseWriter, call *daisyfilter.Call) {
 	ticket, err := f.routes.Begin(call.Request)
 	if err != nil {
-		daisyproblem.FromFailure(daisyrequest.NoEndpoint{}).Write(w)
+		daisyproblem.FromFailure(daisyrequest.NoEndpoint{RetryAfter: time.Second}).Write(w)
 		return
 	}
-	defer ticket.Close()
-	x := &exchange{forwarder: f, ticket: ticket, call: call, writer: w, answers: make(map[daisyrequest.AttemptID]*attempt)}
+	x := newExchange(f, ticket, call, w)
+	defer x.end()
 	x.run(call.HTTP.Context())
 }
 
@@ -41,17 +79,61 @@
 	forwarder *Forwarder
 	ticket    *daisycontroller.Ticket
 	call      *daisyfilter.Call
+	rank      daisyrank.Name
 	writer    http.ResponseWriter
-	answers   map[daisyrequest.AttemptID]*attempt
+	control   *http.ResponseController
+	header    http.Header
+	source    *source
+	// bodyFailed is closed when the caller's body breaks off; nil without a body.
+	bodyFailed <-chan struct{}
+	attempts   []*attempt
+	interim    chan *attempt
+	metrics    *daisymetric.Rank
+	outcome    daisymetric.Outcome
+	ended      bool
+}
+
+func newExchange(f *Forwarder, ticket *daisycontroller.Ticket, call *daisyfilter.Call, w http.ResponseWriter) *exchange {
+	rank := call.Service.Ranks[call.Request.Rank].Name
+	x := &exchange{
+		forwarder: f,
+		ticket:    ticket,
+		call:      call,
+		rank:      rank,
+		writer:    w,
+		control:   http.NewResponseController(w),
+		header:    outgoingHeader(call.HTTP, rank, f.self),
+		interim:   make(chan *attempt, maxInterim),
+		metrics:   f.metrics.Rank(call.Service.ID, rank),
+		outcome:   daisymetric.Abandoned,
+	}
+	x.source = newSource(call.HTTP, x.control, f.limits)
+	if x.source != nil {
+		x.bodyFailed = x.source.failed
+		// The answer may begin while the request's body is still being read.
+		_ = x.control.EnableFullDuplex()
+	}
+	x.metrics.Begin()
+	return x
+}
+
+func (x *exchange) target(endpoint netip.AddrPort) daisyconnection.Target {
+	return daisyconnection.Target{Address: endpoint, Protocol: x.call.Service.Protocol}
 }
 
 func (x *exchange) run(ctx context.Context) {
 	for {
 		select {
 		case d := <-x.ticket.Decisions():
-			if x.carryOut(ctx, d) {
+			if x.carryOut(d) {
 				return
 			}
+		case a := <-x.interim:
+			x.passInterim(a)
+		case <-x.bodyFailed:
+			x.ticket.Abandon()
+			x.refuseBody()
+			return
 		case <-ctx.Done():
 			x.ticket.Abandon()
 			return
@@ -59,34 +141,96 @@
 	}
 }
 
-func (x *exchange) carryOut(ctx context.Context, decision daisyroute.Decision) (ended bool) {
+func (x *exchange) carryOut(decision daisyroute.Decision) (ended bool) {
 	switch d := decision.(type) {
 	case daisyroute.Send:
-		x.answers[d.Attempt] = newAttempt(ctx, x, d)
+		x.logSend(d)
+		x.metrics.Attempt(d.Reason.String(), d.Waited)
+		x.attempts = append(x.attempts, newAttempt(x, d))
 	case daisyroute.Deliver:
-		x.deliver(x.answers[d.Attempt])
+		x.ended = true
+		x.deliver(x.attempt(d.Attempt))
 		return true
 	case daisyroute.Fail:
-		daisyproblem.FromFailure(d.Failure).Write(x.writer)
+		x.ended = true
+		x.fail(d)
 		return true
 	case daisyroute.Cancel:
-		x.answers[d.Attempt].cancel()
+		x.cancel(d)
 	case daisyroute.Tell, daisyroute.Probe:
 	}
 	return false
 }
 
-func (x *exchange) deliver(a *attempt) {
-	<-a.done
-	defer a.cancel()
-	header := x.writer.Header()
-	for k, v := range a.response.Header {
-		header[k] = v
+func (x *exchange) attempt(id daisyrequest.AttemptID) *attempt {
+	for _, a := range x.attempts {
+		if a.send.Attempt == id {
+			return a
+		}
 	}
-	x.writer.WriteHeader(a.response.StatusCode)
-	_, err := io.Copy(x.writer, a.response.Body)
-	x.ticket.Release(a.id, err == nil)
-	if err != nil {
-		panic(http.ErrAbortHandler)
+	return nil
+}
+
+func (x *exchange) cancel(decision daisyroute.Cancel) {
+	a := x.attempt(decision.Attempt)
+	if a == nil {
+		return
+	}
+	x.logCancel(a)
+	x.metrics.Cancel()
+	a.giveUp()
+}
+
+func (x *exchange) fail(decision daisyroute.Fail) {
+	x.outcome = outcomeOf(decision.Failure)
+	p := daisyproblem.FromFailure(decision.Failure)
+	x.logFail(decision, p.Status)
+	x.writeProblem(p)
+}
+
+func outcomeOf(failure daisyrequest.Failure) daisymetric.Outcome {
+	switch failure.(type) {
+	case daisyrequest.Overloaded:
+		return daisymetric.Refused
+	case daisyrequest.NoEndpoint:
+		return daisymetric.NoEndpoint
+	case daisyrequest.DeadlinePassed:
+		return daisymetric.TimedOut
+	case daisyrequest.EndpointBroke:
+		return daisymetric.EndpointBroke
+	}
+	return daisymetric.EndpointBroke
+}
+
+// end lets go of everything that is left: attempts nobody waits for, decisions
+// that were not carried out, and the caller's body.
+func (x *exchange) end() {
+	if !x.ended {
+		x.ticket.Abandon()
+	}
+	x.ticket.Close()
+	x.returnSends()
+	for _, a := range x.attempts {
+		a.giveUp()
+		if a.body != nil {
+			_ = a.body.Close()
+		}
+		a.cancel(errGivenUp)
+	}
+	x.source.close()
+	x.metrics.End(x.outcome, len(x.attempts) > 0, time.Since(x.call.Arrived))
+}
+
+// returnSends gives the slots of sends back that came too late.
+func (x *exchange) returnSends() {
+	for {
+		select {
+		case d := <-x.ticket.Decisions():
+			if s, ok := d.(daisyroute.Send); ok {
+				x.ticket.Resolve(s.Attempt, daisyrequest.NotSent{Cause: errGivenUp}, false)
+			}
+		default:
+			return
+		}
 	}
 }
--- a/io/daisyforward/forward_test.go
+++ b/io/daisyforward/forward_test.go
@@ -16,6 +16,7 @@
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisyconnection"
 	"daisyyoke/io/daisycontroller"
 	"daisyyoke/io/daisyfilter"
 	"daisyyoke/io/daisyforward"
@@ -36,7 +37,10 @@
 			Endpoints: []daisyendpoint.Endpoint{{Address: netip.MustParseAddrPort(server.Listener.Addr().String()), Slots: 2}},
 		}},
 	}}}})
-	forwarder := daisyforward.New(routes, &http.Transport{})
+	pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
+	t.Cleanup(pool.Close)
+	forwarder := daisyforward.New(daisyforward.Options{Self: "vm-1", Routes: routes, Pool: pool, Limits: daisyforward.DefaultLimits()})
+	t.Cleanup(forwarder.Close)
 	return daisyfilter.NewChain(forwarder, daisyfilter.Identify{Services: routes}, daisyfilter.Classify{})
 }
 
--- /dev/null
+++ b/io/daisyforward/header.go
@@ -0,0 +1,133 @@
+package daisyforward
+
+import (
+	"net/http"
+	"net/netip"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisyfilter"
+)
+
+// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1),
+// besides those that Connection names.
+var hopByHop = []string{
+	"Connection",
+	"Proxy-Connection",
+	"Keep-Alive",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Http2-Settings",
+}
+
+// copyEndToEnd copies the fields that go beyond one connection. The values are shared.
+func copyEndToEnd(to, from http.Header) {
+	for k, v := range from {
+		to[k] = v
+	}
+	for _, v := range from["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(to, name)
+	}
+}
+
+// outgoingHeader gives the header for endpoints, all but Daisy-Timeout.
+func outgoingHeader(r *http.Request, rank daisyrank.Name, self daisyvm.Name) http.Header {
+	h := make(http.Header, len(r.Header)+5)
+	copyEndToEnd(h, r.Header)
+	if _, ok := h["User-Agent"]; !ok {
+		// An empty value keeps the library from adding its own.
+		h["User-Agent"] = []string{""}
+	}
+	if acceptsTrailers(r.Header) {
+		h["Te"] = []string{"trailers"}
+	}
+	h[daisyfilter.RankHeader] = []string{string(rank)}
+	h["Via"] = appendListed(h["Via"], via(r.ProtoMajor, r.ProtoMinor, self))
+	h["Forwarded"] = appendListed(h["Forwarded"], forwarded(r, self))
+	return h
+}
+
+// incomingHeader copies an endpoint's header to the caller's answer.
+func incomingHeader(to http.Header, response *http.Response, self daisyvm.Name) {
+	copyEndToEnd(to, response.Header)
+	to["Via"] = appendListed(to["Via"], via(response.ProtoMajor, response.ProtoMinor, self))
+	if _, ok := to["Content-Type"]; !ok {
+		// A nil value keeps the library from guessing one.
+		to["Content-Type"] = nil
+	}
+	if len(response.Trailer) == 0 {
+		return
+	}
+	// Only an answer in chunks has trailers in HTTP/1.1.
+	delete(to, "Content-Length")
+	names := make([]string, 0, len(response.Trailer))
+	for k := range response.Trailer {
+		names = append(names, k)
+	}
+	to["Trailer"] = names
+}
+
+// appendListed copies the values, which other attempts or the server may share.
+func appendListed(values []string, last string) []string {
+	return append(append(make([]string, 0, len(values)+1), values...), last)
+}
+
+func acceptsTrailers(h http.Header) bool {
+	for _, v := range h["Te"] {
+		for coding := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(coding), "trailers") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// via follows RFC 9110, section 7.6.3; the VM's name is the pseudonym.
+func via(major, minor int, self daisyvm.Name) string {
+	if major >= 2 {
+		return strconv.Itoa(major) + " " + string(self)
+	}
+	return strconv.Itoa(major) + "." + strconv.Itoa(minor) + " " + string(self)
+}
+
+// forwarded follows RFC 7239; the VM's name is an obfuscated identifier.
+func forwarded(r *http.Request, self daisyvm.Name) string {
+	var b strings.Builder
+	b.WriteString("for=")
+	b.WriteString(forwardedFor(r.RemoteAddr))
+	b.WriteString(";by=_")
+	b.WriteString(string(self))
+	b.WriteString(";proto=http")
+	return b.String()
+}
+
+func forwardedFor(remote string) string {
+	a, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return "unknown"
+	}
+	ip := a.Addr().Unmap().WithZone("")
+	if ip.Is4() {
+		return ip.String()
+	}
+	return `"[` + ip.String() + `]"`
+}
+
+// formatTimeout gives the time left in whole milliseconds, at least one.
+func formatTimeout(left time.Duration) string {
+	return strconv.FormatInt(max(left.Milliseconds(), 1), 10) + "ms"
+}
--- /dev/null
+++ b/io/daisyforward/source.go
@@ -0,0 +1,224 @@
+package daisyforward
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// source is the body of a caller's request. It reads the body once, when asked,
+// and holds the first bytes as long as the request could still be sent again.
+type source struct {
+	request *http.Request
+	control *http.ResponseController
+	limits  Limits
+	demand  chan struct{}
+	// failed is closed when the caller's body broke off or stalled.
+	failed chan struct{}
+
+	mu sync.Mutex
+	// held are the bytes from start on that were read.
+	held  []byte
+	start int64
+	// err is what ended the body, io.EOF when it is whole.
+	err     error
+	reading bool
+	closed  bool
+	// changed is closed and replaced after each read.
+	changed chan struct{}
+	ended   sync.WaitGroup
+}
+
+// newSource gives the source of a request's body, or nil when it has none.
+func newSource(request *http.Request, control *http.ResponseController, limits Limits) *source {
+	if request.Body == nil || request.Body == http.NoBody || request.ContentLength == 0 {
+		return nil
+	}
+	s := &source{
+		request: request,
+		control: control,
+		limits:  limits,
+		demand:  make(chan struct{}, 1),
+		failed:  make(chan struct{}),
+		changed: make(chan struct{}),
+	}
+	s.ended.Go(func() {
+		chunk := getChunk()
+		defer putChunk(chunk)
+		for range s.demand {
+			s.read(*chunk)
+		}
+	})
+	return s
+}
+
+func (s *source) read(chunk []byte) {
+	_ = s.control.SetReadDeadline(time.Now().Add(s.limits.Stall))
+	n, err := s.request.Body.Read(chunk)
+	if err != nil {
+		// The server watches the connection from here on without a limit.
+		_ = s.control.SetReadDeadline(time.Time{})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = append(s.held, chunk[:n]...)
+	s.reading = false
+	s.err = err
+	if err != nil && err != io.EOF {
+		close(s.failed)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ask runs under the lock.
+func (s *source) ask() {
+	if s.reading || s.closed || s.err != nil {
+		return
+	}
+	s.reading = true
+	s.demand <- struct{}{}
+}
+
+// release lets go of the bytes before offset once they are too many to be sent again; it runs under the lock.
+func (s *source) release(offset int64) {
+	if s.start == 0 && offset <= int64(s.limits.Replay) {
+		return
+	}
+	n := copy(s.held, s.held[offset-s.start:])
+	s.held = s.held[:n]
+	s.start = offset
+}
+
+// resendable says that everything that was read is still held.
+func (s *source) resendable() bool {
+	if s == nil {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.start == 0 && (s.err == nil || s.err == io.EOF)
+}
+
+// broken says that the caller's body ended before it was whole.
+func (s *source) broken() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err != nil && s.err != io.EOF
+}
+
+// failure gives what broke the caller's body off.
+func (s *source) failure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err
+}
+
+// close waits for a read under way, which it ends, so that the server has the body to itself again.
+func (s *source) close() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	s.closed = true
+	reading := s.reading
+	close(s.demand)
+	s.mu.Unlock()
+	if reading {
+		_ = s.control.SetReadDeadline(time.Unix(1, 0))
+	}
+	s.ended.Wait()
+}
+
+// view gives one attempt the body from its start.
+type view struct {
+	source *source
+	offset int64
+	// trailer gets the caller's trailers when the body has ended.
+	trailer http.Header
+	closing sync.Once
+	closed  chan struct{}
+}
+
+func (s *source) newView() *view {
+	v := &view{source: s, closed: make(chan struct{})}
+	if len(s.request.Trailer) > 0 {
+		v.trailer = make(http.Header, len(s.request.Trailer))
+		for k := range s.request.Trailer {
+			v.trailer[k] = nil
+		}
+	}
+	return v
+}
+
+// Read gives the next bytes, as soon as there are any.
+func (v *view) Read(p []byte) (int, error) {
+	s := v.source
+	for {
+		select {
+		case <-v.closed:
+			return 0, http.ErrBodyReadAfterClose
+		default:
+		}
+		s.mu.Lock()
+		n := v.take(p)
+		err := s.err
+		changed := s.changed
+		if n == 0 {
+			s.ask()
+		}
+		s.mu.Unlock()
+		if n > 0 {
+			return n, nil
+		}
+		if err != nil {
+			return 0, v.end(err)
+		}
+		select {
+		case <-changed:
+		case <-v.closed:
+		}
+	}
+}
+
+// take runs under the lock of the source.
+func (v *view) take(p []byte) int {
+	s := v.source
+	if v.offset < s.start {
+		// A later view can't come here: nothing is sent again once bytes are let go of.
+		return 0
+	}
+	n := copy(p, s.held[v.offset-s.start:])
+	v.offset += int64(n)
+	if n > 0 {
+		s.release(v.offset)
+	}
+	return n
+}
+
+func (v *view) end(err error) error {
+	if err == io.EOF {
+		for k := range v.trailer {
+			v.trailer[k] = v.source.request.Trailer[k]
+		}
+	}
+	return err
+}
+
+// Close ends a Read under way. It may be called more than once.
+func (v *view) Close() error {
+	v.closing.Do(func() { close(v.closed) })
+	return nil
+}
+
+var chunks = sync.Pool{New: func() any {
+	b := make([]byte, chunkSize)
+	return &b
+}}
+
+func getChunk() *[]byte  { return chunks.Get().(*[]byte) }
+func putChunk(b *[]byte) { chunks.Put(b) }
