--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -33,6 +33,11 @@
 		c.endpoint.release(c, false)
 		return nil, c.classify(err, before)
 	}
+	if response.Body == http.NoBody {
+		c.socket.forget(request.Body)
+		c.endpoint.release(c, true)
+		return response, nil
+	}
 	response.Body = &body{ReadCloser: response.Body, connection: c, request: request.Body}
 	return response, nil
 }
@@ -70,7 +75,7 @@
 
 func (b *body) Close() error {
 	err := b.ReadCloser.Close()
-	b.release(b.ReadCloser == http.NoBody)
+	b.release(false)
 	return err
 }
 
--- /dev/null
+++ b/io/daisyfilter/addresses.go
@@ -0,0 +1,61 @@
+package daisyfilter
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisyproblem"
+)
+
+// AddressesPath is where callers ask which VMs to use.
+const AddressesPath = "/.well-known/daisyyoke/addresses"
+
+// AddressBook knows which VMs callers should use, the best first, and how long they may keep the answer.
+type AddressBook interface {
+	CallersAddresses() (vms []daisyvm.VM, keepFor time.Duration)
+}
+
+// Addresses answers callers that ask which VMs to use.
+type Addresses struct{ Book AddressBook }
+
+func (Addresses) filter() {}
+
+type addressesDocument struct {
+	Addresses []addressDocument `json:"addresses"`
+	KeepFor   string            `json:"keep-for"`
+}
+
+type addressDocument struct {
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability-zone"`
+}
+
+func (f Addresses) apply(call *Call) Verdict {
+	if call.HTTP.URL.Path != AddressesPath {
+		return GoOn{}
+	}
+	if call.HTTP.Method != http.MethodGet && call.HTTP.Method != http.MethodHead {
+		return Answer{Problem: daisyproblem.Problem{
+			Status: http.StatusMethodNotAllowed,
+			Title:  "Only GET and HEAD are allowed here",
+			Run:    daisyrequest.NotRun,
+			Allow:  "GET, HEAD",
+		}}
+	}
+	vms, keepFor := f.Book.CallersAddresses()
+	document := addressesDocument{Addresses: []addressDocument{}, KeepFor: keepFor.String()}
+	for _, v := range vms {
+		document.Addresses = append(document.Addresses, addressDocument{
+			Address:          v.Callers.String(),
+			AvailabilityZone: v.Zone.String(),
+		})
+	}
+	body, err := json.Marshal(document)
+	if err != nil {
+		return refuse(http.StatusInternalServerError, "The addresses cannot be written")
+	}
+	return Reply{ContentType: "application/json", MaxAge: keepFor, Body: append(body, '\n')}
+}
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -6,10 +6,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisymetric"
 	"daisyyoke/io/daisyproblem"
 )
 
@@ -26,7 +28,7 @@
 // Filter is one step of the chain. It is one of the types of this package.
 type Filter interface{ filter() }
 
-// Verdict is what a filter decides. It is one of GoOn, Answer and Forward.
+// Verdict is what a filter decides. It is one of GoOn, Answer, Reply and Forward.
 type Verdict interface{ verdict() }
 
 // GoOn passes the request to the next filter.
@@ -35,11 +37,20 @@
 // Answer ends the chain with an answer of daisyyoke's own.
 type Answer struct{ Problem daisyproblem.Problem }
 
+// Reply ends the chain with a document of daisyyoke's own.
+type Reply struct {
+	ContentType string
+	// MaxAge is how long the caller may keep it.
+	MaxAge time.Duration
+	Body   []byte
+}
+
 // Forward ends the chain: the request goes to an endpoint.
 type Forward struct{}
 
 func (GoOn) verdict()    {}
 func (Answer) verdict()  {}
+func (Reply) verdict()   {}
 func (Forward) verdict() {}
 
 // Forwarder sends a request to an endpoint and passes the answer back.
@@ -47,40 +58,65 @@
 	Forward(w http.ResponseWriter, call *Call)
 }
 
-// Chain is the callers' handler.
-type Chain struct {
-	filters   []Filter
-	forwarder Forwarder
+// Options are what a Chain depends on.
+type Options struct {
+	Forwarder Forwarder
+	// Filters run in this order.
+	Filters []Filter
+	// Stall is how long the unread body of a refused request, or its caller, may
+	// keep the connection busy without a byte.
+	Stall time.Duration
+	// Metrics count the refused requests; nil counts nothing.
+	Metrics *daisymetric.Metrics
 }
 
-// NewChain gives a chain that runs the filters in order.
-func NewChain(forwarder Forwarder, filters ...Filter) *Chain {
-	return &Chain{filters: filters, forwarder: forwarder}
-}
+// Chain is the callers' handler.
+type Chain struct{ options Options }
+
+// NewChain gives a chain.
+func NewChain(options Options) *Chain { return &Chain{options: options} }
 
 // ServeHTTP takes one request through the chain.
 func (c *Chain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	call := &Call{HTTP: r, Arrived: time.Now()}
-	switch v := c.judge(call).(type) {
+	if r.ProtoMajor == 1 {
+		// The deadline of the last answer on the connection has no meaning for this one.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+	}
+	verdict, passed := c.judge(call)
+	defer c.leave(passed)
+	switch v := verdict.(type) {
 	case Answer:
+		c.options.Metrics.Refused(v.Problem.Status)
+		c.limit(w, r)
 		v.Problem.Write(w)
+	case Reply:
+		c.limit(w, r)
+		v.write(w)
 	case Forward, GoOn:
-		c.forwarder.Forward(w, call)
+		c.options.Forwarder.Forward(w, call)
 	}
 }
 
-func (c *Chain) judge(call *Call) Verdict {
-	for _, f := range c.filters {
+// judge gives the verdict and the number of filters that let the request pass.
+func (c *Chain) judge(call *Call) (Verdict, int) {
+	for i, f := range c.options.Filters {
 		v := apply(f, call)
 		if _, ok := v.(GoOn); !ok {
-			return v
+			return v, i
 		}
 	}
-	return Forward{}
+	return Forward{}, len(c.options.Filters)
 }
 
 func apply(filter Filter, call *Call) Verdict {
 	switch f := filter.(type) {
+	case *Admit:
+		return f.apply()
+	case Screen:
+		return f.apply(call)
+	case Addresses:
+		return f.apply(call)
 	case Identify:
 		return f.apply(call)
 	case Classify:
@@ -88,3 +124,34 @@
 	}
 	return GoOn{}
 }
+
+// leave tells the filters that let the request pass that it has ended.
+func (c *Chain) leave(passed int) {
+	for _, f := range c.options.Filters[:passed] {
+		switch f := f.(type) {
+		case *Admit:
+			f.leave()
+		case Screen, Addresses, Identify, Classify:
+		}
+	}
+}
+
+// limit bounds the time that an answer of daisyyoke's own may take.
+func (c *Chain) limit(w http.ResponseWriter, r *http.Request) {
+	if c.options.Stall <= 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(c.options.Stall))
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(time.Now().Add(c.options.Stall))
+	}
+}
+
+func (v Reply) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", v.ContentType)
+	h.Set("Content-Length", strconv.Itoa(len(v.Body)))
+	h.Set("Cache-Control", "max-age="+strconv.Itoa(int(v.MaxAge.Seconds())))
+	_, _ = w.Write(v.Body)
+}
--- a/io/daisyfilter/classify.go
+++ b/io/daisyfilter/classify.go
@@ -37,20 +37,26 @@
 }
 
 func (Classify) rank(call *Call) (daisyrank.Index, bool) {
-	name := call.HTTP.Header.Get(RankHeader)
-	if name == "" {
+	values := call.HTTP.Header[RankHeader]
+	switch len(values) {
+	case 0:
 		return call.Service.DefaultRank, true
+	case 1:
+		return call.Service.FindRank(daisyrank.Name(values[0]))
 	}
-	return call.Service.FindRank(daisyrank.Name(name))
+	return 0, false
 }
 
 func (Classify) timeout(call *Call, rank daisyrank.Index) (time.Duration, bool) {
-	text := call.HTTP.Header.Get(TimeoutHeader)
-	if text == "" {
+	values := call.HTTP.Header[TimeoutHeader]
+	switch len(values) {
+	case 0:
 		return call.Service.Ranks[rank].Target, true
+	case 1:
+		timeout, err := time.ParseDuration(values[0])
+		return timeout, err == nil && timeout > 0
 	}
-	timeout, err := time.ParseDuration(text)
-	return timeout, err == nil && timeout > 0
+	return 0, false
 }
 
 // isIdempotent follows RFC 9110, section 9.2.2.
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -191,12 +191,16 @@
 		return err
 	}
 	if last {
+		// The deadline stays for what the server still has to send.
 		return nil
 	}
-	return p.exchange.control.Flush()
+	return p.flush()
 }
 
 func (p *pump) flush() error {
 	p.exchange.extendWrite()
-	return p.exchange.control.Flush()
+	err := p.exchange.control.Flush()
+	// Only a write under way has a limit: the endpoint may take its time.
+	_ = p.exchange.control.SetWriteDeadline(time.Time{})
+	return err
 }
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -102,7 +102,7 @@
 		rank:      rank,
 		writer:    w,
 		control:   http.NewResponseController(w),
-		header:    outgoingHeader(call.HTTP, rank, f.self),
+		header:    outgoingHeader(call.HTTP, rank, call.Service.Protocol, f.self),
 		interim:   make(chan *attempt, maxInterim),
 		metrics:   f.metrics.Rank(call.Service.ID, rank),
 		outcome:   daisymetric.Abandoned,
--- a/io/daisyforward/header.go
+++ b/io/daisyforward/header.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisyfilter"
 )
@@ -44,7 +45,7 @@
 }
 
 // outgoingHeader gives the header for endpoints, all but Daisy-Timeout.
-func outgoingHeader(r *http.Request, rank daisyrank.Name, self daisyvm.Name) http.Header {
+func outgoingHeader(r *http.Request, rank daisyrank.Name, protocol daisyservice.Protocol, self daisyvm.Name) http.Header {
 	h := make(http.Header, len(r.Header)+5)
 	copyEndToEnd(h, r.Header)
 	if _, ok := h["User-Agent"]; !ok {
@@ -53,6 +54,9 @@
 	}
 	if acceptsTrailers(r.Header) {
 		h["Te"] = []string{"trailers"}
+		if protocol == daisyservice.HTTP1 {
+			h["Connection"] = []string{"TE"}
+		}
 	}
 	h[daisyfilter.RankHeader] = []string{string(rank)}
 	h["Via"] = appendListed(h["Via"], via(r.ProtoMajor, r.ProtoMinor, self))
--- a/io/daisyforward/source.go
+++ b/io/daisyforward/source.go
@@ -56,10 +56,8 @@
 func (s *source) read(chunk []byte) {
 	_ = s.control.SetReadDeadline(time.Now().Add(s.limits.Stall))
 	n, err := s.request.Body.Read(chunk)
-	if err != nil {
-		// The server watches the connection from here on without a limit.
-		_ = s.control.SetReadDeadline(time.Time{})
-	}
+	// Only a read under way has a limit: the endpoint may take its time.
+	_ = s.control.SetReadDeadline(time.Time{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held = append(s.held, chunk[:n]...)
--- a/io/daisyproblem/problem.go
+++ b/io/daisyproblem/problem.go
@@ -20,6 +20,8 @@
 	Run    daisyrequest.Run
 	// RetryAfter is sent in whole seconds, rounded up; 0 sends none.
 	RetryAfter time.Duration
+	// Allow lists the allowed methods of a 405; empty sends none.
+	Allow string
 }
 
 // RunHeader is the name of the header that says whether an endpoint may have run the request.
@@ -51,6 +53,9 @@
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
 	}
+	if p.Allow != "" {
+		h.Set("Allow", p.Allow)
+	}
 	w.WriteHeader(p.Status)
 	_, _ = w.Write(body)
 }
