Decide who lives from heartbeats, the peers' word and the platform's list

Callers and routing need to know which VMs live. Members takes heartbeats, links and the platform's list as events and gives heartbeats, connections and changes as decisions. Addresses orders the VMs for callers by zone and spare capacity.

--- /dev/null
+++ b/core/daisyvm/addresses.go
@@ -0,0 +1,145 @@
+package daisyvm
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"daisyyoke/core/daisyfleet"
+)
+
+const (
+	// KeepFor is how long callers may keep an answer.
+	KeepFor = 5 * time.Second
+	// StragglerMargin is how much longer a leaving VM serves callers with an old
+	// answer: the answer may have been made just before the word of leaving arrived.
+	StragglerMargin = 2 * time.Second
+	// DefaultSparePower tempers the pull of spare capacity.
+	DefaultSparePower = 1.0
+	// suspectShare is the weight of a suspect VM against that of a live one.
+	suspectShare = 0.25
+	// zoneLow and zoneHigh are shares of the mean spare capacity: below zoneLow the
+	// callers' own zone is no longer preferred, above zoneHigh it always comes first.
+	zoneLow  = 0.25
+	zoneHigh = 0.75
+)
+
+// Address is one address that callers can use.
+type Address struct {
+	Callers netip.AddrPort
+	Zone    daisyfleet.ZoneID
+}
+
+// Answer tells callers where to connect, the best address first.
+type Answer struct {
+	Addresses []Address
+	KeepFor   time.Duration
+}
+
+// Addresses makes the answers to callers that ask for addresses.
+type Addresses struct {
+	random *rand.Rand
+	power  float64
+}
+
+// NewAddresses gives a source of answers whose random choices come from random.
+// A VM weighs as much as its spare capacity to the given power.
+func NewAddresses(random *rand.Rand, power float64) *Addresses {
+	return &Addresses{random: random, power: power}
+}
+
+// Answer orders the VMs that callers can use: those of the zone of self first, the
+// answering VM's zone standing for its callers', unless that zone has little
+// spare capacity, and otherwise in a random order weighted by spare capacity.
+// Leaving and dead VMs are left out. While no VM is ready, those that are not
+// are named, and with no other VM left self is named in any case.
+func (a *Addresses) Answer(self Member, others []Member) Answer {
+	answer := Answer{KeepFor: KeepFor}
+	candidates := candidatesOf(self, others)
+	preferred := a.prefersZone(self.VM.Zone, candidates)
+	drawn := make([]draw, 0, len(candidates))
+	for _, m := range candidates {
+		drawn = append(drawn, draw{member: m, near: preferred && m.VM.Zone == self.VM.Zone, key: a.key(m)})
+	}
+	slices.SortFunc(drawn, compareDraws)
+	for _, d := range drawn {
+		answer.Addresses = append(answer.Addresses, Address{Callers: d.member.VM.Callers, Zone: d.member.VM.Zone})
+	}
+	return answer
+}
+
+type draw struct {
+	member Member
+	near   bool
+	key    float64
+}
+
+func compareDraws(a, b draw) int {
+	if a.near != b.near {
+		if a.near {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.key, b.key)
+}
+
+// key is exponentially distributed with the VM's weight as its rate, so that the order
+// of keys is a weighted draw without replacement (Efraimidis and Spirakis, 2006).
+func (a *Addresses) key(m Member) float64 { return a.random.ExpFloat64() / a.weight(m) }
+
+func (a *Addresses) weight(m Member) float64 {
+	w := math.Pow(float64(m.Status.Spare)+1, a.power)
+	if m.State == Suspect {
+		w *= suspectShare
+	}
+	return w
+}
+
+// prefersZone draws whether the zone comes first. The chance falls gradually as
+// the zone runs out of spare capacity, so that callers do not all move at once.
+func (a *Addresses) prefersZone(zone daisyfleet.ZoneID, candidates []Member) bool {
+	var near, all, count float64
+	for _, m := range candidates {
+		spare := float64(m.Status.Spare) + 1
+		all += spare
+		if m.VM.Zone == zone {
+			near += spare
+			count++
+		}
+	}
+	if count == 0 {
+		return false
+	}
+	share := (near / count) / (all / float64(len(candidates)))
+	return a.random.Float64() < (share-zoneLow)/(zoneHigh-zoneLow)
+}
+
+// candidatesOf gives the ready VMs, else the live ones, else self.
+func candidatesOf(self Member, others []Member) []Member {
+	var ready, live []Member
+	for _, m := range append([]Member{self}, others...) {
+		heard := m.State == Live || m.State == Suspect
+		if !heard || m.Status.Leaving || !m.VM.Callers.IsValid() {
+			continue
+		}
+		live = append(live, m)
+		if m.Status.Ready {
+			ready = append(ready, m)
+		}
+	}
+	if len(ready) > 0 {
+		return ready
+	}
+	if len(live) > 0 {
+		return live
+	}
+	return []Member{self}
+}
+
+// ServesUntil gives when a VM that announced its leaving at the given time has
+// no more callers with an old answer.
+func ServesUntil(announced time.Time) time.Time { return announced.Add(KeepFor + StragglerMargin) }
--- /dev/null
+++ b/core/daisyvm/beat.go
@@ -0,0 +1,108 @@
+package daisyvm
+
+import (
+	"slices"
+	"time"
+)
+
+// beat sends the heartbeats of a round: to the next FanOut VMs in turn, and to
+// one silent VM, whose link may stand although nothing came over it.
+func (s *Members) beat(now time.Time) []MemberDecision {
+	s.sequence++
+	var heard, silent []*member
+	for _, m := range s.order {
+		if m.silent() {
+			silent = append(silent, m)
+		} else {
+			heard = append(heard, m)
+		}
+	}
+	var decisions []MemberDecision
+	for range min(FanOut, len(heard)) {
+		s.cursor++
+		decisions = append(decisions, s.heartbeat(now, heard[s.cursor%len(heard)]))
+	}
+	if len(silent) > 0 {
+		decisions = append(decisions, s.heartbeat(now, silent[int(s.round)%len(silent)]))
+	}
+	return decisions
+}
+
+// heartbeat makes the heartbeat for one VM with the present sequence.
+func (s *Members) heartbeat(now time.Time, to *member) SendHeartbeat {
+	d := SendHeartbeat{
+		To:         to.VM.Name,
+		Sequence:   s.sequence,
+		Status:     s.status,
+		Heard:      s.heardLately(now, to),
+		Introduced: s.introduce(to),
+	}
+	if !to.sent.IsZero() {
+		d.Echo = to.sent
+		d.EchoHeld = now.Sub(to.DirectAt)
+	}
+	return d
+}
+
+func (s *Members) heardLately(now time.Time, to *member) []Heard {
+	var heard []Heard
+	for _, m := range s.order {
+		if m != to && m.directSequence > 0 && now.Sub(m.DirectAt) <= heardWindow {
+			heard = append(heard, Heard{VM: m.VM.Digest(), Sequence: m.directSequence})
+		}
+	}
+	return heard
+}
+
+// introduce describes the VMs heard first-hand since the receiver was last told, the
+// earliest first, and now and then one more, in case a message was lost.
+func (s *Members) introduce(to *member) []VM {
+	var news []*member
+	for _, m := range s.order {
+		if m != to && m.changed > to.told && !m.silent() {
+			news = append(news, m)
+		}
+	}
+	slices.SortFunc(news, func(a, b *member) int { return int(a.changed) - int(b.changed) })
+	news = news[:min(len(news), introduceLimit)]
+	var vms []VM
+	for _, m := range news {
+		vms = append(vms, m.VM)
+		to.told = m.changed
+	}
+	if len(vms) == 0 && s.round%introduceEvery == 0 {
+		m := s.order[int(s.round/introduceEvery)%len(s.order)]
+		if m != to && m.changed > 0 && !m.silent() {
+			vms = append(vms, m.VM)
+		}
+	}
+	return vms
+}
+
+// share gives the VMs that share the services when they have changed. Who is
+// heard only by the word of others shares nothing with this VM. The last VM
+// shares with itself, also when it leaves.
+func (s *Members) share(now time.Time) []MemberDecision {
+	var vms []VM
+	if !s.status.Leaving {
+		vms = append(vms, s.self)
+	}
+	turns := (len(s.order) + FanOut - 1) / FanOut
+	reach := max(DeadAfter, time.Duration(turns)*DeadAfter/2)
+	for _, m := range s.order {
+		direct := m.directSequence > 0 && now.Sub(m.DirectAt) < reach
+		configured := m.Status.Revision > 0 || s.status.Revision == 0
+		if direct && !m.silent() && !m.Status.Leaving && configured {
+			vms = append(vms, m.VM)
+		}
+	}
+	slices.SortFunc(vms, CompareNames)
+	if len(vms) == 0 {
+		vms = []VM{s.self}
+	}
+	if slices.Equal(vms, s.sharing) {
+		return nil
+	}
+	s.sharing = vms
+	return []MemberDecision{PeersChanged{VMs: vms}}
+}
