--- a/core/daisyvm/beat.go
+++ b/core/daisyvm/beat.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// beat sends the heartbeats of a round: to the next FanOut VMs in turn, and to
-// one silent VM, whose link may stand although nothing came over it.
+// beat sends the heartbeats of a round: to FanOut of the VMs, and to one silent
+// VM, whose link may stand although nothing came over it.
 func (s *Members) beat(now time.Time) []MemberDecision {
 	s.sequence++
 	var heard, silent []*member
@@ -18,9 +18,8 @@
 		}
 	}
 	var decisions []MemberDecision
-	for range min(FanOut, len(heard)) {
-		s.cursor++
-		decisions = append(decisions, s.heartbeat(now, heard[s.cursor%len(heard)]))
+	for _, m := range s.takeTurns(heard) {
+		decisions = append(decisions, s.heartbeat(now, m))
 	}
 	if len(silent) > 0 {
 		decisions = append(decisions, s.heartbeat(now, silent[int(s.round)%len(silent)]))
@@ -28,6 +27,28 @@
 	return decisions
 }
 
+// takeTurns gives FanOut VMs. Each has its turn once before any has its next
+// one, in an order drawn anew each time: with a fixed order, the same VMs would
+// miss the same words again and again.
+func (s *Members) takeTurns(heard []*member) []*member {
+	if len(heard) <= FanOut {
+		return heard
+	}
+	var taken []*member
+	for len(taken) < FanOut {
+		if len(s.turns) == 0 {
+			s.turns = slices.Clone(heard)
+			s.random.Shuffle(len(s.turns), func(i, j int) { s.turns[i], s.turns[j] = s.turns[j], s.turns[i] })
+		}
+		m := s.turns[0]
+		s.turns = s.turns[1:]
+		if !m.silent() && s.members[m.VM.Name] == m && !slices.Contains(taken, m) {
+			taken = append(taken, m)
+		}
+	}
+	return taken
+}
+
 // heartbeat makes the heartbeat for one VM with the present sequence.
 func (s *Members) heartbeat(now time.Time, to *member) SendHeartbeat {
 	d := SendHeartbeat{
@@ -83,7 +104,7 @@
 // heard only by the word of others shares nothing with this VM. The last VM
 // shares with itself, also when it leaves.
 func (s *Members) share(now time.Time) []MemberDecision {
-	var vms []VM
+	vms := make([]VM, 0, len(s.order)+1)
 	if !s.status.Leaving {
 		vms = append(vms, s.self)
 	}
--- a/core/daisyvm/member.go
+++ b/core/daisyvm/member.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"time"
 
-	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyfleet"
 )
 
@@ -39,8 +38,8 @@
 
 // Status is what a VM says of itself in every heartbeat.
 type Status struct {
-	// Revision is the configuration in force; 0 means none.
-	Revision daisyconfig.Revision
+	// Revision numbers the configuration in force; 0 means none.
+	Revision uint64
 	// Spare is the number of further requests that it could start at once.
 	Spare uint32
 	// Leaving says that a planned stop has begun.
--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -1,6 +1,7 @@
 package daisyvm
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -36,17 +37,21 @@
 // Members is a state machine: events and the time go in, decisions come out. It
 // is not safe for concurrent use.
 type Members struct {
-	self     VM
-	status   Status
-	members  map[Name]*member
-	digests  map[Digest]*member
-	order    []*member
-	cursor   int
+	self    VM
+	random  *rand.Rand
+	status  Status
+	members map[Name]*member
+	digests map[Digest]*member
+	order   []*member
+	// turns are the VMs that still get a heartbeat before the next draw.
+	turns    []*member
 	round    uint64
 	sequence uint64
 	changes  uint64
 	roundAt  time.Time
 	sharing  []VM
+	// unsettled says that a heartbeat may have changed who shares the services.
+	unsettled bool
 }
 
 type member struct {
@@ -63,10 +68,12 @@
 	told    uint64
 }
 
-// NewMembers gives the membership of a VM that knows only itself.
-func NewMembers(self VM, now time.Time) *Members {
+// NewMembers gives the membership of a VM that knows only itself. All its random
+// choices come from random.
+func NewMembers(self VM, now time.Time, random *rand.Rand) *Members {
 	return &Members{
 		self:    self,
+		random:  random,
 		members: make(map[Name]*member),
 		digests: make(map[Digest]*member),
 		roundAt: now,
@@ -88,6 +95,10 @@
 	case TimePassed:
 		decisions = s.passRound(now)
 	}
+	if _, ok := event.(HeartbeatArrived); ok && len(decisions) == 0 && !s.unsettled {
+		return nil
+	}
+	s.unsettled = false
 	return append(decisions, s.share(now)...)
 }
 
@@ -119,6 +130,7 @@
 	}
 	m.directSequence = event.Sequence
 	m.DirectAt = now
+	s.unsettled = s.unsettled || m.Status != event.Status
 	m.Status = event.Status
 	m.sent = event.Sent
 	m.measure(now, event)
@@ -276,7 +288,7 @@
 		return nil
 	}
 	if gap := now.Sub(s.roundAt); gap > pauseAfter {
-		s.forgive(gap - BeatInterval)
+		s.forgive(now, gap-BeatInterval)
 	}
 	s.roundAt = now
 	s.round++
@@ -284,16 +296,24 @@
 	return append(decisions, s.beat(now)...)
 }
 
-// forgive leaves out the time in which this VM was paused and heard nobody.
-func (s *Members) forgive(gap time.Duration) {
+// forgive leaves out the time in which this VM was paused and heard nobody. What
+// it has heard since it woke up counts as it is.
+func (s *Members) forgive(now time.Time, gap time.Duration) {
 	for _, m := range s.order {
 		if !m.silent() {
-			m.HeardAt = m.HeardAt.Add(gap)
-			m.DirectAt = m.DirectAt.Add(gap)
+			m.HeardAt = earlier(now, m.HeardAt.Add(gap))
+			m.DirectAt = earlier(now, m.DirectAt.Add(gap))
 		}
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // judge doubts the silent VMs, gives up those silent for long, and forgets the dead.
 func (s *Members) judge(now time.Time) []MemberDecision {
 	var decisions []MemberDecision
--- a/core/daisyvm/members_test.go
+++ b/core/daisyvm/members_test.go
@@ -1,6 +1,7 @@
 package daisyvm_test
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -31,7 +32,7 @@
 }
 
 func newWatcher() *watcher {
-	return &watcher{members: daisyvm.NewMembers(vmAt("vm-1", 1, 1, "a"), start), now: start}
+	return &watcher{members: daisyvm.NewMembers(vmAt("vm-1", 1, 1, "a"), start, rand.New(rand.NewPCG(1, 1))), now: start}
 }
 
 // pass lets the time pass, with a beat of each of the VMs in every round.
