--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -13,9 +13,10 @@
 	// many, each VM hears each other in every round; beyond it they take turns, and
 	// the peers' word fills the gaps.
 	FanOut = 8
-	// SuspectAfter and DeadAfter are how long nobody has heard a VM.
+	// SuspectAfter is the silence after which a VM is doubted.
 	SuspectAfter = time.Second
-	DeadAfter    = 2 * time.Second
+	// DeadAfter is the silence after which a VM is given up.
+	DeadAfter = 2 * time.Second
 	// ForgetAfter is how long a dead VM is remembered and dialed.
 	ForgetAfter = 2 * time.Hour
 	// heardWindow is how far back a heartbeat tells whom its sender heard.
