--- /dev/null
+++ b/core/daisyroute/credit.go
@@ -0,0 +1,200 @@
+package daisyroute
+
+import (
+	"time"
+
+	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// Credits sends only where the VM holds a slot credit, and among these takes the
+// less loaded of two. Without an owner of the slots it keeps within an even share
+// of them.
+type Credits struct {
+	// Overcommit is the number of credits above its slots that an endpoint gets under saturation.
+	Overcommit int
+}
+
+func (Credits) policy() {}
+
+// exchangesAtMost bounds the messages that an owner and a borrower on the same VM pass in one go.
+const exchangesAtMost = 8
+
+// credits is the part of a Dispatcher that shares slots with other VMs.
+type credits struct {
+	self     daisyvm.VM
+	policy   Credits
+	borrower *daisycredit.Borrower
+	// owner is nil while another VM owns the slots.
+	owner *daisycredit.Owner
+	// lastTerm is the last term of the former owner on this VM.
+	lastTerm uint64
+	demand   []daisycredit.Demand
+	// changed says that credits came or went since the free list was last brought up to date.
+	changed bool
+}
+
+// newCredits gives nil for a policy without credits.
+func newCredits(options Options) *credits {
+	p, ok := options.Policy.(Credits)
+	if !ok {
+		return nil
+	}
+	return &credits{self: options.Self, policy: p, borrower: daisycredit.NewBorrower(options.Self, options.Service)}
+}
+
+// setVMs brings the live VMs, and begins or ends this VM's ownership of the slots.
+func (d *Dispatcher) setVMs(now time.Time, vms []daisyvm.VM) {
+	c := d.credits
+	if c == nil {
+		return
+	}
+	c.changed = true
+	c.borrower.SetVMs(now, vms)
+	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
+	if !ok || owner.Name != c.self.Name {
+		c.endOwner()
+		return
+	}
+	if c.owner == nil {
+		c.owner = daisycredit.NewOwner(now, daisycredit.OwnerOptions{
+			Self:       c.self,
+			Service:    d.service,
+			After:      c.lastTerm,
+			Overcommit: c.policy.Overcommit,
+		})
+	}
+	c.owner.SetVMs(now, vms)
+}
+
+func (c *credits) endOwner() {
+	if c.owner != nil {
+		c.lastTerm = c.owner.LastTerm()
+		c.owner = nil
+	}
+}
+
+// receive takes a message of another VM.
+func (d *Dispatcher) receive(now time.Time, from daisyvm.Name, message daisymessage.Message) {
+	c := d.credits
+	if c == nil {
+		return
+	}
+	switch m := message.(type) {
+	case daisymessage.CreditReport:
+		if c.owner != nil {
+			c.owner.Receive(now, from, m.Report)
+		}
+	case daisymessage.CreditGrant:
+		c.borrower.Receive(now, from, m.Grant)
+		c.changed = true
+	}
+}
+
+// exchange passes credit messages on, and sends what they let start.
+func (d *Dispatcher) exchange(now time.Time, decisions []Decision) []Decision {
+	c := d.credits
+	if c == nil {
+		return decisions
+	}
+	c.setDemand(now, d)
+	for range exchangesAtMost {
+		told, more := c.flush(now)
+		decisions = append(decisions, told...)
+		if !more {
+			break
+		}
+	}
+	if !c.changed && !c.borrower.Guessing() {
+		return decisions
+	}
+	c.changed = false
+	for _, e := range d.endpoints {
+		d.refresh(e)
+	}
+	decisions = append(decisions, d.fill(now)...)
+	c.setDemand(now, d)
+	return decisions
+}
+
+func (c *credits) setDemand(now time.Time, d *Dispatcher) {
+	c.demand = c.demand[:0]
+	for r := range d.service.Ranks {
+		c.demand = append(c.demand, d.Demand(daisyrank.Index(r)))
+	}
+	c.borrower.SetDemand(now, c.demand)
+}
+
+// flush passes on what is due, and reports whether something went within this VM.
+func (c *credits) flush(now time.Time) (decisions []Decision, more bool) {
+	guessing := c.borrower.Guessing()
+	if r, ok := c.borrower.Flush(now); ok {
+		to := c.borrower.Owner().Name
+		if to == c.self.Name && c.owner != nil {
+			c.owner.Receive(now, to, r)
+			more = true
+		} else {
+			decisions = append(decisions, Tell{To: to, Message: daisymessage.CreditReport{Report: r}})
+		}
+	}
+	c.changed = c.changed || guessing != c.borrower.Guessing()
+	if c.owner == nil {
+		return decisions, more
+	}
+	for _, l := range c.owner.Flush(now) {
+		if l.To == c.self.Name {
+			c.borrower.Receive(now, l.To, l.Grant)
+			c.changed, more = true, true
+			continue
+		}
+		decisions = append(decisions, Tell{To: l.To, Message: daisymessage.CreditGrant{Grant: l.Grant}})
+	}
+	return decisions, more
+}
+
+func (c *credits) wake() time.Time {
+	if c == nil {
+		return time.Time{}
+	}
+	wake := c.borrower.NextWake()
+	if c.owner == nil {
+		return wake
+	}
+	if o := c.owner.NextWake(); wake.IsZero() || !o.IsZero() && o.Before(wake) {
+		return o
+	}
+	return wake
+}
+
+func (c *credits) changeService(now time.Time, service daisyservice.Service) {
+	if c == nil {
+		return
+	}
+	c.changed = true
+	c.borrower.SetService(now, service)
+	if c.owner != nil {
+		c.owner.SetService(now, service)
+	}
+}
+
+func (c *credits) take(e *endpoint) {
+	if c != nil {
+		c.borrower.Take(e.address)
+	}
+}
+
+func (c *credits) release(now time.Time, e *endpoint) {
+	if c != nil {
+		c.borrower.Release(now, e.address)
+	}
+}
+
+func (c *credits) noteOutcome(now time.Time, e *endpoint, outcome daisyrequest.Outcome) {
+	if _, shed := outcome.(daisyrequest.Shed); shed && c != nil {
+		c.borrower.NoteShed(now, e.address)
+	}
+}
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -35,6 +35,7 @@
 	service   daisyservice.Service
 	random    *rand.Rand
 	policy    Policy
+	credits   *credits
 	endpoints []*endpoint
 	byAddress map[netip.AddrPort]*endpoint
 	// free lists the endpoints that may take a further attempt, in no order.
@@ -82,6 +83,7 @@
 	if d.policy == nil {
 		d.policy = LeastOfTwo{Reports: true}
 	}
+	d.credits = newCredits(options)
 	d.changeService(options.Service)
 	return d
 }
@@ -97,6 +99,10 @@
 // Handle takes an event that happened at now and gives what has to be done, in
 // order. The decisions are valid until the next call.
 func (d *Dispatcher) Handle(now time.Time, event Event) []Decision {
+	return d.exchange(now, d.handle(now, event))
+}
+
+func (d *Dispatcher) handle(now time.Time, event Event) []Decision {
 	switch e := event.(type) {
 	case RequestArrived:
 		return d.arrive(now, e.Request)
@@ -108,14 +114,18 @@
 		return d.release(now, e.Attempt)
 	case ServiceChanged:
 		d.changeService(e.Service)
+		d.credits.changeService(now, e.Service)
 		return d.fill(now)
 	case TimePassed:
 		return d.expire(now)
 	case ReportReceived:
 		d.takeReport(now, e.Endpoint, e.Report)
 		return d.fill(now)
-	case ProbeFailed, PeerMessage, PeersChanged:
-		return nil
+	case PeerMessage:
+		d.receive(now, e.From, e.Message)
+	case PeersChanged:
+		d.setVMs(now, e.VMs)
+	case ProbeFailed:
 	}
 	return nil
 }
@@ -130,6 +140,9 @@
 			}
 		}
 	}
+	if c := d.credits.wake(); wake.IsZero() || !c.IsZero() && c.Before(wake) {
+		wake = c
+	}
 	return wake
 }
 
@@ -199,6 +212,7 @@
 		delete(d.requests, a.request.ID)
 		return []Decision{Deliver{Request: a.request.ID, Attempt: a.id}}
 	}
+	d.credits.noteOutcome(now, a.endpoint, event.Outcome)
 	decisions := d.fail(a.request, event)
 	return append(decisions, d.release(now, a.id)...)
 }
@@ -237,6 +251,7 @@
 	}
 	delete(d.attempts, id)
 	a.endpoint.inFlight--
+	d.credits.release(now, a.endpoint)
 	d.inFlight[a.request.Rank]--
 	d.refresh(a.endpoint)
 	return d.fill(now)
@@ -295,6 +310,7 @@
 		s.Considered = []netip.AddrPort{c.other.address}
 	}
 	c.endpoint.inFlight++
+	d.credits.take(c.endpoint)
 	d.inFlight[r.Rank]++
 	d.refresh(c.endpoint)
 	return s
