Reach the platform over HTTP, with faults to order

Cause: the platform lags, slows, throttles, stops and loses replies. Conclusion: a write is called unavailable only when it surely took no effect.

--- /dev/null
+++ b/io/daisyplatform/client.go
@@ -0,0 +1,310 @@
+package daisyplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/joomcode/errorx"
+	"golang.org/x/time/rate"
+
+	"daisyyoke/core/daisyerror"
+)
+
+const (
+	// tryTimeout bounds one try of an operation.
+	tryTimeout = 2 * time.Second
+	// patience bounds the tries of an operation that the platform does not carry out.
+	patience = 3 * time.Second
+	// firstPause is the mean wait before the second try.
+	firstPause = 50 * time.Millisecond
+	// requestRate and requestBurst bound what one VM asks of the platform, in requests a second.
+	requestRate  = 20
+	requestBurst = 40
+	// maxListSize bounds a list of rows or VMs, in bytes.
+	maxListSize = 32 << 20
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 90 * time.Second
+	// maxErrorSize bounds the text of an answer that is not a success, in bytes.
+	maxErrorSize = 4 << 10
+)
+
+// Client is a platform over HTTP. It keeps to a rate of its own, and tries again,
+// with pauses, what the platform did not carry out.
+type Client struct {
+	base    url.URL
+	http    *http.Client
+	limiter *rate.Limiter
+}
+
+var _ Platform = (*Client)(nil)
+
+// NewClient gives a client of the platform at a base URL. A nil transport stands
+// for one of its own.
+func NewClient(base url.URL, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = newTransport()
+	}
+	return &Client{
+		base: base,
+		http: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		limiter: rate.NewLimiter(requestRate, requestBurst),
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: tryTimeout}).DialContext,
+		MaxIdleConnsPerHost: requestBurst,
+		IdleConnTimeout:     idleTimeout,
+		ForceAttemptHTTP2:   true,
+	}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call is one operation as an HTTP request.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	header http.Header
+	body   []byte
+	// limit bounds the body of the answer, in bytes.
+	limit int64
+	// read gives the answer for a status of 200 or 204.
+	read func(header http.Header, body []byte) Answer
+}
+
+func (c call) writes() bool { return c.method != http.MethodGet }
+
+// GetRow answers RowRead, NotFound or Unavailable.
+func (c *Client) GetRow(ctx context.Context, key string) Answer {
+	return c.do(ctx, call{
+		method: http.MethodGet,
+		path:   rowPath,
+		query:  parameters(keyParameter, key),
+		limit:  MaxValueSize,
+		read: func(header http.Header, body []byte) Answer {
+			v, ok := parseVersionTag(header.Get("ETag"))
+			if !ok {
+				return garbled("a row without a version")
+			}
+			return RowRead{Row: Row{Key: key, Version: v, Value: body}}
+		},
+	})
+}
+
+// SwapRow answers RowWritten, Conflict, Unknown or Unavailable.
+func (c *Client) SwapRow(ctx context.Context, key string, expected Version, value []byte) Answer {
+	if err := checkRow(key, value); err != nil {
+		return Unavailable{Err: err}
+	}
+	header := http.Header{}
+	if expected == 0 {
+		header.Set("If-None-Match", anyVersion)
+	} else {
+		header.Set("If-Match", versionTag(expected))
+	}
+	return c.do(ctx, call{
+		method: http.MethodPut,
+		path:   rowPath,
+		query:  parameters(keyParameter, key),
+		header: header,
+		body:   value,
+		read: func(header http.Header, _ []byte) Answer {
+			v, ok := parseVersionTag(header.Get("ETag"))
+			if !ok {
+				return Unknown{Err: daisyerror.Unknown.New("a write without a version")}
+			}
+			return RowWritten{Version: v}
+		},
+	})
+}
+
+// ListRows answers RowsListed or Unavailable.
+func (c *Client) ListRows(ctx context.Context, prefix string) Answer {
+	return c.do(ctx, call{
+		method: http.MethodGet,
+		path:   rowsPath,
+		query:  parameters(prefixParameter, prefix),
+		limit:  maxListSize,
+		read: func(_ http.Header, body []byte) Answer {
+			var documents []rowDocument
+			if err := json.Unmarshal(body, &documents); err != nil {
+				return garbled(err.Error())
+			}
+			return RowsListed{Rows: toRows(documents)}
+		},
+	})
+}
+
+// PutObject answers ObjectWritten, Unknown or Unavailable.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) Answer {
+	if err := checkObject(name, data); err != nil {
+		return Unavailable{Err: err}
+	}
+	return c.do(ctx, call{
+		method: http.MethodPut,
+		path:   objectPath,
+		query:  parameters(nameParameter, name),
+		body:   data,
+		read:   func(http.Header, []byte) Answer { return ObjectWritten{} },
+	})
+}
+
+// GetObject answers ObjectRead, NotFound or Unavailable.
+func (c *Client) GetObject(ctx context.Context, name string) Answer {
+	return c.do(ctx, call{
+		method: http.MethodGet,
+		path:   objectPath,
+		query:  parameters(nameParameter, name),
+		limit:  MaxObjectSize,
+		read:   func(_ http.Header, body []byte) Answer { return ObjectRead{Data: body} },
+	})
+}
+
+// ListVMs answers VMsListed or Unavailable.
+func (c *Client) ListVMs(ctx context.Context) Answer {
+	return c.do(ctx, call{
+		method: http.MethodGet,
+		path:   vmsPath,
+		limit:  maxListSize,
+		read: func(_ http.Header, body []byte) Answer {
+			var documents []vmDocument
+			if err := json.Unmarshal(body, &documents); err != nil {
+				return garbled(err.Error())
+			}
+			vms, err := toVMs(documents)
+			if err != nil {
+				return garbled(err.Error())
+			}
+			return VMsListed{VMs: vms}
+		},
+	})
+}
+
+// AnnounceVM answers VMAnnounced, Unknown or Unavailable.
+func (c *Client) AnnounceVM(ctx context.Context, vm ListedVM) Answer {
+	body, err := json.Marshal(vmOf(vm))
+	if err != nil {
+		return Unavailable{Err: daisyerror.InvalidRequest.Wrap(err, "VM %s", vm.Name)}
+	}
+	return c.do(ctx, call{
+		method: http.MethodPut,
+		path:   vmsPath,
+		body:   body,
+		read:   func(http.Header, []byte) Answer { return VMAnnounced{} },
+	})
+}
+
+func garbled(what string) Answer {
+	return Unavailable{Err: daisyerror.Unavailable.New("the platform's answer cannot be read: %s", what)}
+}
+
+// impossible says that an operation fails however often it is tried.
+func impossible(err error) bool { return errorx.IsOfType(err, daisyerror.InvalidRequest) }
+
+// do carries out an operation, and tries it again while the platform does not.
+func (c *Client) do(ctx context.Context, operation call) Answer {
+	var answer Answer
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
+	// The answer says it all; the error only tells Retry whether to go on.
+	_, _ = backoff.Retry(ctx, func() (struct{}, error) {
+		answer = c.try(ctx, operation)
+		u, ok := answer.(Unavailable)
+		if !ok || impossible(u.Err) {
+			return struct{}{}, nil
+		}
+		return struct{}{}, u.Err
+	}, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(patience))
+	return answer
+}
+
+func (c *Client) try(ctx context.Context, operation call) Answer {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return Unavailable{Err: daisyerror.Unavailable.Wrap(err, "the rate of requests for the platform is used up")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	request, err := c.request(ctx, operation)
+	if err != nil {
+		return Unavailable{Err: err}
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return failed(operation, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := readAnswer(response, operation.limit)
+	if err != nil {
+		return failed(operation, err)
+	}
+	return judge(operation, response, body)
+}
+
+func (c *Client) request(ctx context.Context, operation call) (*http.Request, error) {
+	target := c.base.JoinPath(operation.path)
+	target.RawQuery = operation.query.Encode()
+	request, err := http.NewRequestWithContext(ctx, operation.method, target.String(), bytes.NewReader(operation.body))
+	if err != nil {
+		return nil, daisyerror.InvalidRequest.Wrap(err, "request for the platform")
+	}
+	for k, v := range operation.header {
+		request.Header[k] = v
+	}
+	return request, nil
+}
+
+// failed gives the answer for an exchange that broke. A write may have taken
+// effect, unless the connection was never made.
+func failed(operation call, err error) Answer {
+	var network *net.OpError
+	neverSent := errors.As(err, &network) && network.Op == "dial"
+	if operation.writes() && !neverSent {
+		return Unknown{Err: daisyerror.Unknown.Wrap(err, "the platform's reply was lost")}
+	}
+	return Unavailable{Err: daisyerror.Unavailable.Wrap(err, "the platform does not answer")}
+}
+
+func readAnswer(response *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, max(limit, maxErrorSize)+1))
+	if err != nil {
+		return nil, daisyerror.Unavailable.Wrap(err, "the platform's answer broke off")
+	}
+	if response.StatusCode == http.StatusOK && int64(len(body)) > limit {
+		return nil, daisyerror.Unavailable.New("the platform's answer has more than %d bytes", limit)
+	}
+	return body, nil
+}
+
+func judge(operation call, response *http.Response, body []byte) Answer {
+	if response.Header.Get(markHeader) != markValue {
+		return Unavailable{Err: daisyerror.Unavailable.New("no platform answers at this address: status %s", response.Status)}
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusNoContent:
+		return operation.read(response.Header, body)
+	case http.StatusNotFound:
+		return NotFound{}
+	case http.StatusPreconditionFailed:
+		return Conflict{}
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return Unavailable{Err: daisyerror.InvalidRequest.New("the platform refuses the request: %s", body)}
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return Unavailable{Err: daisyerror.Unavailable.New("the platform is unavailable: %s", body)}
+	}
+	return failed(operation, daisyerror.Unavailable.New("the platform answers with status %s", response.Status))
+}
--- /dev/null
+++ b/io/daisyplatform/fault.go
@@ -0,0 +1,203 @@
+package daisyplatform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"daisyyoke/core/daisyerror"
+)
+
+// Fault is something that is wrong with a platform. It is one of Down, Slow,
+// Lagging, LaggingVMs, LostReplies and Throttled.
+type Fault interface{ fault() }
+
+// Down answers nothing and changes nothing.
+type Down struct{}
+
+// Slow takes this long for each operation. A write whose caller gives up takes
+// effect or not, at random.
+type Slow struct{ Delay time.Duration }
+
+// Lagging reads rows as they were this long ago, at most MaxLag.
+type Lagging struct{ By time.Duration }
+
+// LaggingVMs reads the list of VMs as it was this long ago, at most MaxLag.
+type LaggingVMs struct{ By time.Duration }
+
+// LostReplies loses this share of the replies to writes, after they took effect.
+type LostReplies struct{ Share float64 }
+
+// Throttled refuses the operations beyond so many a second.
+type Throttled struct{ PerSecond float64 }
+
+func (Down) fault()        {}
+func (Slow) fault()        {}
+func (Lagging) fault()     {}
+func (LaggingVMs) fault()  {}
+func (LostReplies) fault() {}
+func (Throttled) fault()   {}
+
+// Faulty is an embedded platform with faults that can be changed while it is used.
+type Faulty struct {
+	inner *Embedded
+
+	mu      sync.Mutex
+	faults  []Fault
+	limiter *rate.Limiter
+	random  *rand.Rand
+}
+
+var _ Platform = (*Faulty)(nil)
+
+// NewFaulty gives a platform without faults. Its random choices come from the seed.
+func NewFaulty(inner *Embedded, seed uint64) *Faulty {
+	return &Faulty{inner: inner, random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// SetFaults replaces the faults.
+func (f *Faulty) SetFaults(faults ...Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+	f.limiter = nil
+	for _, x := range faults {
+		if t, ok := x.(Throttled); ok {
+			f.limiter = rate.NewLimiter(rate.Limit(t.PerSecond), max(1, int(t.PerSecond)))
+		}
+	}
+}
+
+// Faults gives the faults in force.
+func (f *Faulty) Faults() []Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Fault(nil), f.faults...)
+}
+
+// trouble is what the faults do to one operation.
+type trouble struct {
+	down      bool
+	throttled bool
+	delay     time.Duration
+	lag       time.Duration
+	vmLag     time.Duration
+	lost      bool
+	// late says that a write whose caller gives up takes effect.
+	late bool
+}
+
+func (f *Faulty) draw() trouble {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := trouble{late: f.random.IntN(2) == 0}
+	for _, x := range f.faults {
+		switch x := x.(type) {
+		case Down:
+			t.down = true
+		case Slow:
+			t.delay = x.Delay
+		case Lagging:
+			t.lag = min(x.By, MaxLag)
+		case LaggingVMs:
+			t.vmLag = min(x.By, MaxLag)
+		case LostReplies:
+			t.lost = f.random.Float64() < x.Share
+		case Throttled:
+			t.throttled = !f.limiter.Allow()
+		}
+	}
+	return t
+}
+
+// refuse gives the answer to an operation that is not carried out, or nil.
+func (t trouble) refuse() Answer {
+	switch {
+	case t.down:
+		return Unavailable{Err: daisyerror.Unavailable.New("the platform is down")}
+	case t.throttled:
+		return Unavailable{Err: daisyerror.Unavailable.New("too many requests for the platform")}
+	}
+	return nil
+}
+
+func (f *Faulty) read(ctx context.Context, operation func(trouble) Answer) Answer {
+	t := f.draw()
+	if a := t.refuse(); a != nil {
+		return a
+	}
+	if err := pause(ctx, t.delay); err != nil {
+		return Unavailable{Err: err}
+	}
+	return operation(t)
+}
+
+func (f *Faulty) write(ctx context.Context, operation func() Answer) Answer {
+	t := f.draw()
+	if a := t.refuse(); a != nil {
+		return a
+	}
+	if err := pause(ctx, t.delay); err != nil {
+		if t.late {
+			operation()
+		}
+		return Unknown{Err: err}
+	}
+	a := operation()
+	if t.lost {
+		return Unknown{Err: daisyerror.Unknown.New("the reply was lost")}
+	}
+	return a
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	if wait == 0 {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return daisyerror.Unavailable.Wrap(ctx.Err(), "the platform is slow")
+	}
+}
+
+// GetRow reads a row as the faults let it.
+func (f *Faulty) GetRow(ctx context.Context, key string) Answer {
+	return f.read(ctx, func(t trouble) Answer { return f.inner.getRow(key, t.lag) })
+}
+
+// SwapRow writes a row as the faults let it.
+func (f *Faulty) SwapRow(ctx context.Context, key string, expected Version, value []byte) Answer {
+	return f.write(ctx, func() Answer { return f.inner.SwapRow(ctx, key, expected, value) })
+}
+
+// ListRows lists rows as the faults let it.
+func (f *Faulty) ListRows(ctx context.Context, prefix string) Answer {
+	return f.read(ctx, func(t trouble) Answer { return f.inner.listRows(prefix, t.lag) })
+}
+
+// PutObject writes an object as the faults let it.
+func (f *Faulty) PutObject(ctx context.Context, name string, data []byte) Answer {
+	return f.write(ctx, func() Answer { return f.inner.PutObject(ctx, name, data) })
+}
+
+// GetObject reads an object as the faults let it.
+func (f *Faulty) GetObject(ctx context.Context, name string) Answer {
+	return f.read(ctx, func(trouble) Answer { return f.inner.GetObject(ctx, name) })
+}
+
+// ListVMs lists the VMs as the faults let it.
+func (f *Faulty) ListVMs(ctx context.Context) Answer {
+	return f.read(ctx, func(t trouble) Answer { return f.inner.listVMs(t.vmLag) })
+}
+
+// AnnounceVM takes an announcement as the faults let it.
+func (f *Faulty) AnnounceVM(ctx context.Context, vm ListedVM) Answer {
+	return f.write(ctx, func() Answer { return f.inner.AnnounceVM(ctx, vm) })
+}
