Run a stand-in platform whose faults change while it runs

Cause: trials with real processes need a platform that fails on demand. Change: daisystand platform, with the faults as a document to read and replace.

--- a/io/daisystand/command.go
+++ b/io/daisystand/command.go
@@ -29,7 +29,7 @@
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return daisyerror.InvalidSetting.Wrap(err, "wrong usage")
 	})
-	cmd.AddCommand(NewCmdEndpoint(nil))
+	cmd.AddCommand(NewCmdEndpoint(nil), NewCmdPlatform(nil))
 	return cmd
 }
 
--- a/io/daisystand/endpoint_codec.go
+++ b/io/daisystand/endpoint_codec.go
@@ -8,7 +8,7 @@
 	"daisyyoke/core/daisyerror"
 )
 
-// Paths that an endpoint answers besides its work.
+// Paths that the stand-ins answer besides their work.
 const (
 	loadPath   = "/.well-known/daisyyoke/load"
 	ranPath    = "/.well-known/daisystand/ran"
