--- a/core/daisybudget/budget.go
+++ b/core/daisybudget/budget.go
@@ -53,12 +53,17 @@
 
 // Take counts an extra send and reports true, or reports false when the budget allows none now.
 func (b *Budget) Take(now time.Time, extra Extra) bool {
-	b.long.advance(now)
-	b.short.advance(now)
-	if !b.long.allows(extra) || !b.short.allows(extra) {
+	if !b.Allows(now, extra) {
 		return false
 	}
 	b.long.addExtra()
 	b.short.addExtra()
 	return true
 }
+
+// Allows reports whether Take would allow an extra send now, and counts nothing.
+func (b *Budget) Allows(now time.Time, extra Extra) bool {
+	b.long.advance(now)
+	b.short.advance(now)
+	return b.long.allows(extra) && b.short.allows(extra)
+}
--- a/core/daisyrequest/outcome.go
+++ b/core/daisyrequest/outcome.go
@@ -14,6 +14,12 @@
 	Took time.Duration
 }
 
+// serverError is the lowest status code of the class of server errors (RFC 9110, 15.6).
+const serverError = 500
+
+// ServerError reports whether the answer is a server error.
+func (a Answered) ServerError() bool { return a.Status >= serverError }
+
 // Shed says that the endpoint refused the request and did not run it.
 type Shed struct{ Took time.Duration }
 
--- /dev/null
+++ b/core/daisyroute/arrive.go
@@ -0,0 +1,169 @@
+package daisyroute
+
+import (
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisybudget"
+	"daisyyoke/core/daisyqueue"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
+)
+
+// retryAfter is what a caller is asked to wait that no endpoint can serve.
+const retryAfter = time.Second
+
+func (d *Dispatcher) arrive(now time.Time, q daisyrequest.Request) {
+	if d.requests[q.ID] != nil {
+		return
+	}
+	q.Rank = min(max(q.Rank, 0), daisyrank.Index(len(d.service.Ranks)-1))
+	r := d.spent.request(q)
+	d.requests[r.ID] = r
+	switch {
+	case !now.Before(q.Deadline):
+		d.fail(now, r, Expired, 0)
+		return
+	case d.usable == 0:
+		d.fail(now, r, NoneUsable, retryAfter)
+		return
+	}
+	if d.queue.Len() == 0 {
+		if c := d.pick(now, r); c.endpoint != nil {
+			d.send(now, r, c)
+			return
+		}
+	}
+	d.admit(now, r)
+}
+
+func (d *Dispatcher) admit(now time.Time, r *request) {
+	switch v := d.queue.Admit(now, &r.item).(type) {
+	case daisyqueue.Refused[*request]:
+		d.fail(now, r, causeOf(v.Cause), v.RetryAfter)
+	case daisyqueue.Displaced[*request]:
+		d.fail(now, v.Item.Value, QueueFull, v.RetryAfter)
+	case daisyqueue.Admitted[*request]:
+	}
+}
+
+func causeOf(cause daisyqueue.Cause) Cause {
+	switch cause {
+	case daisyqueue.Full:
+		return QueueFull
+	case daisyqueue.Hopeless:
+		return CannotFinish
+	}
+	return QueueFull
+}
+
+func (d *Dispatcher) abandon(now time.Time, id daisyrequest.ID) {
+	if r := d.requests[id]; r != nil {
+		d.end(now, r, nil)
+	}
+}
+
+// fill gives free slots to waiting requests.
+func (d *Dispatcher) fill(now time.Time) {
+	for len(d.free)+len(d.trials) > 0 || d.usable == 0 {
+		if !d.serveNext(now) {
+			break
+		}
+	}
+	for _, r := range d.aside {
+		d.queue.Push(now, &r.item)
+	}
+	clear(d.aside)
+	d.aside = d.aside[:0]
+}
+
+// mostAside bounds the requests passed over because no free endpoint may take them.
+const mostAside = 4
+
+// serveNext deals with the next waiting request; it reports false when none can be served.
+func (d *Dispatcher) serveNext(now time.Time) bool {
+	switch s := d.queue.Next(now).(type) {
+	case daisyqueue.Drop[*request]:
+		d.drop(now, s.Item.Value)
+		return true
+	case daisyqueue.Serve[*request]:
+		return d.serve(now, s.Item.Value)
+	case daisyqueue.Idle[*request]:
+	}
+	return false
+}
+
+func (d *Dispatcher) serve(now time.Time, r *request) bool {
+	if d.usable == 0 {
+		d.fail(now, r, NoneUsable, retryAfter)
+		return true
+	}
+	c := d.pick(now, r)
+	if c.endpoint == nil {
+		d.queue.Remove(now, &r.item)
+		d.aside = append(d.aside, r)
+		return len(d.aside) < mostAside
+	}
+	if r.reason == Retry && !r.unsent && !d.budget.Take(now, daisybudget.Retry{}) {
+		d.fail(now, r, BudgetSpent, retryAfter)
+		return true
+	}
+	d.queue.Remove(now, &r.item)
+	d.send(now, r, c)
+	return true
+}
+
+// expire fails the waiting requests that can no longer finish.
+func (d *Dispatcher) expire(now time.Time) {
+	for s, ok := d.queue.Expire(now).(daisyqueue.Drop[*request]); ok; s, ok = d.queue.Expire(now).(daisyqueue.Drop[*request]) {
+		d.drop(now, s.Item.Value)
+	}
+}
+
+func (d *Dispatcher) drop(now time.Time, r *request) {
+	if now.Before(r.Deadline) {
+		d.fail(now, r, CannotFinish, retryAfter)
+		return
+	}
+	d.fail(now, r, Expired, 0)
+}
+
+// send starts an attempt. The budget has allowed it.
+func (d *Dispatcher) send(now time.Time, r *request, c candidate) {
+	d.sent++
+	a := d.spent.attempt()
+	a.id, a.endpoint, a.rank, a.sent, a.request = d.sent, c.endpoint, r.Rank, now, r
+	a.trial = c.choice == Trial
+	a.counted = r.reason == First || r.reason == Retry && r.unsent
+	if r.reason == First {
+		d.budget.First(now)
+	}
+	d.attempts[a.id] = a
+	r.opened(a)
+	r.sends++
+	r.unsent = false
+	d.emit(Send{
+		Request:    r.ID,
+		Attempt:    a.id,
+		Endpoint:   c.endpoint.address,
+		Deadline:   r.Deadline,
+		Reason:     r.reason,
+		Choice:     c.choice,
+		Free:       len(d.free),
+		Considered: considered(c),
+		Waited:     now.Sub(r.Arrived),
+	})
+	a.charge = d.queue.Started(now, a.rank)
+	a.endpoint.inFlight++
+	d.credits.take(a.endpoint)
+	d.health.Sent(now, a.endpoint.health)
+	d.refresh(now, a.endpoint)
+	d.planCheck(now, a)
+}
+
+func considered(c candidate) []netip.AddrPort {
+	if c.other == nil {
+		return nil
+	}
+	return []netip.AddrPort{c.other.address}
+}
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -96,29 +96,28 @@
 }
 
 // exchange passes credit messages on, and sends what they let start.
-func (d *Dispatcher) exchange(now time.Time, decisions []Decision) []Decision {
+func (d *Dispatcher) exchange(now time.Time) {
 	c := d.credits
 	if c == nil {
-		return decisions
+		return
 	}
 	c.setDemand(now, d)
 	for range exchangesAtMost {
 		told, more := c.flush(now)
-		decisions = append(decisions, told...)
+		d.decisions = append(d.decisions, told...)
 		if !more {
 			break
 		}
 	}
 	if !c.changed && !c.borrower.Guessing() {
-		return decisions
+		return
 	}
 	c.changed = false
 	for _, e := range d.endpoints {
-		d.refresh(e)
+		d.refresh(now, e)
 	}
-	decisions = append(decisions, d.fill(now)...)
+	d.fill(now)
 	c.setDemand(now, d)
-	return decisions
 }
 
 func (c *credits) setDemand(now time.Time, d *Dispatcher) {
@@ -193,6 +192,14 @@
 	}
 }
 
+// setBroken says whether work is kept away from an endpoint.
+func (c *credits) setBroken(now time.Time, e *endpoint, broken bool) {
+	if c != nil {
+		c.borrower.SetBroken(now, e.address, broken)
+		c.changed = true
+	}
+}
+
 func (c *credits) noteOutcome(now time.Time, e *endpoint, outcome daisyrequest.Outcome) {
 	if _, shed := outcome.(daisyrequest.Shed); shed && c != nil {
 		c.borrower.NoteShed(now, e.address)
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -10,7 +10,7 @@
 )
 
 // Decision is something for the holder of a Dispatcher to do. It is one of Send,
-// Deliver, Fail, Cancel, Tell and Probe. Each request ends with exactly one Deliver
+// Deliver, Fail, Cancel, Tell, Probe and EndpointChanged. Each request ends with exactly one Deliver
 // or Fail unless it is abandoned.
 type Decision interface{ decision() }
 
@@ -59,12 +59,19 @@
 // Probe asks an endpoint for its load.
 type Probe struct{ Endpoint netip.AddrPort }
 
-func (Send) decision()    {}
-func (Deliver) decision() {}
-func (Fail) decision()    {}
-func (Cancel) decision()  {}
-func (Tell) decision()    {}
-func (Probe) decision()   {}
+// EndpointChanged says that an endpoint is used differently from now on. Nothing has to be done.
+type EndpointChanged struct {
+	Endpoint  netip.AddrPort
+	Condition Condition
+}
+
+func (EndpointChanged) decision() {}
+func (Send) decision()            {}
+func (Deliver) decision()         {}
+func (Fail) decision()            {}
+func (Cancel) decision()          {}
+func (Tell) decision()            {}
+func (Probe) decision()           {}
 
 // Reason says why an attempt was made.
 type Reason int
--- a/core/daisyroute/policy.go
+++ b/core/daisyroute/policy.go
@@ -77,6 +77,14 @@
 
 // pick gives the endpoint for a request, or none when no endpoint with a free slot may take it.
 func (d *Dispatcher) pick(now time.Time, r *request) candidate {
+	if e := d.pickTrial(now, r); e != nil {
+		return candidate{endpoint: e, choice: Trial}
+	}
+	return d.choose(now, r)
+}
+
+// choose is pick without trials.
+func (d *Dispatcher) choose(now time.Time, r *request) candidate {
 	var c candidate
 	switch p := d.policy.(type) {
 	case Random:
@@ -94,13 +102,27 @@
 	return c
 }
 
+// trialOverdue is how long a trial waits for a request that another attempt could save.
+const trialOverdue = 2 * time.Second
+
+// pickTrial gives an ejected endpoint that the request should try: a request that
+// can be hedged goes at once, any other when none such came for long.
+func (d *Dispatcher) pickTrial(now time.Time, r *request) *endpoint {
+	for _, e := range d.trials {
+		if r.mayTake(e) && (r.Hedgeable || !now.Before(e.due.Add(trialOverdue))) {
+			return e
+		}
+	}
+	return nil
+}
+
 func (d *Dispatcher) pickLeast(now time.Time, r *request, policy LeastOfTwo) candidate {
 	a := d.draw(r, nil)
 	if a == nil {
 		return candidate{}
 	}
 	b := d.draw(r, a)
-	if b != nil && d.load(now, b, policy)*float64(a.slots) < d.load(now, a, policy)*float64(b.slots) {
+	if b != nil && d.cost(now, b, policy) < d.cost(now, a, policy) {
 		a, b = b, a
 	}
 	return candidate{endpoint: a, other: b, choice: LeastLoaded}
@@ -139,7 +161,7 @@
 	for range d.endpoints {
 		d.turn = (d.turn + 1) % len(d.endpoints)
 		e := d.endpoints[d.turn]
-		if e.place >= 0 && r.mayTake(e) {
+		if e.place != outside && r.mayTake(e) {
 			return e
 		}
 	}
@@ -149,6 +171,11 @@
 // reportHalfLife is the age at which a report counts half.
 const reportHalfLife = 50 * time.Millisecond
 
+// cost estimates how long a further request would take at an endpoint, in no unit.
+func (d *Dispatcher) cost(now time.Time, e *endpoint, policy LeastOfTwo) float64 {
+	return (d.load(now, e, policy) + 1) * e.health.Weight() / float64(max(e.slots, 1))
+}
+
 // load estimates how many requests an endpoint works on.
 func (d *Dispatcher) load(now time.Time, e *endpoint, policy LeastOfTwo) float64 {
 	own := float64(e.inFlight)
--- /dev/null
+++ b/core/daisyroute/request.go
@@ -0,0 +1,115 @@
+package daisyroute
+
+import (
+	"time"
+
+	"daisyyoke/core/daisyqueue"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
+)
+
+// maxAttempts bounds the sends of one request.
+const maxAttempts = 3
+
+// request is a request from its arrival to its Deliver, Fail or abandonment.
+type request struct {
+	daisyrequest.Request
+	item   daisyqueue.Item[*request]
+	reason Reason
+	sends  int
+	hedged bool
+	// open has the attempts without an outcome; open[:running] are set.
+	open    [2]*attempt
+	running int
+	// held is an attempt that was answered with a server error while another ran on.
+	held *attempt
+	// failed is the endpoint that failed the request last.
+	failed *endpoint
+	// unsent says that the last attempt never left, so that the next one takes its place in the budget.
+	unsent bool
+	// run says whether an endpoint may have run the request.
+	run daisyrequest.Run
+}
+
+// mayTake reports whether the request may go to the endpoint.
+func (r *request) mayTake(e *endpoint) bool {
+	for _, a := range r.open[:r.running] {
+		if a.endpoint == e {
+			return false
+		}
+	}
+	return e != r.failed
+}
+
+func (r *request) opened(a *attempt) {
+	r.open[r.running] = a
+	r.running++
+}
+
+func (r *request) closed(a *attempt) {
+	for i, o := range r.open[:r.running] {
+		if o == a {
+			r.running--
+			r.open[i] = r.open[r.running]
+			r.open[r.running] = nil
+			return
+		}
+	}
+}
+
+// attempt is one send from its start until it holds its slot no longer.
+type attempt struct {
+	id       daisyrequest.AttemptID
+	endpoint *endpoint
+	rank     daisyrank.Index
+	sent     time.Time
+	charge   daisyqueue.Charge
+	// request is nil once the request has ended.
+	request *request
+	// counted says that the budget counted it as the first send of its request.
+	counted  bool
+	answered bool
+	trial    bool
+	// checks counts the checks made, and check is the place in the heap of checks.
+	checks, check int
+}
+
+// spent keeps requests and attempts that have ended, to be used again.
+type spent struct {
+	requests []*request
+	attempts []*attempt
+}
+
+// mostSpent bounds each list of spent.
+const mostSpent = 1024
+
+func (s *spent) request(q daisyrequest.Request) *request {
+	r := new(request)
+	if n := len(s.requests); n > 0 {
+		r, s.requests = s.requests[n-1], s.requests[:n-1]
+	}
+	*r = request{Request: q}
+	r.item = daisyqueue.Item[*request]{Value: r, Rank: q.Rank, Deadline: q.Deadline}
+	return r
+}
+
+func (s *spent) attempt() *attempt {
+	a := new(attempt)
+	if n := len(s.attempts); n > 0 {
+		a, s.attempts = s.attempts[n-1], s.attempts[:n-1]
+	}
+	return a
+}
+
+func (s *spent) keepRequest(r *request) {
+	if len(s.requests) < mostSpent {
+		s.requests = append(s.requests, r)
+	}
+}
+
+func (s *spent) keepAttempt(a *attempt) {
+	*a = attempt{}
+	if len(s.attempts) < mostSpent {
+		s.attempts = append(s.attempts, a)
+	}
+}
--- /dev/null
+++ b/core/daisyroute/service.go
@@ -0,0 +1,90 @@
+package daisyroute
+
+import (
+	"time"
+
+	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyheap"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// begin starts the schedule of probes at the first event, which brings the time.
+func (d *Dispatcher) begin(now time.Time) {
+	if d.begun {
+		return
+	}
+	d.begun = true
+	for _, e := range d.endpoints {
+		e.target = d.probes.Join(now, e.address, e.slots)
+	}
+}
+
+func (d *Dispatcher) changeService(now time.Time, service daisyservice.Service) {
+	d.service = service
+	d.queue.SetRanks(service.Ranks)
+	d.endpoints = make([]*endpoint, 0, len(service.Endpoints))
+	kept := make(map[*endpoint]bool, len(service.Endpoints))
+	for _, s := range service.Endpoints {
+		e := d.declare(now, s)
+		kept[e] = true
+		d.endpoints = append(d.endpoints, e)
+	}
+	for _, e := range d.byAddress {
+		if !kept[e] && !e.removed {
+			d.remove(now, e)
+		}
+	}
+}
+
+// declare adds an endpoint or changes a known one.
+func (d *Dispatcher) declare(now time.Time, declared daisyendpoint.Endpoint) *endpoint {
+	e := d.byAddress[declared.Address]
+	if e == nil {
+		e = &endpoint{address: declared.Address, place: outside, trial: outside, timer: daisyheap.Outside, removed: true}
+		d.byAddress[e.address] = e
+	}
+	e.declared = declared
+	e.slots = declared.Slots
+	if e.removed {
+		e.removed = false
+		e.health = d.health.Join(e.slots, d.begun)
+		if d.begun {
+			e.target = d.probes.Join(now, e.address, e.slots)
+		}
+	}
+	e.health.SetSlots(e.slots)
+	if e.target != nil {
+		e.target.SetSlots(e.slots)
+	}
+	d.refresh(now, e)
+	return e
+}
+
+// remove takes an endpoint out of use; the attempts it has go on.
+func (d *Dispatcher) remove(now time.Time, e *endpoint) {
+	e.removed = true
+	d.health.Leave(e.health)
+	d.probes.Leave(e.target)
+	e.health, e.target = nil, nil
+	d.refresh(now, e)
+	if e.inFlight == 0 {
+		delete(d.byAddress, e.address)
+	}
+}
+
+func (d *Dispatcher) changePeers(now time.Time, vms []daisyvm.VM) {
+	d.peers = d.peers[:0]
+	for _, v := range vms {
+		if v.Name != d.self {
+			d.peers = append(d.peers, v.Name)
+		}
+	}
+	d.setVMs(now, vms)
+	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
+	d.owner = !ok || owner.Name == d.self
+	for _, e := range d.endpoints {
+		d.refresh(now, e)
+	}
+}
