Keep the membership in a controller and answer callers from it

The Member controller feeds heartbeats, links and the platform's list to the membership and carries out what it decides; callers' address answers, routing's peers and the operators' table come from one place. The Inbox hands the messages of other VMs to their controllers, and holds them up until those exist.

--- a/core/daisyvm/addresses.go
+++ b/core/daisyvm/addresses.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -27,16 +26,10 @@
 	zoneHigh = 0.75
 )
 
-// Address is one address that callers can use.
-type Address struct {
-	Callers netip.AddrPort
-	Zone    daisyfleet.ZoneID
-}
-
-// Answer tells callers where to connect, the best address first.
+// Answer tells callers where to connect, the best VM first.
 type Answer struct {
-	Addresses []Address
-	KeepFor   time.Duration
+	VMs     []VM
+	KeepFor time.Duration
 }
 
 // Addresses makes the answers to callers that ask for addresses.
@@ -66,7 +59,7 @@
 	}
 	slices.SortFunc(drawn, compareDraws)
 	for _, d := range drawn {
-		answer.Addresses = append(answer.Addresses, Address{Callers: d.member.VM.Callers, Zone: d.member.VM.Zone})
+		answer.VMs = append(answer.VMs, d.member.VM)
 	}
 	return answer
 }
--- a/core/daisyvm/sim_test.go
+++ b/core/daisyvm/sim_test.go
@@ -218,7 +218,7 @@
 func (n *network) answers(v *simVM) map[*simVM]bool {
 	answer := daisyvm.NewAddresses(n.random, daisyvm.DefaultSparePower).Answer(v.members.Self(), v.members.All())
 	named := make(map[*simVM]bool)
-	for _, a := range answer.Addresses {
+	for _, a := range answer.VMs {
 		for _, o := range n.vms {
 			if o.vm.Callers == a.Callers {
 				named[o] = true
--- /dev/null
+++ b/io/daisycontroller/inbox.go
@@ -0,0 +1,88 @@
+package daisycontroller
+
+import (
+	"sync"
+
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyvm"
+)
+
+// Stopper begins a planned stop of this VM.
+type Stopper interface {
+	WantStop(by string)
+}
+
+// Receivers are the controllers that messages of other VMs are for.
+type Receivers struct {
+	Member  *Member
+	Config  *Config
+	Route   *Route
+	Stopper Stopper
+}
+
+// Inbox hands the messages of other VMs to the controllers. Links need it before
+// the controllers exist, so it holds messages up until Attach.
+type Inbox struct {
+	attached  chan struct{}
+	closed    chan struct{}
+	closing   sync.Once
+	receivers Receivers
+}
+
+// NewInbox gives an inbox without receivers.
+func NewInbox() *Inbox {
+	return &Inbox{attached: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// Attach names the receivers, once.
+func (i *Inbox) Attach(receivers Receivers) {
+	i.receivers = receivers
+	close(i.attached)
+}
+
+// Close lets go of the messages that wait for Attach.
+func (i *Inbox) Close() { i.closing.Do(func() { close(i.closed) }) }
+
+func (i *Inbox) ready() bool {
+	select {
+	case <-i.attached:
+		return true
+	default:
+	}
+	select {
+	case <-i.attached:
+		return true
+	case <-i.closed:
+		return false
+	}
+}
+
+// LinkOpened passes the news of a link on to the membership.
+func (i *Inbox) LinkOpened(vm daisyvm.VM) {
+	if i.ready() {
+		i.receivers.Member.LinkOpened(vm)
+	}
+}
+
+// Receive hands a message to the controllers that it concerns.
+func (i *Inbox) Receive(from daisyvm.Name, message daisymessage.Message) {
+	if !i.ready() {
+		return
+	}
+	r := i.receivers
+	switch m := message.(type) {
+	case daisymessage.Heartbeat:
+		r.Member.Receive(from, m)
+		r.Config.Receive(from, m)
+	case daisymessage.SnapshotWanted, daisymessage.SnapshotGiven:
+		r.Config.Receive(from, m)
+	case daisymessage.CreditReport:
+		r.Route.Receive(from, m.Report.Service, m)
+	case daisymessage.CreditGrant:
+		r.Route.Receive(from, m.Grant.Service, m)
+	case daisymessage.EndpointNews:
+		r.Route.Receive(from, m.Service, m)
+	case daisymessage.StopWanted:
+		r.Stopper.WantStop(m.By)
+	}
+}
--- /dev/null
+++ b/io/daisycontroller/member_list.go
@@ -0,0 +1,70 @@
+package daisycontroller
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisyplatform"
+)
+
+// watchList announces this VM to the platform and reads its list now and then.
+func (c *Member) watchList(random *rand.Rand) {
+	retries := backoff.NewExponentialBackOff()
+	retries.InitialInterval = 200 * time.Millisecond
+	retries.MaxInterval = listInterval
+	announced := daisyplatform.ListedVM{}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-c.listNow:
+		case <-c.ctx.Done():
+			return
+		}
+		if own := c.listedSelf(); own != announced && c.announce(own) {
+			announced = own
+		}
+		if c.readList() {
+			retries.Reset()
+			timer.Reset(listInterval - time.Duration(random.Int64N(int64(listInterval/4))))
+			continue
+		}
+		timer.Reset(retries.NextBackOff())
+	}
+}
+
+func (c *Member) listedSelf() daisyplatform.ListedVM {
+	v := c.options.Self
+	return daisyplatform.ListedVM{Name: v.Name, Zone: v.Zone, Peers: v.Peers, Leaving: c.currentStatus().Leaving}
+}
+
+func (c *Member) announce(vm daisyplatform.ListedVM) bool {
+	ctx, cancel := context.WithTimeout(c.ctx, platformTimeout)
+	defer cancel()
+	answer := c.options.List.AnnounceVM(ctx, vm)
+	_, ok := answer.(daisyplatform.VMAnnounced)
+	if !ok {
+		c.options.Logger.Warn("VM not announced to the platform", "answer", daisyplatform.AnswerName(answer))
+	}
+	return ok
+}
+
+func (c *Member) readList() bool {
+	ctx, cancel := context.WithTimeout(c.ctx, platformTimeout)
+	defer cancel()
+	answer, ok := c.options.List.ListVMs(ctx).(daisyplatform.VMsListed)
+	if !ok {
+		return false
+	}
+	listed := make([]daisyvm.Listed, 0, len(answer.VMs))
+	for _, v := range answer.VMs {
+		listed = append(listed, daisyvm.Listed{Name: v.Name, Zone: v.Zone, Peers: v.Peers, Leaving: v.Leaving})
+	}
+	c.post(daisyvm.PlatformListed{VMs: listed})
+	return true
+}
