--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -77,7 +77,9 @@
 		copyEndToEnd(h, http.Header(i.header))
 		x.extendWrite()
 		x.writer.WriteHeader(i.status)
-		clear(h)
+		for k := range i.header {
+			delete(h, k)
+		}
 	}
 }
 
--- a/io/daisyforward/header.go
+++ b/io/daisyforward/header.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/netip"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -14,34 +15,35 @@
 	"daisyyoke/io/daisyfilter"
 )
 
-// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1),
-// besides those that Connection names.
-var hopByHop = []string{
-	"Connection",
-	"Proxy-Connection",
-	"Keep-Alive",
-	"Te",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Http2-Settings",
+// isHopByHop reports whether a field concerns one connection only (RFC 9110,
+// 7.6.1), besides those that Connection names.
+func isHopByHop(name string) bool {
+	switch name {
+	case "Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Proxy-Authenticate", "Proxy-Authorization", "Http2-Settings":
+		return true
+	}
+	return false
 }
 
 // copyEndToEnd copies the fields that go beyond one connection. The values are shared.
 func copyEndToEnd(to, from http.Header) {
+	named := connectionNames(from["Connection"])
 	for k, v := range from {
-		to[k] = v
+		if !isHopByHop(k) && !slices.Contains(named, k) {
+			to[k] = v
+		}
 	}
-	for _, v := range from["Connection"] {
+}
+
+func connectionNames(values []string) []string {
+	var names []string
+	for _, v := range values {
 		for name := range strings.SplitSeq(v, ",") {
-			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+			names = append(names, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	for _, name := range hopByHop {
-		delete(to, name)
-	}
+	return names
 }
 
 // outgoingHeader gives the header for endpoints, all but Daisy-Timeout.
--- /dev/null
+++ b/io/daisyforward/vm_test.go
@@ -0,0 +1,169 @@
+package daisyforward_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisycaller"
+	"daisyyoke/io/daisyconnection"
+	"daisyyoke/io/daisycontroller"
+	"daisyyoke/io/daisyfilter"
+	"daisyyoke/io/daisyforward"
+	"daisyyoke/io/daisystand"
+)
+
+// vm is an entry VM that serves lookups.vigia-lar.
+type vm struct {
+	server *daisycaller.Server
+	routes *daisycontroller.Route
+}
+
+type settings struct {
+	protocol  daisyservice.Protocol
+	endpoints []netip.AddrPort
+	slots     int
+	limits    daisyforward.Limits
+	callers   daisycaller.Limits
+	admitted  int
+}
+
+func newSettings(endpoints ...netip.AddrPort) settings {
+	return settings{
+		endpoints: endpoints,
+		slots:     2,
+		limits:    daisyforward.DefaultLimits(),
+		callers:   daisycaller.DefaultLimits(),
+		admitted:  100,
+	}
+}
+
+type book struct{}
+
+func (book) CallersAddresses() ([]daisyvm.VM, time.Duration) {
+	return []daisyvm.VM{{Callers: netip.MustParseAddrPort("127.0.0.1:8080"), Zone: zone}}, 5 * time.Second
+}
+
+func startVM(t testing.TB, s settings) *vm {
+	t.Helper()
+	routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: daisyvm.VM{Name: "vm-1"}})
+	t.Cleanup(routes.Close)
+	snapshot := newSnapshot(s)
+	routes.Apply(snapshot)
+	pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
+	t.Cleanup(pool.Close)
+	pool.Apply(snapshot)
+	forwarder := daisyforward.New(daisyforward.Options{Self: "vm-1", Routes: routes, Pool: pool, Limits: s.limits})
+	t.Cleanup(forwarder.Close)
+	chain := daisyfilter.NewChain(daisyfilter.Options{
+		Forwarder: forwarder,
+		Stall:     s.limits.Stall,
+		Filters: []daisyfilter.Filter{
+			daisyfilter.NewAdmit(s.admitted),
+			daisyfilter.Screen{},
+			daisyfilter.Addresses{Book: book{}},
+			daisyfilter.Identify{Services: routes},
+			daisyfilter.Classify{},
+		},
+	})
+	server := daisycaller.NewServer(daisycaller.Options{Listener: listen(t), Handler: chain, Limits: s.callers})
+	t.Cleanup(server.Close)
+	return &vm{server: server, routes: routes}
+}
+
+func newSnapshot(s settings) *daisyconfig.Snapshot {
+	service := daisyservice.Service{
+		ID:       daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"},
+		Ranks:    []daisyrank.Rank{{Name: "urgent", Target: time.Minute, Worth: 1, Floor: 1}},
+		Protocol: s.protocol,
+	}
+	for _, a := range s.endpoints {
+		service.Endpoints = append(service.Endpoints, daisyendpoint.Endpoint{Address: a, Slots: s.slots, Connections: 50})
+	}
+	return &daisyconfig.Snapshot{Revision: 1, Intent: daisyconfig.Intent{Fleets: []daisyconfig.Fleet{{
+		Name:     "vigia-lar",
+		Services: []daisyservice.Service{service},
+	}}}}
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return l
+}
+
+func startEndpoint(t testing.TB, handler http.Handler) netip.AddrPort {
+	t.Helper()
+	s := daisystand.NewEndpointServer(listen(t), handler)
+	t.Cleanup(s.Close)
+	return s.Address()
+}
+
+// unusedAddress is one on which nothing listens.
+func unusedAddress(t testing.TB) netip.AddrPort {
+	t.Helper()
+	l := listen(t)
+	assert.NilError(t, l.Close())
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// client gives a caller's transport that connects to the VM whatever the host.
+func (v *vm) client(t testing.TB, protocol daisyservice.Protocol) *http.Transport {
+	t.Helper()
+	var protocols http.Protocols
+	protocols.SetHTTP1(protocol == daisyservice.HTTP1)
+	protocols.SetUnencryptedHTTP2(protocol == daisyservice.HTTP2)
+	transport := &http.Transport{
+		Protocols:             &protocols,
+		DisableCompression:    true,
+		ExpectContinueTimeout: time.Minute,
+		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, network, v.server.Address().String())
+		},
+	}
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
+func newCall(t testing.TB, method string, body io.Reader) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://lookups.vigia-lar/visits?day=1", body)
+	assert.NilError(t, err)
+	// The library must not send the caller's request again by itself.
+	r.GetBody = nil
+	return r
+}
+
+// bothWays runs a test for HTTP/1.1 and HTTP/2 on both sides.
+func bothWays(t *testing.T, run func(t *testing.T, caller, endpoint daisyservice.Protocol)) {
+	protocols := []daisyservice.Protocol{daisyservice.HTTP1, daisyservice.HTTP2}
+	for _, c := range protocols {
+		for _, e := range protocols {
+			t.Run(c.String()+" to "+e.String(), func(t *testing.T) { run(t, c, e) })
+		}
+	}
+}
+
+// raw sends text over a new connection and gives the status and header of the answer.
+func (v *vm) raw(t *testing.T, text string) (*http.Response, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", v.server.Address().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, text)
+	assert.NilError(t, err)
+	return http.ReadResponse(bufio.NewReader(c), nil)
+}
