Carry by the word of peers that a VM leaves

A VM whose direct link to a leaving one was cut went on naming it to callers as long as others heard it, past the time for which it serves stragglers. The word of life now says whether the heartbeat said leaving.

--- a/core/daisyvm/beat.go
+++ b/core/daisyvm/beat.go
@@ -69,7 +69,7 @@
 	var heard []Heard
 	for _, m := range s.order {
 		if m != to && m.directSequence > 0 && now.Sub(m.DirectAt) <= heardWindow {
-			heard = append(heard, Heard{VM: m.VM.Digest(), Sequence: m.directSequence})
+			heard = append(heard, Heard{VM: m.VM.Digest(), Sequence: m.directSequence, Leaving: m.directLeaving})
 		}
 	}
 	return heard
--- a/core/daisyvm/faults_test.go
+++ b/core/daisyvm/faults_test.go
@@ -182,3 +182,14 @@
 		}
 	}
 }
+
+func TestLeavingIsKnownByTheWordOfPeers(t *testing.T) {
+	n := newNetwork(1, 6)
+	n.runUntil(start.Add(2 * time.Second))
+	n.cutPair(n.vms[2])
+	n.runUntil(n.now.Add(time.Second))
+	assert.Assert(t, n.answers(n.vms[0])[n.vms[2]])
+	n.leave(n.vms[2])
+	n.runUntil(n.now.Add(time.Second))
+	assert.Assert(t, !n.answers(n.vms[0])[n.vms[2]])
+}
--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -60,6 +60,7 @@
 	// sequence is the latest one known by any word, directSequence by its own.
 	sequence       uint64
 	directSequence uint64
+	directLeaving  bool
 	learnedAt      time.Time
 	// sent is the VM's clock in its last heartbeat.
 	sent time.Time
@@ -131,6 +132,10 @@
 	}
 	m.directSequence = event.Sequence
 	m.DirectAt = now
+	m.directLeaving = event.Status.Leaving
+	if event.Sequence < m.sequence {
+		event.Status.Leaving = m.Status.Leaving
+	}
 	s.unsettled = s.unsettled || m.Status != event.Status
 	m.Status = event.Status
 	m.sent = event.Sent
@@ -138,7 +143,7 @@
 	decisions = append(decisions, s.prove(now, m, event.Sequence)...)
 	for _, h := range event.Heard {
 		if x := s.digests[h.VM]; x != nil {
-			decisions = append(decisions, s.prove(now, x, h.Sequence)...)
+			decisions = append(decisions, s.believe(now, x, h)...)
 		}
 	}
 	for _, v := range event.Introduced {
@@ -189,6 +194,15 @@
 	return m, decisions
 }
 
+// believe takes a peer's word of a VM: that it lives, and whether it leaves.
+func (s *Members) believe(now time.Time, m *member, word Heard) []MemberDecision {
+	if word.Sequence > m.sequence && word.Leaving != m.Status.Leaving {
+		m.Status.Leaving = word.Leaving
+		s.unsettled = true
+	}
+	return s.prove(now, m, word.Sequence)
+}
+
 // prove takes a word of life; one that is no news proves nothing.
 func (s *Members) prove(now time.Time, m *member, sequence uint64) []MemberDecision {
 	if sequence <= m.sequence {
--- a/core/daisyvm/vm.go
+++ b/core/daisyvm/vm.go
@@ -47,4 +47,6 @@
 type Heard struct {
 	VM       Digest
 	Sequence uint64
+	// Leaving is what that heartbeat said.
+	Leaving bool
 }
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -62,8 +62,8 @@
 	if w.InForce != nil {
 		d.inForce = inForce{revision: daisyconfig.Revision(w.InForce.Revision), hash: decodeHash(w.InForce.Hash)}
 	}
-	if len(w.HeardDigests) != len(w.HeardSequences) {
-		r.fail("%d digests for %d sequences", len(w.HeardDigests), len(w.HeardSequences))
+	if len(w.HeardDigests) != len(w.HeardMarks) {
+		r.fail("%d digests for %d marks", len(w.HeardDigests), len(w.HeardMarks))
 		return nil
 	}
 	m := daisymessage.Heartbeat{
@@ -82,7 +82,8 @@
 		m.EchoHeld = time.Duration(w.EchoHeldMicroseconds) * time.Microsecond
 	}
 	for i, h := range w.HeardDigests {
-		m.Heard = append(m.Heard, daisyvm.Heard{VM: daisyvm.Digest(h), Sequence: w.HeardSequences[i]})
+		mark := w.HeardMarks[i]
+		m.Heard = append(m.Heard, daisyvm.Heard{VM: daisyvm.Digest(h), Sequence: mark >> 1, Leaving: mark&1 == 1})
 	}
 	for _, v := range w.Introduced {
 		m.Introduced = append(m.Introduced, r.vm(v))
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -78,7 +78,7 @@
 	}
 	for _, h := range m.Heard {
 		w.HeardDigests = append(w.HeardDigests, uint32(h.VM))
-		w.HeardSequences = append(w.HeardSequences, h.Sequence)
+		w.HeardMarks = append(w.HeardMarks, heardMark(h))
 	}
 	for _, v := range m.Introduced {
 		w.Introduced = append(w.Introduced, encodeVM(v))
@@ -86,6 +86,13 @@
 	return w
 }
 
+func heardMark(h daisyvm.Heard) uint64 {
+	if h.Leaving {
+		return h.Sequence<<1 | 1
+	}
+	return h.Sequence << 1
+}
+
 // hashBytes gives no bytes for a hash that is not hexadecimal.
 func hashBytes(h daisyconfig.Hash) []byte {
 	b, err := hex.DecodeString(string(h))
