--- a/core/daisystop/event.go
+++ b/core/daisystop/event.go
@@ -22,6 +22,9 @@
 	Leaving int
 	// Ahead counts those that wait for their turn and have a lower name.
 	Ahead int
+	// Alone says that this VM knows no other at all, live or dead. It then has no
+	// turn to wait for, and no callers that could go elsewhere.
+	Alone bool
 }
 
 // CallersGone says that no caller is connected and no request is in flight.
--- a/core/daisystop/stop.go
+++ b/core/daisystop/stop.go
@@ -117,6 +117,11 @@
 		return nil
 	}
 	s.wanted = now
+	if s.peers.Alone {
+		s.phase = Draining
+		s.until = now.Add(TurnLimit)
+		return []Decision{Announce{Stopping: true, Leaving: true}, CloseCallers{}}
+	}
 	return s.wait(now)
 }
 
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -58,10 +58,12 @@
 type Member struct {
 	options MemberOptions
 	table   atomic.Pointer[MemberTable]
-	events  chan daisyvm.MemberEvent
-	ctx     context.Context
-	cancel  context.CancelFunc
-	ended   sync.WaitGroup
+	// replaced belongs to the present table; only run uses it.
+	replaced chan struct{}
+	events   chan daisyvm.MemberEvent
+	ctx      context.Context
+	cancel   context.CancelFunc
+	ended    sync.WaitGroup
 	// superseded is closed once a later incarnation has this VM's name.
 	superseded chan struct{}
 
@@ -78,6 +80,21 @@
 type MemberTable struct {
 	Self   daisyvm.Member
 	Others []daisyvm.Member
+	// Replaced is closed when a newer table has taken this one's place.
+	Replaced <-chan struct{}
+}
+
+// Find gives the VM of this name, this one among them.
+func (t MemberTable) Find(name daisyvm.Name) (daisyvm.Member, bool) {
+	if t.Self.VM.Name == name {
+		return t.Self, true
+	}
+	for _, m := range t.Others {
+		if m.VM.Name == name {
+			return m, true
+		}
+	}
+	return daisyvm.Member{}, false
 }
 
 var _ Controller = (*Member)(nil)
@@ -250,7 +267,12 @@
 }
 
 func (c *Member) publish(members *daisyvm.Members) {
-	c.table.Store(&MemberTable{Self: members.Self(), Others: members.All()})
+	replaced := c.replaced
+	c.replaced = make(chan struct{})
+	c.table.Store(&MemberTable{Self: members.Self(), Others: members.All(), Replaced: c.replaced})
+	if replaced != nil {
+		close(replaced)
+	}
 }
 
 func (c *Member) carryOut(decision daisyvm.MemberDecision) {
--- a/io/daisycontroller/member_test.go
+++ b/io/daisycontroller/member_test.go
@@ -21,9 +21,18 @@
 
 // switchboard carries messages between Member controllers within a process.
 type switchboard struct {
-	mu      sync.Mutex
-	members map[daisyvm.Name]*daisycontroller.Member
-	vms     map[daisyvm.Name]daisyvm.VM
+	mu       sync.Mutex
+	members  map[daisyvm.Name]*daisycontroller.Member
+	vms      map[daisyvm.Name]daisyvm.VM
+	stoppers map[daisyvm.Name]daisycontroller.Stopper
+}
+
+func newSwitchboard() *switchboard {
+	return &switchboard{
+		members:  make(map[daisyvm.Name]*daisycontroller.Member),
+		vms:      make(map[daisyvm.Name]daisyvm.VM),
+		stoppers: make(map[daisyvm.Name]daisycontroller.Stopper),
+	}
 }
 
 func (s *switchboard) find(name daisyvm.Name) *daisycontroller.Member {
@@ -39,6 +48,10 @@
 }
 
 func (p port) Send(to daisyvm.Name, message daisymessage.Message) {
+	if w, ok := message.(daisymessage.StopWanted); ok {
+		p.board.stoppers[to].WantStop(w.By)
+		return
+	}
 	if m := p.board.find(to); m != nil {
 		m.Receive(p.self, message)
 	}
@@ -92,7 +105,7 @@
 
 func TestAnswersFollowTheMembership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		board := &switchboard{members: make(map[daisyvm.Name]*daisycontroller.Member), vms: make(map[daisyvm.Name]daisyvm.VM)}
+		board := newSwitchboard()
 		first := board.start(memberVM(1))
 		for i := 2; i <= 4; i++ {
 			board.start(memberVM(i)).LinkOpened(memberVM(1))
