--- /dev/null
+++ b/examples/trial/fault.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"daisyyoke/core/daisyerror"
+)
+
+// Fault is something that goes wrong in a trial. It is one of KillVM, PauseVM,
+// StopVM, EndpointFault, PlatformFault and Flood.
+type Fault interface{ fault() }
+
+// KillVM kills a daemon and starts it again after a time.
+type KillVM struct {
+	Index int
+	For   time.Duration
+}
+
+// PauseVM stops a daemon's process and lets it go on after a time.
+type PauseVM struct {
+	Index int
+	For   time.Duration
+}
+
+// StopVM ends a daemon by SIGTERM, a planned stop, and starts it again after a time.
+type StopVM struct {
+	Index int
+	For   time.Duration
+}
+
+// EndpointFault puts a fault of the stand-in in force for a time.
+type EndpointFault struct {
+	Index int
+	// Document is the JSON that the stand-in takes.
+	Document string
+	For      time.Duration
+}
+
+// PlatformFault puts a fault of the platform's stand-in in force for a time.
+type PlatformFault struct {
+	Document string
+	For      time.Duration
+}
+
+// Flood multiplies the rate of a rank for a time.
+type Flood struct {
+	Rank   string
+	Factor float64
+	For    time.Duration
+}
+
+func (KillVM) fault()        {}
+func (PauseVM) fault()       {}
+func (StopVM) fault()        {}
+func (EndpointFault) fault() {}
+func (PlatformFault) fault() {}
+func (Flood) fault()         {}
+
+// timedFault is a fault with the moment it begins, from the start of the load.
+type timedFault struct {
+	at    time.Duration
+	text  string
+	fault Fault
+}
+
+// endpointDocuments are the faults of an endpoint by name.
+var endpointDocuments = map[string]string{
+	"slow-endpoint":      `{"slow":10}`,
+	"fail-fast-endpoint": `{"fail-fast":true}`,
+	"shed-endpoint":      `{"shed-all":true}`,
+	"drain-endpoint":     `{"draining":true}`,
+	"break-endpoint":     `{"break":"before-header"}`,
+	"cut-endpoint":       `{"break":"mid-body"}`,
+	"freeze-endpoint":    `{"freeze":true}`,
+}
+
+// faultHelp is the usage of --fault.
+const faultHelp = "`AT,NAME,WHICH,FOR`, for instance 2s,kill-vm,1,3s; repeatable; names: kill-vm, pause-vm, stop-vm, " +
+	"slow-endpoint, fail-fast-endpoint, shed-endpoint, drain-endpoint, break-endpoint, cut-endpoint, freeze-endpoint, " +
+	"platform-down, platform-slow (WHICH is ignored), flood (WHICH is RANK*FACTOR)"
+
+// parseFault reads AT,NAME,WHICH,FOR. It fails with daisyerror.InvalidSetting.
+func parseFault(text string) (timedFault, error) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 4 {
+		return timedFault{}, daisyerror.InvalidSetting.New("--fault %q: want AT,NAME,WHICH,FOR", text)
+	}
+	at, err := time.ParseDuration(parts[0])
+	if err != nil {
+		return timedFault{}, daisyerror.InvalidSetting.Wrap(err, "--fault %q", text)
+	}
+	length, err := time.ParseDuration(parts[3])
+	if err != nil {
+		return timedFault{}, daisyerror.InvalidSetting.Wrap(err, "--fault %q", text)
+	}
+	fault, err := faultOf(parts[1], parts[2], length)
+	if err != nil {
+		return timedFault{}, err
+	}
+	return timedFault{at: at, text: text, fault: fault}, nil
+}
+
+func faultOf(name, which string, length time.Duration) (Fault, error) {
+	switch name {
+	case "platform-down":
+		return PlatformFault{Document: `{"down":true}`, For: length}, nil
+	case "platform-slow":
+		return PlatformFault{Document: `{"delay":"500ms"}`, For: length}, nil
+	case "flood":
+		return parseFlood(which, length)
+	}
+	index, err := strconv.Atoi(which)
+	if err != nil || index < 0 {
+		return nil, daisyerror.InvalidSetting.New("--fault: %q is no index", which)
+	}
+	switch name {
+	case "kill-vm":
+		return KillVM{Index: index, For: length}, nil
+	case "pause-vm":
+		return PauseVM{Index: index, For: length}, nil
+	case "stop-vm":
+		return StopVM{Index: index, For: length}, nil
+	}
+	if document, ok := endpointDocuments[name]; ok {
+		return EndpointFault{Index: index, Document: document, For: length}, nil
+	}
+	return nil, daisyerror.InvalidSetting.New("--fault: no fault %q", name)
+}
+
+func parseFlood(which string, length time.Duration) (Fault, error) {
+	rank, factor, _ := strings.Cut(which, "*")
+	value, err := strconv.ParseFloat(factor, 64)
+	if err != nil || value <= 0 {
+		return nil, daisyerror.InvalidSetting.New("--fault: flood %q: want RANK*FACTOR", which)
+	}
+	return Flood{Rank: rank, Factor: value, For: length}, nil
+}
--- /dev/null
+++ b/examples/trial/fleet.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/io/daisyoperator"
+)
+
+const (
+	fleetName = "vigia-lar"
+	slots     = 3
+	// settleTime bounds the start of the processes and of the configuration.
+	settleTime = 30 * time.Second
+	// askAgain is how long to wait between two questions for readiness.
+	askAgain = 50 * time.Millisecond
+)
+
+var zones = []string{"lisboa-1", "lisboa-2", "porto-1", "porto-2"}
+
+// vm is one daemon with its addresses.
+type vm struct {
+	process   *process
+	callers   netip.AddrPort
+	operators netip.AddrPort
+}
+
+// fleet is every process of a trial.
+type fleet struct {
+	folder    string
+	platform  *process
+	store     netip.AddrPort
+	endpoints []*process
+	addresses []netip.AddrPort
+	vms       []vm
+	client    *http.Client
+}
+
+// startFleet starts the platform's stand-in, the endpoints and the daemons, and
+// confirms the configuration.
+func startFleet(ctx context.Context, folder string, o *options) (*fleet, error) {
+	f := &fleet{folder: folder, client: &http.Client{Timeout: time.Second}}
+	steps := []func() error{
+		f.startPlatform,
+		func() error { return f.startEndpoints(o) },
+		func() error { return f.startVMs(o.vms) },
+		func() error { return f.confirm(ctx) },
+	}
+	for _, s := range steps {
+		if err := s(); err != nil {
+			f.close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) startPlatform() error {
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	f.store = address
+	f.platform, err = startProcess("platform", f.program("daisystand"), f.folder, "platform", "--listen", address.String())
+	return err
+}
+
+func (f *fleet) startEndpoints(o *options) error {
+	for i := range o.endpoints {
+		address, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		p, err := startProcess(fmt.Sprintf("endpoint-%d", i), f.program("daisystand"), f.folder,
+			"endpoint", "--listen", address.String(), "--slots", fmt.Sprint(slots), "--service-time", o.serviceTime.String())
+		if err != nil {
+			return err
+		}
+		f.endpoints = append(f.endpoints, p)
+		f.addresses = append(f.addresses, address)
+	}
+	return nil
+}
+
+func (f *fleet) startVMs(count int) error {
+	for i := range count {
+		var addresses [3]netip.AddrPort
+		for j := range addresses {
+			var err error
+			if addresses[j], err = freeAddress(); err != nil {
+				return err
+			}
+		}
+		name := fmt.Sprintf("vm-%d", i)
+		p, err := startProcess(name, f.program("daisyd"), f.folder,
+			"--vm", name, "--availability-zone", fleetName+"/"+zones[i%len(zones)],
+			"--callers", addresses[0].String(), "--operators", addresses[1].String(), "--peers", addresses[2].String(),
+			"--platform", "http://"+f.store.String())
+		if err != nil {
+			return err
+		}
+		f.vms = append(f.vms, vm{process: p, callers: addresses[0], operators: addresses[1]})
+	}
+	return nil
+}
+
+func (f *fleet) program(name string) string { return filepath.Join(f.folder, name) }
+
+// confirm states the intent at the first VM and waits until every VM is ready.
+func (f *fleet) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	if err := f.waitFor(ctx, f.vms[0].operators, "/livez"); err != nil {
+		return err
+	}
+	client := daisyoperator.NewClient(daisyoperator.ClientOptions{
+		Server:   "http://" + f.vms[0].operators.String(),
+		Operator: "trial",
+		HTTP:     &http.Client{Timeout: settleTime},
+	})
+	p, err := client.CreatePlan(ctx, f.intent())
+	if err != nil {
+		return err
+	}
+	if _, err := client.ConfirmPlan(ctx, p.ID); err != nil {
+		return err
+	}
+	for _, v := range f.vms {
+		if err := f.waitFor(ctx, v.operators, "/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) waitFor(ctx context.Context, address netip.AddrPort, path string) error {
+	for {
+		response, err := f.client.Get("http://" + address.String() + path)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(askAgain):
+		case <-ctx.Done():
+			return daisyerror.Unavailable.New("%s does not answer %s; see the logs in %s", address, path, f.folder)
+		}
+	}
+}
+
+func (f *fleet) intent() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "fleets:\n  - name: %s\n    availability-zones:\n", fleetName)
+	for _, z := range zones {
+		fmt.Fprintf(&b, "      - {name: %s, city: %s}\n", z, strings.Split(z, "-")[0])
+	}
+	b.WriteString(`    ranks:
+      - {name: urgent, target: 250ms, worth: 100, floor: 0.5}
+      - {name: standard, target: 2s, worth: 10, floor: 0.3}
+      - {name: bulk, target: 10m, worth: 1, floor: 0.05}
+    services:
+      - name: lookups
+        ranks: [urgent, standard, bulk]
+        endpoints:
+`)
+	for i, a := range f.addresses {
+		fmt.Fprintf(&b, "          - {address: %q, availability-zone: %s, slots: %d, connections: 250}\n", a, zones[i%len(zones)], slots)
+	}
+	return b.Bytes()
+}
+
+// ran adds up how often the endpoints ran each key, and how many probes they shed.
+func (f *fleet) ran() (map[string]int, error) {
+	sum := make(map[string]int)
+	for _, a := range f.addresses {
+		response, err := f.client.Get("http://" + a.String() + "/.well-known/daisystand/ran")
+		if err != nil {
+			return nil, daisyerror.Unavailable.Wrap(err, "asking endpoint %s what it ran", a)
+		}
+		var answer struct {
+			Keys map[string]int `json:"keys"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		_ = response.Body.Close()
+		if err != nil {
+			return nil, daisyerror.Unavailable.Wrap(err, "asking endpoint %s what it ran", a)
+		}
+		for k, n := range answer.Keys {
+			sum[k] += n
+		}
+	}
+	return sum, nil
+}
+
+// close ends every process that the trial started.
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		v.process.stop(syscall.SIGKILL)
+	}
+	for _, p := range f.endpoints {
+		p.stop(syscall.SIGKILL)
+	}
+	if f.platform != nil {
+		f.platform.stop(syscall.SIGKILL)
+	}
+}
+
+func (f *fleet) callers() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(f.vms))
+	for _, v := range f.vms {
+		addresses = append(addresses, v.callers)
+	}
+	return addresses
+}
--- /dev/null
+++ b/examples/trial/inject.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/io/daisytrial"
+)
+
+// injector brings faults about while a load runs.
+type injector struct {
+	fleet   *fleet
+	options *options
+	ledger  *daisytrial.Ledger
+	ended   sync.WaitGroup
+}
+
+// newInjector starts to bring each fault about at its time.
+func newInjector(ctx context.Context, f *fleet, o *options, ledger *daisytrial.Ledger) *injector {
+	s := &injector{fleet: f, options: o, ledger: ledger}
+	for i, t := range o.faults {
+		s.ended.Go(func() {
+			if !sleep(ctx, t.at) {
+				return
+			}
+			fmt.Fprintf(os.Stderr, "%6s  %s\n", t.at, t.text)
+			s.inject(ctx, i, t.fault)
+		})
+	}
+	return s
+}
+
+// Close waits for the end of every fault.
+func (s *injector) Close() { s.ended.Wait() }
+
+func (s *injector) inject(ctx context.Context, number int, fault Fault) {
+	switch f := fault.(type) {
+	case KillVM:
+		s.restart(ctx, f.Index, syscall.SIGKILL, f.For)
+	case StopVM:
+		s.restart(ctx, f.Index, syscall.SIGTERM, f.For)
+	case PauseVM:
+		p := s.vm(f.Index)
+		p.signal(syscall.SIGSTOP)
+		sleep(ctx, f.For)
+		p.signal(syscall.SIGCONT)
+	case EndpointFault:
+		address := s.fleet.addresses[f.Index%len(s.fleet.addresses)]
+		s.put(ctx, address, "/.well-known/daisystand/faults", f.Document, f.For)
+	case PlatformFault:
+		s.put(ctx, s.fleet.store, "/.well-known/daisystand/faults", f.Document, f.For)
+	case Flood:
+		s.flood(ctx, number, f)
+	}
+}
+
+func (s *injector) vm(index int) *process { return s.fleet.vms[index%len(s.fleet.vms)].process }
+
+func (s *injector) restart(ctx context.Context, index int, signal syscall.Signal, after time.Duration) {
+	p := s.vm(index)
+	p.stop(signal)
+	if !sleep(ctx, after) {
+		return
+	}
+	if err := p.start(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
+// put sets a fault of a stand-in, and takes it away after a time.
+func (s *injector) put(ctx context.Context, address netip.AddrPort, path, document string, length time.Duration) {
+	s.post(address, path, document)
+	sleep(ctx, length)
+	s.post(address, path, "{}")
+}
+
+func (s *injector) post(address netip.AddrPort, path, document string) {
+	response, err := s.fleet.client.Post("http://"+address.String()+path, "application/json", strings.NewReader(document))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	_ = response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		fmt.Fprintf(os.Stderr, "fault %s refused: %s\n", document, response.Status)
+	}
+}
+
+func (s *injector) flood(ctx context.Context, number int, f Flood) {
+	var streams []daisytrial.Stream
+	for _, v := range s.options.streams() {
+		if v.Rank == daisyrank.Name(f.Rank) {
+			v.Rate *= f.Factor - 1
+			streams = append(streams, v)
+		}
+	}
+	daisytrial.Run(ctx, s.options.load(s.fleet, streams, fmt.Sprintf("flood%d", number), f.For), s.ledger)
+}
+
+// sleep waits and says whether the time passed before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/examples/trial/main.go
@@ -0,0 +1,158 @@
+// Command trial drives real load at real processes, brings faults about, and
+// says what was lost, cut, doubled or promised falsely.
+//
+// It builds daisyd and daisystand, starts a platform, endpoints and entry VMs on
+// loopback addresses, and ends them all. The exit code is 1 when a promise was
+// broken.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisytrial"
+)
+
+type options struct {
+	vms, endpoints, callers int
+	serviceTime, length     time.Duration
+	share                   float64
+	seed                    uint64
+	json                    bool
+	keep                    bool
+	faultTexts              []string
+	faults                  []timedFault
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	err := newCommand().ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	o := &options{}
+	c := &cobra.Command{
+		Use:   "trial",
+		Short: "Drive load and faults at real processes and audit the promises",
+		Example: `  $ go run ./examples/trial
+  $ go run ./examples/trial --for 20s --fault 5s,kill-vm,1,3s --fault 12s,slow-endpoint,0,5s
+  $ go run ./examples/trial --fault '3s,flood,bulk*10,5s' --json`,
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE:          func(c *cobra.Command, _ []string) error { return trialRun(c.Context(), o) },
+	}
+	flags := c.Flags()
+	flags.IntVar(&o.vms, "vms", 6, "entry VMs")
+	flags.IntVar(&o.endpoints, "endpoints", 12, "endpoints of 3 slots each")
+	flags.IntVar(&o.callers, "callers", 50, "callers, each with address answers and connections of its own")
+	flags.DurationVar(&o.serviceTime, "service-time", 20*time.Millisecond, "time that an endpoint takes for a request")
+	flags.DurationVar(&o.length, "for", 10*time.Second, "how long load is sent")
+	flags.Float64Var(&o.share, "load", 0.7, "offered load as a share of the endpoints' slots")
+	flags.Uint64Var(&o.seed, "seed", 1, "seed of arrivals and choices")
+	flags.BoolVar(&o.json, "json", false, "print JSON")
+	flags.BoolVar(&o.keep, "keep-logs", false, "keep the processes' logs and say where")
+	flags.StringArrayVar(&o.faultTexts, "fault", nil, faultHelp)
+	return c
+}
+
+func trialRun(ctx context.Context, o *options) error {
+	for _, t := range o.faultTexts {
+		f, err := parseFault(t)
+		if err != nil {
+			return err
+		}
+		o.faults = append(o.faults, f)
+	}
+	folder, err := os.MkdirTemp("", "daisyyoke-trial-")
+	if err != nil {
+		return daisyerror.Unavailable.Wrap(err, "making a folder")
+	}
+	if o.keep {
+		fmt.Fprintf(os.Stderr, "logs in %s\n", folder)
+	} else {
+		defer func() { _ = os.RemoveAll(folder) }()
+	}
+	if err := build(folder); err != nil {
+		return err
+	}
+	f, err := startFleet(ctx, folder, o)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	return drive(ctx, f, o)
+}
+
+func drive(ctx context.Context, f *fleet, o *options) error {
+	ledger := &daisytrial.Ledger{}
+	faults := newInjector(ctx, f, o, ledger)
+	daisytrial.Run(ctx, o.load(f, o.streams(), "main", o.length), ledger)
+	faults.Close()
+	ran, err := f.ran()
+	if err != nil {
+		return err
+	}
+	audit := ledger.Audit(ran)
+	if err := report(ledger, audit, o.json); err != nil {
+		return err
+	}
+	if !audit.Sound() {
+		return daisyerror.Internal.New("promises were broken: %s", audit)
+	}
+	return nil
+}
+
+// streams share the offered load: half urgent lookups, and standard closures and
+// bulk reports with the rest.
+func (o *options) streams() []daisytrial.Stream {
+	capacity := float64(o.endpoints*slots) / o.serviceTime.Seconds()
+	service := daisyservice.ID{Fleet: fleetName, Name: "lookups"}
+	rate := capacity * o.share
+	return []daisytrial.Stream{
+		{Service: service, Rank: "urgent", Method: http.MethodGet, Rate: rate * 0.5},
+		{Service: service, Rank: "standard", Method: http.MethodPost, Rate: rate * 0.3, BodySize: 512},
+		{Service: service, Rank: "bulk", Method: http.MethodPost, Rate: rate * 0.2, BodySize: 4096},
+	}
+}
+
+func (o *options) load(f *fleet, streams []daisytrial.Stream, prefix string, length time.Duration) daisytrial.Options {
+	return daisytrial.Options{
+		Streams: streams,
+		Callers: o.callers,
+		For:     length,
+		Prefix:  prefix,
+		Seed:    o.seed,
+		NewResolver: func(client *http.Client, seed uint64) *daisytrial.Resolver {
+			return daisytrial.NewResolver(client, seed, f.callers()...)
+		},
+	}
+}
+
+func report(ledger *daisytrial.Ledger, audit daisytrial.Audit, asJSON bool) error {
+	if !asJSON {
+		if err := ledger.WriteTable(os.Stdout); err != nil {
+			return err
+		}
+		fmt.Println(audit)
+		return nil
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(ledger.Document(audit)); err != nil {
+		return daisyerror.Unavailable.Wrap(err, "writing JSON")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/daisytrial/document.go
@@ -0,0 +1,58 @@
+package daisytrial
+
+import "time"
+
+// Document is a report for programs.
+type Document struct {
+	Kinds []KindDocument `json:"kinds"`
+	Audit AuditDocument  `json:"audit"`
+}
+
+// KindDocument is the counts of one kind of calls.
+type KindDocument struct {
+	Service  string  `json:"service"`
+	Rank     string  `json:"rank"`
+	Requests int     `json:"requests"`
+	Served   int     `json:"served"`
+	Refused  int     `json:"refused"`
+	Failed   int     `json:"failed"`
+	Cut      int     `json:"cut"`
+	NoAnswer int     `json:"no-answer"`
+	P50      float64 `json:"p50-milliseconds"`
+	P99      float64 `json:"p99-milliseconds"`
+	P999     float64 `json:"p999-milliseconds"`
+}
+
+// AuditDocument is an audit.
+type AuditDocument struct {
+	Lost        int `json:"lost"`
+	Cut         int `json:"cut"`
+	MixedUp     int `json:"mixed-up"`
+	Doubled     int `json:"doubled"`
+	FalseNotRun int `json:"false-not-run"`
+	NeverRan    int `json:"never-ran"`
+}
+
+// Document gives the report with an audit.
+func (l *Ledger) Document(audit Audit) Document {
+	d := Document{Audit: AuditDocument(audit)}
+	for _, r := range l.Rows() {
+		c := r.Counts
+		d.Kinds = append(d.Kinds, KindDocument{
+			Service:  r.Kind.Service.String(),
+			Rank:     string(r.Kind.Rank),
+			Requests: c.Requests,
+			Served:   c.Served,
+			Refused:  c.Refused,
+			Failed:   c.Failed,
+			Cut:      c.Cut,
+			NoAnswer: c.NoAnswer,
+			P50:      milliseconds(c.Quantile(50)),
+			P99:      milliseconds(c.Quantile(99)),
+			P999:     milliseconds(c.Quantile(99.9)),
+		})
+	}
+	return d
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
