--- a/examples/trial/fault.go
+++ b/examples/trial/fault.go
@@ -79,7 +79,7 @@
 // faultHelp is the usage of --fault.
 const faultHelp = "`AT,NAME,WHICH,FOR`, for instance 2s,kill-vm,1,3s; repeatable; names: kill-vm, pause-vm, stop-vm, " +
 	"slow-endpoint, fail-fast-endpoint, shed-endpoint, drain-endpoint, break-endpoint, cut-endpoint, freeze-endpoint, " +
-	"platform-down, platform-slow (WHICH is ignored), flood (WHICH is RANK*FACTOR)"
+	"platform-down, platform-slow, platform-lost-replies, platform-lagging (WHICH is ignored), flood (WHICH is RANK*FACTOR)"
 
 // parseFault reads AT,NAME,WHICH,FOR. It fails with daisyerror.InvalidSetting.
 func parseFault(text string) (timedFault, error) {
@@ -107,7 +107,11 @@
 	case "platform-down":
 		return PlatformFault{Document: `{"down":true}`, For: length}, nil
 	case "platform-slow":
-		return PlatformFault{Document: `{"delay":"500ms"}`, For: length}, nil
+		return PlatformFault{Document: `{"slow":"500ms"}`, For: length}, nil
+	case "platform-lost-replies":
+		return PlatformFault{Document: `{"lost-replies":0.5}`, For: length}, nil
+	case "platform-lagging":
+		return PlatformFault{Document: `{"lagging":"5s","lagging-vms":"10s"}`, For: length}, nil
 	case "flood":
 		return parseFlood(which, length)
 	}
