--- /dev/null
+++ b/io/daisycontroller/route_work.go
@@ -0,0 +1,51 @@
+package daisycontroller
+
+import (
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyroute"
+	"daisyyoke/core/daisyservice"
+)
+
+// ServiceWork counts the attempts under way and the requests waiting of a service on this VM.
+func (c *Route) ServiceWork(id daisyservice.ID) (inFlight, waiting int) {
+	s := c.shard(id)
+	if s == nil {
+		return 0, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.dispatcher.Ranks() {
+		d := s.dispatcher.Demand(daisyrank.Index(i))
+		inFlight += int(d.InFlight)
+		waiting += int(d.Waiting)
+	}
+	return inFlight, waiting
+}
+
+// EndpointWork counts the attempts under way at an endpoint and names its condition on this VM.
+func (c *Route) EndpointWork(id daisyconfig.EndpointID) (inFlight int, condition string) {
+	s := c.shard(id.Service)
+	if s == nil {
+		return 0, daisyroute.Removed.String()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.dispatcher.Endpoints(now()) {
+		if e.Address == id.Address {
+			return e.InFlight, e.Condition.String()
+		}
+	}
+	return 0, daisyroute.Removed.String()
+}
+
+// Services gives the services in force.
+func (c *Route) Services() []daisyservice.Service {
+	var services []daisyservice.Service
+	for _, s := range *c.shards.Load() {
+		if v := s.service.Load(); v != nil {
+			services = append(services, *v)
+		}
+	}
+	return services
+}
--- /dev/null
+++ b/io/daisydaemon/command.go
@@ -0,0 +1,105 @@
+package daisydaemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/joomcode/errorx"
+	"github.com/spf13/cobra"
+
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/io/daisysetting"
+)
+
+// Exit codes of the daemon.
+const (
+	ExitDone   = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Main runs the daemon until a signal or a planned stop and gives its exit code.
+func Main(ctx context.Context, args []string, out, log io.Writer) int {
+	c := NewCmdDaemon(log, nil)
+	c.SetArgs(args)
+	c.SetOut(out)
+	c.SetErr(log)
+	err := c.ExecuteContext(ctx)
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintln(log, messageOf(err))
+	if errorx.IsOfType(err, daisyerror.InvalidSetting) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func messageOf(err error) string {
+	if x := errorx.Cast(err); x != nil && x.Cause() == nil {
+		return x.Message()
+	}
+	return err.Error()
+}
+
+// NewCmdDaemon gives the daemon's command; a nil run stands for the daemon itself.
+func NewCmdDaemon(log io.Writer, run func(context.Context, Options) error) *cobra.Command {
+	if run == nil {
+		run = daemonRun
+	}
+	c := &cobra.Command{
+		Use:   "daisyd",
+		Short: "Balance callers' requests over endpoints, on one entry VM",
+		Long:  "Each flag has an environment variable: --callers is DAISYYOKE_CALLERS.",
+		Example: `  $ daisyd --vm vm-1 --availability-zone vigia-lar/lisboa-1 --platform http://127.0.0.1:9100 --peers 127.0.0.1:8082
+  $ daisyd --vm vm-1 --availability-zone vigia-lar/lisboa-1 --platform embedded --intent intent.yaml`,
+		Args:          noArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	flags := daisysetting.Bind(c.Flags())
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return daisyerror.InvalidSetting.New("%s; see daisyd --help", err.Error())
+	})
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if err := flags.ReadEnvironment(); err != nil {
+			return err
+		}
+		settings, err := flags.Check()
+		if err != nil {
+			return err
+		}
+		return run(c.Context(), Options{Settings: settings, Log: log})
+	}
+	return c
+}
+
+func noArgs(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return daisyerror.InvalidSetting.New("%q: daisyd takes flags only; see daisyd --help", args[0])
+	}
+	return nil
+}
+
+func daemonRun(ctx context.Context, options Options) error {
+	signals, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, err := New(signals, options)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	select {
+	case <-signals.Done():
+		d.WantStop("signal")
+	case <-d.members.Superseded():
+		d.WantStop("superseded")
+	case <-d.Stopped():
+	}
+	<-d.Stopped()
+	return nil
+}
--- /dev/null
+++ b/io/daisydaemon/daemon.go
@@ -0,0 +1,210 @@
+// Package daisydaemon assembles the daemon of one entry VM.
+package daisydaemon
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisycaller"
+	"daisyyoke/io/daisyconnection"
+	"daisyyoke/io/daisycontroller"
+	"daisyyoke/io/daisyforward"
+	"daisyyoke/io/daisylog"
+	"daisyyoke/io/daisymetric"
+	"daisyyoke/io/daisypeer"
+	"daisyyoke/io/daisyplatform"
+	"daisyyoke/io/daisysetting"
+)
+
+// Options are what a Daemon depends on.
+type Options struct {
+	Settings daisysetting.Settings
+	// Platform stands in for the one that the settings name, so that several
+	// daemons of one process can share an embedded one; nil for none.
+	Platform daisyplatform.Platform
+	// Log gets the JSON lines.
+	Log io.Writer
+}
+
+// Daemon is the whole of one entry VM. Its parts are closed in the reverse order of their start.
+type Daemon struct {
+	settings daisysetting.Settings
+	self     daisyvm.VM
+	platform daisyplatform.Platform
+
+	log       *daisylog.Log
+	logger    hclog.Logger
+	metrics   *daisymetric.Metrics
+	listeners listeners
+	inbox     *daisycontroller.Inbox
+	links     *daisypeer.Links
+	pool      *daisyconnection.Pool
+	routes    *daisycontroller.Route
+	members   *daisycontroller.Member
+	config    *daisycontroller.Config
+	plans     *daisycontroller.Plan
+	forwarder *daisyforward.Forwarder
+	callers   *daisycaller.Server
+	operators *operatorServer
+	closers   []func()
+
+	stopping sync.Once
+	stops    sync.WaitGroup
+	stopped  chan struct{}
+}
+
+// New starts a daemon. It fails with daisyerror.InvalidSetting when a setting
+// cannot be used and daisyerror.Unavailable when an address cannot be listened
+// on; nothing is left running then.
+func New(ctx context.Context, options Options) (*Daemon, error) {
+	d := &Daemon{settings: options.Settings, platform: options.Platform, stopped: make(chan struct{})}
+	steps := []func() error{
+		func() error { return d.startLog(options.Log) },
+		d.listen,
+		d.findPlatform,
+		d.startControllers,
+		d.startCallers,
+		d.startOperators,
+		func() error { return d.confirmFirst(ctx) },
+	}
+	for _, s := range steps {
+		if err := s(); err != nil {
+			d.Close()
+			return nil, err
+		}
+	}
+	d.logger.Info("started", "vm", d.self.Name, "callers", d.listeners.callersAddress(), "operators", d.listeners.operatorsAddress())
+	return d, nil
+}
+
+// Close stops everything at once and waits; requests in flight are cut. See Stop for a planned stop.
+func (d *Daemon) Close() {
+	for i := len(d.closers) - 1; i >= 0; i-- {
+		d.closers[i]()
+	}
+	d.closers = nil
+	d.listeners.close()
+}
+
+// onClose adds a step of Close.
+func (d *Daemon) onClose(f func()) { d.closers = append(d.closers, f) }
+
+func (d *Daemon) startLog(w io.Writer) error {
+	log, err := daisylog.New(daisylog.Options{Output: w, Level: d.settings.LogLevel.String()})
+	if err != nil {
+		return err
+	}
+	d.log = log
+	d.logger = log.Logger()
+	d.metrics = daisymetric.New()
+	d.onClose(log.Close)
+	return nil
+}
+
+func (d *Daemon) listen() error {
+	err := d.listeners.open(d.settings)
+	if err != nil {
+		return err
+	}
+	d.self = daisyvm.VM{
+		Name:        d.settings.VM,
+		Incarnation: daisyvm.Incarnation(time.Now().UnixMicro()),
+		Zone:        d.settings.Zone,
+		Callers:     withPort(d.settings.Advertise, d.listeners.callersAddress()),
+		Peers:       d.listeners.peersAddress(),
+	}
+	return nil
+}
+
+// withPort gives an address the port that was listened on where its own is 0.
+func withPort(address, listening netip.AddrPort) netip.AddrPort {
+	if address.Port() != 0 {
+		return address
+	}
+	return netip.AddrPortFrom(address.Addr(), listening.Port())
+}
+
+// confirmFirst confirms the intent that the settings name.
+func (d *Daemon) confirmFirst(ctx context.Context) error {
+	embedded, ok := d.settings.Platform.(daisysetting.EmbeddedPlatform)
+	if !ok || embedded.IntentFile == "" {
+		return nil
+	}
+	intent, err := readIntent(embedded.IntentFile)
+	if err != nil {
+		return err
+	}
+	return d.plans.ConfirmFirst(ctx, intent, "start")
+}
+
+// Callers gives the callers' address that is listened on.
+func (d *Daemon) Callers() netip.AddrPort { return d.listeners.callersAddress() }
+
+// Operators gives the operators' address that is listened on.
+func (d *Daemon) Operators() netip.AddrPort { return d.listeners.operatorsAddress() }
+
+// InForce gives the configuration in force, or nil.
+func (d *Daemon) InForce() *daisyconfig.Snapshot { return d.config.InForce() }
+
+// listeners are the open sockets of a daemon.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	// peers is nil when the VM stands alone.
+	peers net.Listener
+}
+
+func (l *listeners) open(s daisysetting.Settings) error {
+	var err error
+	if l.callers, err = listen("callers", s.Callers); err != nil {
+		return err
+	}
+	if l.operators, err = listen("operators", s.Operators); err != nil {
+		return err
+	}
+	if !s.Peers.IsValid() {
+		return nil
+	}
+	l.peers, err = listen("peers", s.Peers)
+	return err
+}
+
+func listen(flag string, address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, daisyerror.Unavailable.Wrap(err, "--%s: cannot listen on %s", flag, address)
+	}
+	return listener, nil
+}
+
+func (l *listeners) callersAddress() netip.AddrPort   { return addressOf(l.callers) }
+func (l *listeners) operatorsAddress() netip.AddrPort { return addressOf(l.operators) }
+func (l *listeners) peersAddress() netip.AddrPort     { return addressOf(l.peers) }
+
+func addressOf(l net.Listener) netip.AddrPort {
+	if l == nil {
+		return netip.AddrPort{}
+	}
+	address, ok := l.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	return address.AddrPort()
+}
+
+func (l *listeners) close() {
+	for _, s := range []net.Listener{l.callers, l.operators, l.peers} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+}
--- /dev/null
+++ b/io/daisydaemon/operator.go
@@ -0,0 +1,116 @@
+package daisydaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisyoperator"
+)
+
+const (
+	operatorHeaderTime = 5 * time.Second
+	operatorIdleTime   = time.Minute
+)
+
+// operatorServer serves operators until it is closed.
+type operatorServer struct {
+	server *http.Server
+	ended  sync.WaitGroup
+}
+
+func newOperatorServer(listener net.Listener, handler http.Handler) *operatorServer {
+	s := &operatorServer{server: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: operatorHeaderTime,
+		IdleTimeout:       operatorIdleTime,
+	}}
+	s.ended.Go(func() { _ = s.server.Serve(listener) })
+	return s
+}
+
+// Close cuts what is under way and waits.
+func (s *operatorServer) Close() {
+	_ = s.server.Close()
+	s.ended.Wait()
+}
+
+func (d *Daemon) startOperators() error {
+	desk := &daisyoperator.Desk{Plans: d.plans, Configs: d.config, Work: d.routes, Members: operatorMembers{d}}
+	handler := daisyoperator.NewHandler(desk, health{d}, d.logger, daisyoperator.LimitBody{})
+	d.operators = newOperatorServer(d.listeners.operators, handler)
+	d.onClose(d.operators.Close)
+	return nil
+}
+
+// operatorMembers shows the membership to operators.
+type operatorMembers struct{ daemon *Daemon }
+
+// ListVMs gives this VM first, then the others by name.
+func (m operatorMembers) ListVMs() []daisyoperator.VM {
+	table := m.daemon.members.Table()
+	self := encodeMember(table.Self)
+	self.Self = true
+	list := []daisyoperator.VM{self}
+	for _, o := range table.Others {
+		list = append(list, encodeMember(o))
+	}
+	return list
+}
+
+func encodeMember(m daisyvm.Member) daisyoperator.VM {
+	state := m.State.String()
+	if m.Status.Leaving {
+		state = "leaving"
+	}
+	return daisyoperator.VM{
+		Name:     string(m.VM.Name),
+		Zone:     m.VM.Zone.String(),
+		Callers:  m.VM.Callers,
+		State:    state,
+		Revision: m.Status.Revision,
+		Ready:    m.Status.Ready,
+		Spare:    int(m.Status.Spare),
+	}
+}
+
+// Drain begins a planned stop of this VM or asks another for it.
+func (m operatorMembers) Drain(_ context.Context, name daisyvm.Name) error {
+	if name == m.daemon.self.Name {
+		m.daemon.WantStop(string(name))
+		return nil
+	}
+	for _, o := range m.daemon.members.Table().Others {
+		if o.VM.Name == name {
+			m.daemon.linker().Send(name, daisymessage.StopWanted{By: string(m.daemon.self.Name)})
+			return nil
+		}
+	}
+	return daisyerror.NotFound.New("no VM %s", name)
+}
+
+// health gives the state of a daemon to operators.
+type health struct{ daemon *Daemon }
+
+// Readiness says which services the VM can serve.
+func (h health) Readiness() daisyoperator.Readiness {
+	if h.daemon.config.InForce() == nil {
+		return daisyoperator.Readiness{Reason: "no configuration is in force yet"}
+	}
+	r := daisyoperator.Readiness{Ready: true}
+	for _, s := range h.daemon.routes.Services() {
+		r.Services = append(r.Services, daisyoperator.ServiceReady{Fleet: string(s.ID.Fleet), Service: s.ID.Name, Ready: true})
+	}
+	return r
+}
+
+// WriteMetrics writes the metrics in the Prometheus text format.
+func (h health) WriteMetrics(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	h.daemon.metrics.WritePrometheus(w)
+}
--- /dev/null
+++ b/io/daisydaemon/start.go
@@ -0,0 +1,185 @@
+package daisydaemon
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisycaller"
+	"daisyyoke/io/daisyconnection"
+	"daisyyoke/io/daisycontroller"
+	"daisyyoke/io/daisyfilter"
+	"daisyyoke/io/daisyforward"
+	"daisyyoke/io/daisyintent"
+	"daisyyoke/io/daisyload"
+	"daisyyoke/io/daisypeer"
+	"daisyyoke/io/daisyplatform"
+	"daisyyoke/io/daisysetting"
+)
+
+// maxRequests bounds the requests in hand of one VM.
+const maxRequests = 20_000
+
+func (d *Daemon) findPlatform() error {
+	if d.platform != nil {
+		return nil
+	}
+	switch p := d.settings.Platform.(type) {
+	case daisysetting.EmbeddedPlatform:
+		d.platform = daisyplatform.NewEmbedded()
+	case daisysetting.RemotePlatform:
+		base, err := url.Parse(p.URL)
+		if err != nil {
+			return daisyerror.InvalidSetting.Wrap(err, "--platform %q", p.URL)
+		}
+		d.platform = daisyplatform.NewClient(*base, nil)
+	}
+	return nil
+}
+
+func (d *Daemon) startControllers() error {
+	seed := uint64(d.self.Incarnation)
+	d.inbox = daisycontroller.NewInbox()
+	d.onClose(d.inbox.Close)
+	d.startLinks(seed)
+	d.pool = daisyconnection.NewPool(daisyconnection.DefaultLimits())
+	d.onClose(d.pool.Close)
+	d.routes = daisycontroller.NewRoute(daisycontroller.RouteOptions{
+		Self:    d.self,
+		Sender:  d.linker(),
+		Prober:  daisyload.NewProber(d.pool),
+		Metrics: d.metrics,
+		Seed:    seed,
+	})
+	d.onClose(d.routes.Close)
+	d.members = daisycontroller.NewMember(daisycontroller.MemberOptions{
+		Self:   d.self,
+		Linker: d.linker(),
+		List:   d.platform,
+		Peers:  []daisycontroller.PeerApplier{d.routes, poolPeers{d.pool}},
+		Spare:  routeSpare{d.routes},
+		Logger: d.logger,
+		Seed:   seed,
+	})
+	d.onClose(d.members.Close)
+	d.config = daisycontroller.NewConfig(daisycontroller.ConfigOptions{
+		Self:     d.self,
+		Platform: d.platform,
+		Sender:   d.linker(),
+		Appliers: []daisycontroller.Applier{d.routes, d.pool, d.members},
+		Logger:   d.logger,
+		Seed:     seed,
+	})
+	d.onClose(d.config.Close)
+	d.plans = daisycontroller.NewPlan(daisycontroller.PlanOptions{
+		Self:     d.self,
+		Platform: d.platform,
+		Config:   d.config,
+		Logger:   d.logger,
+		Seed:     seed,
+	})
+	d.onClose(d.plans.Close)
+	d.inbox.Attach(daisycontroller.Receivers{Member: d.members, Config: d.config, Route: d.routes, Stopper: d})
+	return nil
+}
+
+func (d *Daemon) startLinks(seed uint64) {
+	if d.listeners.peers == nil {
+		return
+	}
+	d.links = daisypeer.NewLinks(daisypeer.Options{
+		Self:     d.self,
+		Listener: d.listeners.peers,
+		Dialer:   plainDialer{},
+		Receiver: d.inbox,
+		Logger:   d.logger,
+		Seed:     seed,
+	})
+	d.onClose(d.links.Close)
+	for _, a := range d.settings.Seeds {
+		d.links.Connect(daisyvm.VM{Peers: a})
+	}
+}
+
+// linker gives the links, or one without links when the VM stands alone.
+func (d *Daemon) linker() daisycontroller.Linker {
+	if d.links == nil {
+		return noLinks{}
+	}
+	return d.links
+}
+
+func (d *Daemon) startCallers() error {
+	limits := daisyforward.DefaultLimits()
+	d.forwarder = daisyforward.New(daisyforward.Options{
+		Self:    d.self.Name,
+		Routes:  d.routes,
+		Pool:    d.pool,
+		Limits:  limits,
+		Log:     d.log,
+		Metrics: d.metrics,
+	})
+	d.onClose(d.forwarder.Close)
+	chain := daisyfilter.NewChain(daisyfilter.Options{
+		Forwarder: d.forwarder,
+		Stall:     limits.Stall,
+		Metrics:   d.metrics,
+		Filters: []daisyfilter.Filter{
+			daisyfilter.NewAdmit(maxRequests),
+			daisyfilter.Screen{},
+			daisyfilter.Addresses{Book: d.members},
+			daisyfilter.Identify{Services: d.routes},
+			daisyfilter.Classify{},
+		},
+	})
+	d.callers = daisycaller.NewServer(daisycaller.Options{
+		Listener: d.listeners.callers,
+		Handler:  chain,
+		Limits:   daisycaller.DefaultLimits(),
+	})
+	d.onClose(d.callers.Close)
+	return nil
+}
+
+func readIntent(name string) (daisyconfig.Intent, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return daisyconfig.Intent{}, daisyerror.InvalidSetting.Wrap(err, "--intent")
+	}
+	defer func() { _ = file.Close() }()
+	intent, err := daisyintent.Decode(file)
+	if err != nil {
+		return daisyconfig.Intent{}, daisyerror.InvalidSetting.Wrap(err, "--intent %s", name)
+	}
+	return intent, nil
+}
+
+// poolPeers tells the connection pool how many VMs share the endpoints.
+type poolPeers struct{ pool *daisyconnection.Pool }
+
+// SetPeers counts the VMs, this one among them.
+func (p poolPeers) SetPeers(vms []daisyvm.VM) { p.pool.SetVMs(len(vms)) }
+
+// routeSpare is the spare capacity of all services together.
+type routeSpare struct{ routes *daisycontroller.Route }
+
+// Spare counts the requests that could be started at once.
+func (s routeSpare) Spare() uint32 { return uint32(max(s.routes.Spare(), 0)) }
+
+// plainDialer opens connections without TLS.
+type plainDialer struct{}
+
+// Dial opens a connection. It fails with daisyerror.Unavailable.
+func (plainDialer) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, daisyerror.Unavailable.Wrap(err, "dialing %s", address)
+	}
+	return conn, nil
+}
