Let the callers of the stop test hold answers of different ages

All callers renewed their answers in the same moment, so that the test passed without any margin for late word of leaving. With answers of different ages it fails for a margin of 0 and passes with 2 s.

--- a/core/daisystop/stop_test.go
+++ b/core/daisystop/stop_test.go
@@ -256,7 +256,12 @@
 	if c.vm != nil && y.now.Sub(c.since) < daisyvm.KeepFor {
 		return
 	}
-	c.since = y.now
+	if c.vm == nil {
+		// The callers' first answers are of different ages.
+		c.since = y.now.Add(-time.Duration(y.random.Int64N(int64(daisyvm.KeepFor))))
+	} else {
+		c.since = y.now
+	}
 	first := 0
 	if late := time.Duration(y.random.IntN(1000)) * time.Millisecond; !left.IsZero() && y.now.Sub(left) > late {
 		first = 1
