--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -1,10 +1,8 @@
 package daisyforward
 
 import (
-	"errors"
 	"io"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -50,7 +48,7 @@
 		Title:  "The body of the request broke off",
 		Run:    daisyrequest.MayHaveRun,
 	}
-	if errors.Is(x.source.failure(), os.ErrDeadlineExceeded) {
+	if x.source.stalled() {
 		p.Status = http.StatusRequestTimeout
 		p.Title = "No byte of the request's body arrived for too long"
 	}
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -136,7 +136,12 @@
 			return
 		case <-ctx.Done():
 			x.ticket.Abandon()
-			return
+			if x.source.stalled() {
+				x.refuseBody()
+				return
+			}
+			// The caller has gone. A return would be an empty answer with status 200.
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
--- a/io/daisyforward/source.go
+++ b/io/daisyforward/source.go
@@ -1,8 +1,10 @@
 package daisyforward
 
 import (
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -24,7 +26,9 @@
 	// err is what ended the body, io.EOF when it is whole.
 	err     error
 	reading bool
-	closed  bool
+	// due is when the read under way has taken too long.
+	due    time.Time
+	closed bool
 	// changed is closed and replaced after each read.
 	changed chan struct{}
 	ended   sync.WaitGroup
@@ -54,7 +58,7 @@
 }
 
 func (s *source) read(chunk []byte) {
-	_ = s.control.SetReadDeadline(time.Now().Add(s.limits.Stall))
+	_ = s.control.SetReadDeadline(s.expect())
 	n, err := s.request.Body.Read(chunk)
 	// Only a read under way has a limit: the endpoint may take its time.
 	_ = s.control.SetReadDeadline(time.Time{})
@@ -62,6 +66,7 @@
 	defer s.mu.Unlock()
 	s.held = append(s.held, chunk[:n]...)
 	s.reading = false
+	s.due = time.Time{}
 	s.err = err
 	if err != nil && err != io.EOF {
 		close(s.failed)
@@ -70,6 +75,28 @@
 	s.changed = make(chan struct{})
 }
 
+// expect gives the time by which the read that begins now has to bring a byte.
+func (s *source) expect() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.due = time.Now().Add(s.limits.Stall)
+	return s.due
+}
+
+// stalled says that the caller sent no byte for too long. In HTTP/1.1 the
+// request's context ends with the deadline, a moment before the read does.
+func (s *source) stalled() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reading {
+		return !s.due.IsZero() && !time.Now().Before(s.due)
+	}
+	return errors.Is(s.err, os.ErrDeadlineExceeded)
+}
+
 // ask runs under the lock.
 func (s *source) ask() {
 	if s.reading || s.closed || s.err != nil {
@@ -109,13 +136,6 @@
 	return s.err != nil && s.err != io.EOF
 }
 
-// failure gives what broke the caller's body off.
-func (s *source) failure() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.err
-}
-
 // close waits for a read under way, which it ends, so that the server has the body to itself again.
 func (s *source) close() {
 	if s == nil {
