Use slot credits on the daemon

Cause: each VM guessed the others' work, so that endpoints shed. Ruled out: queue limits and early refusal; the log lines name budget-spent and attempts-spent after shed attempts. Change: the Route controller gives its dispatchers the Credits policy.

--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -99,7 +99,12 @@
 		return
 	}
 	random := rand.New(rand.NewPCG(c.options.Seed, uint64(len(shards))))
-	dispatcher := daisyroute.NewDispatcher(daisyroute.Options{Self: c.options.Self, Service: service, Random: random})
+	dispatcher := daisyroute.NewDispatcher(daisyroute.Options{
+		Self:    c.options.Self,
+		Service: service,
+		Policy:  daisyroute.Credits{},
+		Random:  random,
+	})
 	shards[service.ID] = newRouteShard(c, service, dispatcher)
 }
 
