Choose the trial's ports below those of outgoing connections

Cause: a port that was free when chosen was taken by an outgoing connection before daisyd listened on it (bind: address already in use, once in four trials). Change: ports from 15,000 up, each tried.

--- a/examples/trial/fleet.go
+++ b/examples/trial/fleet.go
@@ -43,12 +43,13 @@
 	addresses []netip.AddrPort
 	vms       []vm
 	client    *http.Client
+	ports     *ports
 }
 
 // startFleet starts the platform's stand-in, the endpoints and the daemons, and
 // confirms the configuration.
 func startFleet(ctx context.Context, folder string, o *options) (*fleet, error) {
-	f := &fleet{folder: folder, client: &http.Client{Timeout: time.Second}}
+	f := &fleet{folder: folder, client: &http.Client{Timeout: time.Second}, ports: newPorts()}
 	steps := []func() error{
 		f.startPlatform,
 		func() error { return f.startEndpoints(o) },
@@ -65,7 +66,7 @@
 }
 
 func (f *fleet) startPlatform() error {
-	address, err := freeAddress()
+	address, err := f.ports.take()
 	if err != nil {
 		return err
 	}
@@ -76,7 +77,7 @@
 
 func (f *fleet) startEndpoints(o *options) error {
 	for i := range o.endpoints {
-		address, err := freeAddress()
+		address, err := f.ports.take()
 		if err != nil {
 			return err
 		}
@@ -96,7 +97,7 @@
 		var addresses [3]netip.AddrPort
 		for j := range addresses {
 			var err error
-			if addresses[j], err = freeAddress(); err != nil {
+			if addresses[j], err = f.ports.take(); err != nil {
 				return err
 			}
 		}
--- a/examples/trial/process.go
+++ b/examples/trial/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -67,17 +68,34 @@
 	<-ended
 }
 
-// freeAddress gives a loopback address that nothing listens on just now.
-func freeAddress() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, daisyerror.Unavailable.Wrap(err, "finding a free port")
-	}
-	address := listener.Addr().(*net.TCPAddr).AddrPort()
-	if err := listener.Close(); err != nil {
-		return netip.AddrPort{}, daisyerror.Unavailable.Wrap(err, "finding a free port")
+const (
+	// firstPort and lastPort lie below the ports that systems give to outgoing
+	// connections, so that none takes a port between its choice and its use.
+	firstPort = 15_000
+	lastPort  = 30_000
+)
+
+// ports gives loopback addresses that nothing listens on.
+type ports struct{ next uint16 }
+
+func newPorts() *ports {
+	return &ports{next: uint16(firstPort + rand.IntN((lastPort-firstPort)/2))}
+}
+
+// take gives the next free address. It fails with daisyerror.Unavailable.
+func (p *ports) take() (netip.AddrPort, error) {
+	for p.next < lastPort {
+		p.next++
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p.next)
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err == nil {
+			return address, nil
+		}
 	}
-	return address, nil
+	return netip.AddrPort{}, daisyerror.Unavailable.New("no free port below %d", lastPort)
 }
 
 // build compiles the programs of the trial into a folder.
