Send callers by what a VM's own requests leave, and mark VMs ready

Cause: the spare capacity in heartbeats was the credits held, which follow the callers: 85% of 15,108 requests went to the two VMs of one zone (6,280 and 6,657 against 95 to 1,419). A caller of the trial also took a refused connection for a lost request, because a wrapped cause hid the dial error. Change: spare is the services' slots less the VM's own requests; the VM is marked ready once a configuration is in force; the trial's callers try the next address where no connection could be had.

--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -136,7 +136,10 @@
 	return t, nil
 }
 
-// Spare gives how many further requests of all services could be started at once.
+// Spare gives how many further requests of all services this VM could take if the
+// others had none: the services' slots less this VM's own requests. The credits
+// held say nothing of it, since they follow the callers; callers sent after them
+// would all end up at one VM.
 func (c *Route) Spare() int {
 	spare := 0
 	for _, s := range *c.shards.Load() {
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -76,12 +76,13 @@
 }
 
 func (s *routeShard) spare() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.service.Load() == nil {
+	service := s.service.Load()
+	if service == nil {
 		return 0
 	}
-	return s.dispatcher.Spare()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(service.Slots()-len(s.tickets), 0)
 }
 
 func (s *routeShard) begin(t *Ticket) {
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -71,7 +71,7 @@
 		Self:     d.self,
 		Platform: d.platform,
 		Sender:   d.linker(),
-		Appliers: []daisycontroller.Applier{d.routes, d.pool, d.members},
+		Appliers: []daisycontroller.Applier{d.routes, d.pool, d.members, readiness{d.members}},
 		Logger:   d.logger,
 		Seed:     seed,
 	})
@@ -165,6 +165,12 @@
 // SetPeers counts the VMs, this one among them.
 func (p poolPeers) SetPeers(vms []daisyvm.VM) { p.pool.SetVMs(len(vms)) }
 
+// readiness says that the VM can serve once a configuration is in force.
+type readiness struct{ members *daisycontroller.Member }
+
+// Apply says that every service of the configuration has its shard.
+func (r readiness) Apply(*daisyconfig.Snapshot) { r.members.SetReady(true) }
+
 // routeSpare is the spare capacity of all services together.
 type routeSpare struct{ routes *daisycontroller.Route }
 
--- a/io/daisytrial/caller.go
+++ b/io/daisytrial/caller.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"daisyyoke/core/daisyerror"
 )
 
@@ -37,16 +40,22 @@
 			return judge(call, response, started)
 		}
 		failure = err
-		if !isDialError(err) {
+		if !errorx.IsOfType(err, notConnected) {
 			break
 		}
 	}
 	return NoAnswer{Cause: failure}
 }
 
-func isDialError(err error) bool {
+// notConnected marks a request that had no connection to be sent over.
+var notConnected = daisyerror.Unavailable.NewSubtype("not-connected")
+
+func sendFault(err error, address netip.AddrPort) error {
 	var operation *net.OpError
-	return asError(err, &operation) && operation.Op == "dial"
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return notConnected.Wrap(err, "connecting to %s", address)
+	}
+	return daisyerror.Unavailable.Wrap(err, "sending to %s", address)
 }
 
 func (c *caller) do(ctx context.Context, address netip.AddrPort, call Call) (*http.Response, error) {
@@ -66,7 +75,7 @@
 	request.Header.Set("X-Request-Id", call.Key)
 	response, err := c.client.Do(request)
 	if err != nil {
-		return nil, daisyerror.Unavailable.Wrap(err, "sending to %s", address)
+		return nil, sendFault(err, address)
 	}
 	return response, nil
 }
--- a/io/daisytrial/load.go
+++ b/io/daisytrial/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -81,5 +80,3 @@
 		return false
 	}
 }
-
-func asError[T error](err error, target *T) bool { return errors.As(err, target) }
