--- /dev/null
+++ b/io/daisypeer/contract_test.go
@@ -0,0 +1,209 @@
+package daisypeer_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyfleet"
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisypeer"
+	"daisyyoke/io/daisywire"
+)
+
+func helloBytes(t testing.TB, version uint32, name string) []byte {
+	t.Helper()
+	b, err := proto.Marshal(&daisywire.Hello{Version: version, Vm: &daisywire.VM{Name: name, Incarnation: 1}})
+	assert.NilError(t, err)
+	return append(binary.AppendUvarint(nil, uint64(len(b))), b...)
+}
+
+func TestConnectionsThatBecomeNoLink(t *testing.T) {
+	whole := helloBytes(t, daisypeer.Version, "vm-2")
+	cases := []struct {
+		name  string
+		bytes []byte
+	}{
+		{name: "garbage", bytes: []byte("GET / HTTP/1.1\r\nHost: lookups.vigia-lar\r\n\r\n")},
+		{name: "false length", bytes: bytes.Repeat([]byte{0xff}, 16)},
+		{name: "truncated", bytes: whole[:len(whole)-3]},
+		{name: "oversized", bytes: append(binary.AppendUvarint(nil, 1<<30), make([]byte, 64)...)},
+		{name: "closed at once"},
+		{name: "later version", bytes: helloBytes(t, daisypeer.Version+2, "vm-2")},
+		{name: "this VM's own name", bytes: helloBytes(t, daisypeer.Version, "vm-1")},
+		{name: "no name", bytes: helloBytes(t, daisypeer.Version, "")},
+		{name: "bad name", bytes: helloBytes(t, daisypeer.Version, "VM 2")},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := startNode(t, "vm-1", 1)
+			conn, err := net.Dial("tcp", a.vm.Peers.String())
+			assert.NilError(t, err)
+			_, err = conn.Write(c.bytes)
+			assert.NilError(t, err)
+			// The VM may have closed the connection already.
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+			a.links.Close()
+			assert.Equal(t, len(a.inbox.opened), 0)
+			assert.Equal(t, a.links.Counts().Refused, uint64(1))
+		})
+	}
+}
+
+// scripted dials connections whose other end is in the hands of the test.
+type scripted struct{ conns chan net.Conn }
+
+func (d scripted) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	near, far := net.Pipe()
+	d.conns <- far
+	return near, nil
+}
+
+func startScripted(t testing.TB) (*node, scripted) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	d := scripted{conns: make(chan net.Conn)}
+	n := &node{vm: daisyvm.VM{Name: "vm-1", Incarnation: 1}, inbox: newInbox()}
+	n.links = daisypeer.NewLinks(daisypeer.Options{Self: n.vm, Listener: listener, Dialer: d, Receiver: n.inbox})
+	t.Cleanup(n.links.Close)
+	return n, d
+}
+
+// sayHello exchanges hellos at the far end and leaves the rest to the test.
+func sayHello(t testing.TB, conn net.Conn, version uint32, name string) {
+	t.Helper()
+	go func() { _, _ = conn.Write(helloBytes(t, version, name)) }()
+	length := make([]byte, 1)
+	_, err := io.ReadFull(conn, length)
+	assert.NilError(t, err)
+	_, err = io.CopyN(io.Discard, conn, int64(length[0]))
+	assert.NilError(t, err)
+}
+
+func TestOtherVMThanTheOneDialedIsRefused(t *testing.T) {
+	n, d := startScripted(t)
+	n.links.Connect(daisyvm.VM{Name: "vm-2"})
+	conn := <-d.conns
+	sayHello(t, conn, daisypeer.Version, "vm-3")
+	_, err := conn.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(n.inbox.opened), 0)
+	close(drainConns(d))
+}
+
+// drainConns keeps dialers from waiting for the test until the channel is closed.
+func drainConns(d scripted) chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case c := <-d.conns:
+				_ = c.Close()
+			case <-done:
+				return
+			}
+		}
+	}()
+	return done
+}
+
+func TestVersionsOneApartAreLinked(t *testing.T) {
+	for _, version := range []uint32{daisypeer.Version - 1, daisypeer.Version + 1} {
+		n, d := startScripted(t)
+		n.links.Connect(daisyvm.VM{Name: "vm-2"})
+		conn := <-d.conns
+		sayHello(t, conn, version, "vm-2")
+		assert.Equal(t, (<-n.inbox.opened).Name, daisyvm.Name("vm-2"))
+		_ = conn.Close()
+		defer close(drainConns(d))
+	}
+}
+
+func TestPausedPeerBlocksNobody(t *testing.T) {
+	n, d := startScripted(t)
+	n.links.Connect(daisyvm.VM{Name: "vm-2"})
+	conn := <-d.conns
+	sayHello(t, conn, daisypeer.Version, "vm-2")
+	<-n.inbox.opened
+	const messages = 10_000
+	for range messages {
+		n.links.Send("vm-2", daisymessage.StopWanted{By: "ana"})
+	}
+	c := n.links.Counts()
+	assert.Assert(t, c.Dropped > 0 && c.Dropped < messages, "%d of %d dropped", c.Dropped, messages)
+	_ = conn.Close()
+	close(drainConns(d))
+}
+
+func TestBothDialAndOneLinkStands(t *testing.T) {
+	for range 20 {
+		a, b := startNode(t, "vm-1", 1), startNode(t, "vm-2", 1)
+		a.links.ConnectSeed(b.vm.Peers)
+		b.links.ConnectSeed(a.vm.Peers)
+		<-a.inbox.opened
+		<-b.inbox.opened
+		a.sendUntilReceived("vm-2", b)
+		b.sendUntilReceived("vm-1", a)
+		assert.Equal(t, len(a.links.Linked()), 1)
+		a.links.Close()
+		b.links.Close()
+	}
+}
+
+// sendUntilReceived repeats a message, since the link that it went over may have been replaced.
+func (n *node) sendUntilReceived(name daisyvm.Name, to *node) {
+	again := time.NewTicker(time.Millisecond)
+	defer again.Stop()
+	for {
+		n.links.Send(name, daisymessage.StopWanted{})
+		select {
+		case <-to.inbox.messages:
+			return
+		case <-again.C:
+		}
+	}
+}
+
+func largeSnapshot() daisymessage.SnapshotGiven {
+	fleet := daisyconfig.Fleet{Name: "vigia-lar"}
+	for range 100_000 {
+		fleet.AvailabilityZones = append(fleet.AvailabilityZones, daisyfleet.AvailabilityZone{City: "lisboa, or a name as long as this one"})
+	}
+	return daisymessage.SnapshotGiven{Snapshot: daisyconfig.Snapshot{Revision: 1, Intent: daisyconfig.Intent{Fleets: []daisyconfig.Fleet{fleet}}}}
+}
+
+func TestUrgentMessagePassesALargeSnapshot(t *testing.T) {
+	a, b := startNode(t, "vm-1", 1), startNode(t, "vm-2", 1)
+	a.links.Connect(b.vm)
+	<-a.inbox.opened
+	<-b.inbox.opened
+	a.links.Send("vm-2", largeSnapshot())
+	a.links.Send("vm-2", daisymessage.StopWanted{By: "ana"})
+	_, first := (<-b.inbox.messages).message.(daisymessage.StopWanted)
+	_, second := (<-b.inbox.messages).message.(daisymessage.SnapshotGiven)
+	assert.Assert(t, first && second)
+}
+
+func TestOversizedMessageIsDroppedAlone(t *testing.T) {
+	a, b := startNode(t, "vm-1", 1), startNode(t, "vm-2", 1)
+	a.links.Connect(b.vm)
+	<-a.inbox.opened
+	<-b.inbox.opened
+	a.links.Send("vm-2", daisymessage.StopWanted{By: string(make([]byte, 1<<20))})
+	a.links.Send("vm-2", daisymessage.StopWanted{By: "ana"})
+	assert.Equal(t, (<-b.inbox.messages).message, daisymessage.StopWanted{By: "ana"})
+	assert.Equal(t, a.links.Counts().Dropped, uint64(1))
+}
--- a/io/daisypeer/links.go
+++ b/io/daisypeer/links.go
@@ -214,7 +214,7 @@
 		_ = conn.Close()
 		return nil, Outdated.New("a link to %q stands", peer.vm.Name)
 	}
-	session, err := newSession(conn, dialed)
+	session, err := newSession(&sessionConn{Conn: conn, counts: &s.counts}, dialed)
 	if err != nil {
 		s.mu.Unlock()
 		_ = conn.Close()
@@ -279,22 +279,33 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Sent, Received, Dropped, Ignored, Refused, Batches uint64
+	// Sent and Received count messages, Batches the writes that they were sent in.
+	Sent, Received, Batches uint64
+	// Dropped counts messages that had no link, no room in a queue or too great a length.
+	Dropped uint64
+	// Ignored counts messages of a later version.
+	Ignored uint64
+	// Refused counts connections that did not become links.
+	Refused uint64
+	// BytesSent and BytesReceived leave out hellos and what TLS and TCP add.
+	BytesSent, BytesReceived uint64
 }
 
 type counts struct {
-	sent, received, dropped, ignored, refused, batches atomic.Uint64
+	sent, received, batches, dropped, ignored, refused, bytesSent, bytesReceived atomic.Uint64
 }
 
 // Counts gives the totals of all links.
 func (s *Links) Counts() Counts {
 	c := &s.counts
 	return Counts{
-		Sent:     c.sent.Load(),
-		Received: c.received.Load(),
-		Dropped:  c.dropped.Load(),
-		Ignored:  c.ignored.Load(),
-		Refused:  c.refused.Load(),
-		Batches:  c.batches.Load(),
+		Sent:          c.sent.Load(),
+		Received:      c.received.Load(),
+		Batches:       c.batches.Load(),
+		Dropped:       c.dropped.Load(),
+		Ignored:       c.ignored.Load(),
+		Refused:       c.refused.Load(),
+		BytesSent:     c.bytesSent.Load(),
+		BytesReceived: c.bytesReceived.Load(),
 	}
 }
