Let operators and peers in by token and TLS from the settings

Change: the daemon loads certificates and tokens before it listens, serves operators over TLS when it has a certificate and peers over mutual TLS when it has an authority; a peers' address that is not loopback needs one.

--- a/io/daisydaemon/daemon.go
+++ b/io/daisydaemon/daemon.go
@@ -41,6 +41,7 @@
 	self     daisyvm.VM
 	platform daisyplatform.Platform
 
+	access    access
 	log       *daisylog.Log
 	logger    hclog.Logger
 	metrics   *daisymetric.Metrics
@@ -69,6 +70,7 @@
 	d := &Daemon{settings: options.Settings, platform: options.Platform, stopped: make(chan struct{})}
 	steps := []func() error{
 		func() error { return d.startLog(options.Log) },
+		d.loadAccess,
 		d.listen,
 		d.findPlatform,
 		d.startControllers,
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -1,9 +1,6 @@
 package daisydaemon
 
 import (
-	"context"
-	"net"
-	"net/netip"
 	"net/url"
 	"os"
 
@@ -94,8 +91,8 @@
 	}
 	d.links = daisypeer.NewLinks(daisypeer.Options{
 		Self:     d.self,
-		Listener: d.listeners.peers,
-		Dialer:   plainDialer{},
+		Listener: d.access.listenPeers(d.listeners.peers),
+		Dialer:   d.access.peerDialer(),
 		Receiver: d.inbox,
 		Logger:   d.logger,
 		Seed:     seed,
@@ -176,16 +173,3 @@
 
 // Spare counts the requests that could be started at once.
 func (s routeSpare) Spare() uint32 { return uint32(max(s.routes.Spare(), 0)) }
-
-// plainDialer opens connections without TLS.
-type plainDialer struct{}
-
-// Dial opens a connection. It fails with daisyerror.Unavailable.
-func (plainDialer) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address.String())
-	if err != nil {
-		return nil, daisyerror.Unavailable.Wrap(err, "dialing %s", address)
-	}
-	return conn, nil
-}
--- a/io/daisysetting/check.go
+++ b/io/daisysetting/check.go
@@ -107,6 +107,9 @@
 	if s.TLSAuthority != "" && s.TLSCertificate == "" {
 		c.fail("tls-authority", "needs --tls-certificate and --tls-key beside it")
 	}
+	if s.Peers.IsValid() && !s.Peers.Addr().IsLoopback() && s.TLSAuthority == "" {
+		c.fail("tls-authority", "needed because --peers %s is not a loopback address", s.Peers)
+	}
 	if s.Operators.Addr().IsLoopback() || c.err != nil {
 		return
 	}
--- a/io/daisysetting/setting_test.go
+++ b/io/daisysetting/setting_test.go
@@ -55,6 +55,7 @@
 		{"authority alone", []string{"--tls-authority", "c"}, "--tls-authority:"},
 		{"open operators without token", []string{"--operators", "10.0.0.1:1"}, "--operator-token-file:"},
 		{"open operators without TLS", []string{"--operators", "10.0.0.1:1", "--operator-token-file", "f"}, "--tls-certificate:"},
+		{"open peers without TLS", []string{"--peers", "10.0.0.1:1"}, "--tls-authority:"},
 		{"callers on any address", []string{"--callers", "0.0.0.0:1"}, "--advertise:"},
 	}
 	for _, c := range cases {
