Tell new shards of the VMs, and refuse requests of a removed service

Cause: SetPeers reached only the shards that stood then, so a service declared later never lent or borrowed a credit; and a request that had found its service just before its removal could enter a shard whose timer had been closed. A VM without a configuration answered 404, which a caller takes for final. Change: the controller keeps the peers for shards to come; a shard refuses requests once its service is not declared; 503 not-run while no configuration is in force. Figures: two tests in virtual time that fail before and pass after.

--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -45,10 +45,14 @@
 type Route struct {
 	options RouteOptions
 	shards  atomic.Pointer[map[daisyservice.ID]*routeShard]
-	// changing serializes the changes of the shard map; requests never take it.
+	// changing serializes the changes of the shard map and of peers; requests never take it.
 	changing sync.Mutex
+	// peers are the VMs that share the services, for shards to come.
+	peers    []daisyvm.VM
 	requests atomic.Uint64
-	probes   *probes
+	// configured says that Apply was called.
+	configured atomic.Bool
+	probes     *probes
 }
 
 var _ Controller = (*Route)(nil)
@@ -91,6 +95,7 @@
 		}
 	}
 	c.shards.Store(&shards)
+	c.configured.Store(true)
 }
 
 func (c *Route) applyService(shards map[daisyservice.ID]*routeShard, service daisyservice.Service) {
@@ -105,9 +110,14 @@
 		Policy:  daisyroute.Credits{},
 		Random:  random,
 	})
-	shards[service.ID] = newRouteShard(c, service, dispatcher)
+	s := newRouteShard(c, service, dispatcher)
+	s.handle(daisyroute.PeersChanged{VMs: c.peers})
+	shards[service.ID] = s
 }
 
+// Configured says whether a configuration has been applied.
+func (c *Route) Configured() bool { return c.configured.Load() }
+
 // FindService gives the declaration in force of a service.
 func (c *Route) FindService(id daisyservice.ID) (daisyservice.Service, bool) {
 	s := c.shard(id)
@@ -132,7 +142,9 @@
 	}
 	request.ID = daisyrequest.ID(c.requests.Add(1))
 	t := &Ticket{shard: s, request: request, decisions: make(chan daisyroute.Decision, ticketDecisions)}
-	s.begin(t)
+	if !s.begin(t) {
+		return nil, daisyerror.NotFound.New("no service %s", request.Service)
+	}
 	return t, nil
 }
 
@@ -150,6 +162,9 @@
 
 // SetPeers tells every shard which VMs share its service.
 func (c *Route) SetPeers(vms []daisyvm.VM) {
+	c.changing.Lock()
+	defer c.changing.Unlock()
+	c.peers = vms
 	for _, s := range *c.shards.Load() {
 		s.handle(daisyroute.PeersChanged{VMs: vms})
 	}
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -85,11 +85,16 @@
 	return max(service.Slots()-len(s.tickets), 0)
 }
 
-func (s *routeShard) begin(t *Ticket) {
+// begin takes a request, or reports false when the service is no longer declared.
+func (s *routeShard) begin(t *Ticket) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.service.Load() == nil {
+		return false
+	}
 	s.tickets[t.request.ID] = t
 	s.step(daisyroute.RequestArrived{Request: t.request})
+	return true
 }
 
 func (s *routeShard) end(id daisyrequest.ID) {
--- /dev/null
+++ b/io/daisycontroller/route_test.go
@@ -0,0 +1,74 @@
+package daisycontroller_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisycontroller"
+)
+
+// outbox keeps what a VM sends to others.
+type outbox struct {
+	mu   sync.Mutex
+	sent map[daisyvm.Name]int
+}
+
+func (o *outbox) Send(to daisyvm.Name, _ daisymessage.Message) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent[to]++
+}
+
+func snapshotOf(names ...string) *daisyconfig.Snapshot {
+	fleet := daisyconfig.Fleet{Name: "vigia-lar"}
+	for _, n := range names {
+		fleet.Services = append(fleet.Services, daisyservice.Service{
+			ID:        daisyservice.ID{Fleet: fleet.Name, Name: n},
+			Ranks:     []daisyrank.Rank{{Name: "urgent", Target: time.Minute, Worth: 1, Floor: 1}},
+			Endpoints: []daisyendpoint.Endpoint{{Slots: 3}},
+		})
+	}
+	return &daisyconfig.Snapshot{Intent: daisyconfig.Intent{Fleets: []daisyconfig.Fleet{fleet}}}
+}
+
+func TestServiceDeclaredAfterThePeersShareItsCredits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &outbox{sent: make(map[daisyvm.Name]int)}
+		self := daisyvm.VM{Name: "vm-1"}
+		routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: self, Sender: o})
+		defer routes.Close()
+		routes.SetPeers([]daisyvm.VM{self, {Name: "vm-2"}})
+		routes.Apply(snapshotOf("a", "b", "c", "d"))
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Assert(t, o.sent["vm-2"] > 0, "%v", o.sent)
+	})
+}
+
+func TestRequestOfARemovedServiceIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Sender: &outbox{sent: make(map[daisyvm.Name]int)}})
+		defer routes.Close()
+		routes.Apply(snapshotOf("a"))
+		id := daisyservice.ID{Fleet: "vigia-lar", Name: "a"}
+		ticket, err := routes.Begin(daisyrequest.Request{Service: id, Deadline: time.Now().Add(time.Second)})
+		assert.NilError(t, err)
+		routes.Apply(snapshotOf("b"))
+		_, err = routes.Begin(daisyrequest.Request{Service: id, Deadline: time.Now().Add(time.Second)})
+		assert.ErrorContains(t, err, "no service vigia-lar/a")
+		_, found := routes.FindService(id)
+		assert.Assert(t, !found)
+		ticket.Close()
+	})
+}
--- a/io/daisydaemon/daemon_test.go
+++ b/io/daisydaemon/daemon_test.go
@@ -102,7 +102,10 @@
 	defer d.Close()
 	assert.Equal(t, get(t, d.Operators(), "/readyz", "").StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, get(t, d.Operators(), "/livez", "").StatusCode, http.StatusOK)
-	assert.Equal(t, get(t, d.Callers(), "/", "lookups.vigia-lar").StatusCode, http.StatusNotFound)
+	refused := get(t, d.Callers(), "/", "lookups.vigia-lar")
+	assert.Equal(t, refused.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, refused.Header.Get("Daisy-Run"), "not-run")
+	assert.Equal(t, refused.Header.Get("Retry-After"), "1")
 }
 
 func TestBadSettingsExitWithTwoAndStartNothing(t *testing.T) {
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -130,6 +130,7 @@
 			daisyfilter.NewAdmit(maxRequests),
 			daisyfilter.Screen{},
 			daisyfilter.Addresses{Book: d.members},
+			daisyfilter.AwaitConfiguration{Configuration: d.routes},
 			daisyfilter.Identify{Services: d.routes},
 			daisyfilter.Classify{},
 		},
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -117,6 +117,8 @@
 		return f.apply(call)
 	case Addresses:
 		return f.apply(call)
+	case AwaitConfiguration:
+		return f.apply()
 	case Identify:
 		return f.apply(call)
 	case Classify:
@@ -131,7 +133,7 @@
 		switch f := f.(type) {
 		case *Admit:
 			f.leave()
-		case Screen, Addresses, Identify, Classify:
+		case Screen, Addresses, AwaitConfiguration, Identify, Classify:
 		}
 	}
 }
