Answer 502 when an answer breaks off before any of it was passed on

Until now the caller's connection was cut without an answer, which some libraries take as leave to send the request again. A shed answer no longer holds its attempt up, and an attempt that is over takes nothing more of the caller's body, so what the next attempt needs can't be let go of.

--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -28,8 +28,12 @@
 	errStalled  = daisyerror.Unknown.New("the endpoint sent no byte of its answer's body for too long")
 )
 
-// maxShedBody is how much of a shed answer's body is read to keep the connection, in bytes.
-const maxShedBody = 4 << 10
+const (
+	// maxShedBody is how much of a shed answer's body is read to keep the connection, in bytes.
+	maxShedBody = 4 << 10
+	// maxShedWait is how long that may take.
+	maxShedWait = 100 * time.Millisecond
+)
 
 // attempt is one send to an endpoint. It owns the endpoint's answer until the
 // exchange takes it, so no other attempt or caller can come by it.
@@ -134,13 +138,23 @@
 	if response != nil {
 		a.reportLoad(response)
 	}
-	if _, ok := outcome.(daisyrequest.Answered); ok && !a.keep(response, took) {
-		outcome = daisyrequest.Canceled{}
+	if _, ok := outcome.(daisyrequest.Answered); ok && a.keep(response, took) {
+		a.exchange.ticket.Resolve(a.send.Attempt, outcome, false)
+		return
 	}
-	if _, ok := outcome.(daisyrequest.Answered); !ok {
-		a.drop(response)
+	if _, ok := outcome.(daisyrequest.Answered); ok {
+		outcome = daisyrequest.Canceled{}
 	}
+	// From here on this attempt takes nothing more of the body: another one may need it.
+	a.closeBody()
 	a.exchange.ticket.Resolve(a.send.Attempt, outcome, a.exchange.source.resendable())
+	a.drop(response)
+}
+
+func (a *attempt) closeBody() {
+	if a.body != nil {
+		_ = a.body.Close()
+	}
 }
 
 // keep stores the answer unless nobody wants it any more.
@@ -155,13 +169,13 @@
 	return true
 }
 
-// drop ends an answer that is not passed on.
+// drop ends an answer that is not passed on. A short body that has arrived is
+// read, so that the connection can be used again.
 func (a *attempt) drop(response *http.Response) {
-	if a.body != nil {
-		_ = a.body.Close()
-	}
 	if response != nil {
+		timer := time.AfterFunc(maxShedWait, func() { a.cancel(errGivenUp) })
 		_, _ = io.CopyN(io.Discard, response.Body, maxShedBody)
+		timer.Stop()
 		_ = response.Body.Close()
 	}
 	a.cancel(errGivenUp)
@@ -233,9 +247,7 @@
 		return
 	}
 	a.cancel(errGivenUp)
-	if a.body != nil {
-		_ = a.body.Close()
-	}
+	a.closeBody()
 	if response != nil {
 		_ = response.Body.Close()
 		a.exchange.ticket.Release(a.send.Attempt, false)
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -11,25 +11,28 @@
 	"daisyyoke/io/daisyproblem"
 )
 
-// deliver passes an endpoint's answer on. It panics with http.ErrAbortHandler when the answer breaks off.
+// deliver passes an endpoint's answer on. It panics with http.ErrAbortHandler when
+// the answer breaks off after its first byte was passed on.
 func (x *exchange) deliver(a *attempt) {
 	x.outcome = daisymetric.Cut
 	response := a.take()
 	x.passInterim(a)
-	incomingHeader(x.writer.Header(), response, x.forwarder.self)
-	x.extendWrite()
-	x.writer.WriteHeader(response.StatusCode)
-	x.metrics.Added(time.Since(x.call.Arrived) - a.send.Waited - a.took)
-	err := newPump(x, a, response).run()
+	p := newPump(x, a, response)
+	err := p.run()
 	if err == nil {
 		x.passTrailers(response)
 	}
 	_ = response.Body.Close()
 	x.ticket.Release(a.send.Attempt, err == nil)
-	if err != nil {
+	switch {
+	case err == nil:
+		x.outcome = daisymetric.Served
+	case p.begun:
 		panic(http.ErrAbortHandler)
+	default:
+		x.outcome = daisymetric.EndpointBroke
+		x.writeProblem(daisyproblem.FromFailure(daisyrequest.EndpointBroke{}))
 	}
-	x.outcome = daisymetric.Served
 }
 
 func (x *exchange) extendWrite() {
@@ -97,7 +100,7 @@
 	}
 }
 
-// pump copies an answer's body to the caller and passes on what has arrived at once.
+// pump copies an answer to the caller and passes on what has arrived at once.
 type pump struct {
 	exchange *exchange
 	attempt  *attempt
@@ -107,33 +110,44 @@
 	mu sync.Mutex
 	// due is when the read under way has taken too long; zero while there is none.
 	due time.Time
-	// unsent says that the header waits for the first byte of the body.
-	unsent bool
+	// begun says that the header was handed to the server.
+	begun bool
 }
 
 func newPump(x *exchange, a *attempt, response *http.Response) *pump {
-	return &pump{exchange: x, attempt: a, response: response, unsent: response.ContentLength > 0}
+	return &pump{exchange: x, attempt: a, response: response}
 }
 
 func (p *pump) run() error {
-	if p.response.Body == http.NoBody {
-		return nil
+	if p.response.ContentLength <= 0 {
+		p.begin()
 	}
 	if p.response.ContentLength < 0 {
 		if err := p.flush(); err != nil {
 			return err
 		}
 	}
+	if p.response.Body == http.NoBody {
+		p.begin()
+		return nil
+	}
 	p.timer = time.AfterFunc(p.patience(), p.tick)
 	defer p.timer.Stop()
 	chunk := getChunk()
 	defer putChunk(chunk)
+	return p.copy(*chunk)
+}
+
+func (p *pump) copy(chunk []byte) error {
 	for passed := int64(0); ; {
-		n, err := p.read(*chunk)
+		n, err := p.read(chunk)
 		passed += int64(n)
 		ended := err == io.EOF
+		if n > 0 || ended {
+			p.begin()
+		}
 		if n > 0 {
-			if err := p.pass((*chunk)[:n], ended || passed == p.response.ContentLength); err != nil {
+			if err := p.pass(chunk[:n], ended || passed == p.response.ContentLength); err != nil {
 				return err
 			}
 		}
@@ -146,8 +160,29 @@
 	}
 }
 
+// begin hands the header to the server unless that was done before.
+func (p *pump) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.beginLocked()
+}
+
+func (p *pump) beginLocked() {
+	if p.begun {
+		return
+	}
+	p.begun = true
+	x := p.exchange
+	incomingHeader(x.writer.Header(), p.response, x.forwarder.self)
+	x.extendWrite()
+	x.writer.WriteHeader(p.response.StatusCode)
+	x.metrics.Added(time.Since(x.call.Arrived) - p.attempt.send.Waited - p.attempt.took)
+}
+
+// patience is how long a read may take: a header of known length waits a
+// moment for the first byte of its body, to leave in one write with it.
 func (p *pump) patience() time.Duration {
-	if p.unsent {
+	if !p.begun {
 		return headerDelay
 	}
 	return p.exchange.forwarder.limits.Stall
@@ -163,7 +198,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.due = time.Time{}
-	p.unsent = false
 	return n, err
 }
 
@@ -174,11 +208,11 @@
 	if p.due.IsZero() || time.Now().Before(p.due) {
 		return
 	}
-	if !p.unsent {
+	if p.begun {
 		p.attempt.cancel(errStalled)
 		return
 	}
-	p.unsent = false
+	p.beginLocked()
 	_ = p.flush()
 	p.due = time.Now().Add(p.patience())
 	p.timer.Reset(p.patience())
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -220,9 +220,7 @@
 	x.returnSends()
 	for _, a := range x.attempts {
 		a.giveUp()
-		if a.body != nil {
-			_ = a.body.Close()
-		}
+		a.closeBody()
 		a.cancel(errGivenUp)
 	}
 	x.source.close()
--- a/io/daisyforward/source.go
+++ b/io/daisyforward/source.go
@@ -158,8 +158,10 @@
 	offset int64
 	// trailer gets the caller's trailers when the body has ended.
 	trailer http.Header
-	closing sync.Once
-	closed  chan struct{}
+	// gone is guarded by the lock of the source: once it is set, the view takes
+	// nothing more, and what it has not taken stays there for the next view.
+	gone   bool
+	closed chan struct{}
 }
 
 func (s *source) newView() *view {
@@ -175,21 +177,8 @@
 
 // Read gives the next bytes, as soon as there are any.
 func (v *view) Read(p []byte) (int, error) {
-	s := v.source
 	for {
-		select {
-		case <-v.closed:
-			return 0, http.ErrBodyReadAfterClose
-		default:
-		}
-		s.mu.Lock()
-		n := v.take(p)
-		err := s.err
-		changed := s.changed
-		if n == 0 {
-			s.ask()
-		}
-		s.mu.Unlock()
+		n, changed, err := v.take(p)
 		if n > 0 {
 			return n, nil
 		}
@@ -203,19 +192,22 @@
 	}
 }
 
-// take runs under the lock of the source.
-func (v *view) take(p []byte) int {
+// take gives what is there, or else a channel to wait on for more.
+func (v *view) take(p []byte) (int, <-chan struct{}, error) {
 	s := v.source
-	if v.offset < s.start {
-		// A later view can't come here: nothing is sent again once bytes are let go of.
-		return 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if v.gone || v.offset < s.start {
+		return 0, nil, http.ErrBodyReadAfterClose
 	}
 	n := copy(p, s.held[v.offset-s.start:])
-	v.offset += int64(n)
 	if n > 0 {
+		v.offset += int64(n)
 		s.release(v.offset)
+		return n, nil, nil
 	}
-	return n
+	s.ask()
+	return 0, s.changed, s.err
 }
 
 func (v *view) end(err error) error {
@@ -229,7 +221,12 @@
 
 // Close ends a Read under way. It may be called more than once.
 func (v *view) Close() error {
-	v.closing.Do(func() { close(v.closed) })
+	v.source.mu.Lock()
+	defer v.source.mu.Unlock()
+	if !v.gone {
+		v.gone = true
+		close(v.closed)
+	}
 	return nil
 }
 
