Carry planned stops out in turns on the daemon

Cause: the daemon's own stop knew neither turns nor the lease. Change: the Stop controller with its lease decides; messages of other VMs are let in once every receiver stands; the callers' server can take its leaving back.

--- a/io/daisycaller/server.go
+++ b/io/daisycaller/server.go
@@ -93,14 +93,14 @@
 	return address
 }
 
-// Leave begins a planned stop: callers who still come are served, and asked to
-// come no more on the same connection.
-func (s *Server) Leave() { s.leaving.Store(true) }
+// SetLeaving says whether a planned stop has begun: callers who still come are
+// served, and asked to come no more on the same connection.
+func (s *Server) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
 
 // Shutdown accepts no more connections and waits for the requests in flight. It
 // fails with daisyerror.Unknown when the context ends first; the rest is then cut.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.Leave()
+	s.SetLeaving(true)
 	err := s.server.Shutdown(ctx)
 	if err != nil {
 		err = daisyerror.Unknown.Wrap(err, "requests were cut")
--- a/io/daisycaller/server_test.go
+++ b/io/daisycaller/server_test.go
@@ -67,7 +67,7 @@
 			slow <- err
 		}()
 		<-arrived
-		s.Leave()
+		s.SetLeaving(true)
 		// Callers with an old answer are served on old and new connections, and asked to go.
 		response, err := get(t, newTransport(t, http2), url)
 		assert.NilError(t, err)
--- a/io/daisydaemon/daemon.go
+++ b/io/daisydaemon/daemon.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -56,18 +55,15 @@
 	forwarder *daisyforward.Forwarder
 	callers   *daisycaller.Server
 	operators *operatorServer
+	stop      *daisycontroller.Stop
 	closers   []func()
-
-	stopping sync.Once
-	stops    sync.WaitGroup
-	stopped  chan struct{}
 }
 
 // New starts a daemon. It fails with daisyerror.InvalidSetting when a setting
 // cannot be used and daisyerror.Unavailable when an address cannot be listened
 // on; nothing is left running then.
 func New(ctx context.Context, options Options) (*Daemon, error) {
-	d := &Daemon{settings: options.Settings, platform: options.Platform, stopped: make(chan struct{})}
+	d := &Daemon{settings: options.Settings, platform: options.Platform}
 	steps := []func() error{
 		func() error { return d.startLog(options.Log) },
 		d.loadAccess,
@@ -75,6 +71,7 @@
 		d.findPlatform,
 		d.startControllers,
 		d.startCallers,
+		d.startStop,
 		d.startOperators,
 		func() error { return d.confirmFirst(ctx) },
 	}
--- a/io/daisydaemon/operator.go
+++ b/io/daisydaemon/operator.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"daisyyoke/core/daisyerror"
-	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisyoperator"
 )
@@ -16,6 +14,8 @@
 const (
 	operatorHeaderTime = 5 * time.Second
 	operatorIdleTime   = time.Minute
+	// drainTimeout bounds the wait for another VM to say that it stops.
+	drainTimeout = 10 * time.Second
 )
 
 // operatorServer serves operators until it is closed.
@@ -80,18 +80,10 @@
 }
 
 // Drain begins a planned stop of this VM or asks another for it.
-func (m operatorMembers) Drain(_ context.Context, name daisyvm.Name) error {
-	if name == m.daemon.self.Name {
-		m.daemon.WantStop(string(name))
-		return nil
-	}
-	for _, o := range m.daemon.members.Table().Others {
-		if o.VM.Name == name {
-			m.daemon.linker().Send(name, daisymessage.StopWanted{By: string(m.daemon.self.Name)})
-			return nil
-		}
-	}
-	return daisyerror.NotFound.New("no VM %s", name)
+func (m operatorMembers) Drain(ctx context.Context, name daisyvm.Name) error {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	return m.daemon.stop.Drain(ctx, name, string(m.daemon.self.Name))
 }
 
 // health gives the state of a daemon to operators.
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -81,7 +81,6 @@
 		Seed:     seed,
 	})
 	d.onClose(d.plans.Close)
-	d.inbox.Attach(daisycontroller.Receivers{Member: d.members, Config: d.config, Route: d.routes, Stopper: d})
 	return nil
 }
 
--- a/io/daisydaemon/stop.go
+++ b/io/daisydaemon/stop.go
@@ -1,32 +1,31 @@
 package daisydaemon
 
-import (
-	"context"
-	"time"
+import "daisyyoke/io/daisycontroller"
 
-	"daisyyoke/core/daisyvm"
-)
-
-// drainLimit bounds the wait for requests in flight.
-const drainLimit = 15 * time.Minute
-
-// WantStop begins a planned stop; Stopped is closed at its end.
-func (d *Daemon) WantStop(by string) {
-	d.stopping.Do(func() {
-		d.logger.Info("planned stop", "by", by)
-		d.stops.Go(func() {
-			d.members.SetStopping(true, true)
-			d.callers.Leave()
-			<-time.After(time.Until(daisyvm.ServesUntil(time.Now())))
-			ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
-			defer cancel()
-			if err := d.callers.Shutdown(ctx); err != nil {
-				d.logger.Error("planned stop", "error", err)
-			}
-			close(d.stopped)
-		})
+// startStop starts what carries planned stops out. Messages of other VMs come in
+// from here on, since the receivers of all of them stand.
+func (d *Daemon) startStop() error {
+	leases := daisycontroller.NewLease(daisycontroller.LeaseOptions{
+		Self:     d.self,
+		Platform: d.platform,
+		Logger:   d.logger,
+		Seed:     uint64(d.self.Incarnation),
 	})
+	d.onClose(leases.Close)
+	d.stop = daisycontroller.NewStop(daisycontroller.StopOptions{
+		Member:  d.members,
+		Leases:  leases,
+		Sender:  d.linker(),
+		Callers: d.callers,
+		Logger:  d.logger,
+	})
+	d.onClose(d.stop.Close)
+	d.inbox.Attach(daisycontroller.Receivers{Member: d.members, Config: d.config, Route: d.routes, Stopper: d.stop})
+	return nil
 }
 
+// WantStop begins a planned stop; Stopped is closed at its end.
+func (d *Daemon) WantStop(by string) { d.stop.WantStop(by) }
+
 // Stopped is closed once a planned stop has finished every request.
-func (d *Daemon) Stopped() <-chan struct{} { return d.stopped }
+func (d *Daemon) Stopped() <-chan struct{} { return d.stop.Finished() }
