--- a/core/daisyconfig/fetch.go
+++ b/core/daisyconfig/fetch.go
@@ -15,7 +15,7 @@
 			decisions = append(decisions, ReadHead{})
 		}
 	}
-	f.aim(now)
+	f.aim()
 	return append(decisions, f.step(now)...)
 }
 
@@ -33,7 +33,7 @@
 
 // aim sets the fetch to the newest head that is known and not in force. Among
 // heads with the same revision the one in the platform's table wins.
-func (f *Follower) aim(now time.Time) {
+func (f *Follower) aim() {
 	best := f.stored
 	for _, p := range f.order {
 		h := f.peers[p]
@@ -48,7 +48,7 @@
 	if f.fetch != nil && f.fetch.revision == best.Revision && f.fetch.hash == best.Hash {
 		return
 	}
-	f.fetch = &fetch{revision: best.Revision, hash: best.Hash, tried: make(map[Peer]bool), deadline: now}
+	f.fetch = &fetch{revision: best.Revision, hash: best.Hash, tried: make(map[Peer]bool)}
 }
 
 func (f *Follower) wants(head Head) bool {
@@ -59,36 +59,54 @@
 	return f.conflicts(head.Revision, head.Hash) && f.stored.Hash == head.Hash
 }
 
-// step asks the next source: peers that announced the snapshot first, then the object store.
+// step asks the next source: peers that announced the snapshot first, then the
+// object store. A peer that announces it while the store is being read is asked too.
 func (f *Follower) step(now time.Time) []Decision {
-	if f.fetch == nil || now.Before(f.fetch.deadline) && !f.fetch.waitingForPeer {
+	t := f.fetch
+	if t == nil {
 		return nil
 	}
-	if f.fetch.fromStore {
-		f.fetch.fromStore = false
-		f.fetch.storeFailed = true
+	if t.reading && !now.Before(t.readUntil) {
+		f.failFetch(t.hash)
+	}
+	switch {
+	case now.Before(t.restUntil):
+		t.deadline = t.restUntil
+		return nil
+	case now.Before(t.askUntil):
+		t.deadline = t.askUntil
+		return nil
 	}
 	if p, ok := f.source(); ok {
-		f.fetch.tried[p] = true
-		f.fetch.waitingForPeer = false
-		f.fetch.deadline = now.Add(askTimeout)
-		return []Decision{AskPeer{To: p, Hash: f.fetch.hash}}
+		t.tried[p] = true
+		t.askUntil = now.Add(askTimeout)
+		t.deadline = t.askUntil
+		return []Decision{AskPeer{To: p, Hash: t.hash}}
 	}
-	if f.inForce == nil && now.Sub(f.started) < peerGrace {
-		f.fetch.waitingForPeer = true
-		f.fetch.deadline = f.started.Add(peerGrace)
+	return f.stepStore(now)
+}
+
+func (f *Follower) stepStore(now time.Time) []Decision {
+	t := f.fetch
+	grace := f.started.Add(peerGrace)
+	switch {
+	case t.reading:
+		t.deadline = t.readUntil
+		return nil
+	case f.inForce == nil && now.Before(grace):
+		t.deadline = grace
+		return nil
+	case t.storeFailed:
+		t.tried = make(map[Peer]bool)
+		t.storeFailed = false
+		t.restUntil = now.Add(f.jitter(fetchPause))
+		t.deadline = t.restUntil
 		return nil
 	}
-	f.fetch.waitingForPeer = false
-	if !f.fetch.storeFailed {
-		f.fetch.fromStore = true
-		f.fetch.deadline = now.Add(readTimeout)
-		return []Decision{ReadSnapshot{Hash: f.fetch.hash}}
-	}
-	f.fetch.tried = make(map[Peer]bool)
-	f.fetch.storeFailed = false
-	f.fetch.deadline = now.Add(f.jitter(fetchPause))
-	return nil
+	t.reading = true
+	t.readUntil = now.Add(readTimeout)
+	t.deadline = t.readUntil
+	return []Decision{ReadSnapshot{Hash: t.hash}}
 }
 
 // source picks at random a peer that has the snapshot and was not asked yet.
@@ -107,9 +125,9 @@
 	return peers[f.random.IntN(len(peers))], true
 }
 
-func (f *Follower) failFetch(now time.Time, hash Hash) {
-	if f.fetch == nil || f.fetch.hash != hash || !f.fetch.fromStore {
-		return
+func (f *Follower) failFetch(hash Hash) {
+	if f.fetch != nil && f.fetch.hash == hash && f.fetch.reading {
+		f.fetch.reading = false
+		f.fetch.storeFailed = true
 	}
-	f.fetch.deadline = now
 }
--- a/core/daisyconfig/follower.go
+++ b/core/daisyconfig/follower.go
@@ -7,7 +7,7 @@
 
 const (
 	// RestInterval is the mean time between two reads of the head row.
-	RestInterval = 4 * time.Second
+	RestInterval = 3 * time.Second
 	// jitterShare is the share by which a wait is shortened or lengthened at random.
 	jitterShare = 0.25
 	// firstRetry is the wait after the first failed read.
@@ -65,12 +65,15 @@
 	revision Revision
 	hash     Hash
 	tried    map[Peer]bool
-	// fromStore says that the object store is being read.
-	fromStore   bool
+	// askUntil is when the peer that was asked last is given up.
+	askUntil time.Time
+	// reading says that the object store is being read, until readUntil at most.
+	reading     bool
+	readUntil   time.Time
 	storeFailed bool
-	// waitingForPeer says that the first answer of a peer is being waited for.
-	waitingForPeer bool
-	// deadline is when the next source is tried.
+	// restUntil is when all sources are tried again.
+	restUntil time.Time
+	// deadline is when the next step is due if nothing happens before.
 	deadline time.Time
 }
 
@@ -122,7 +125,7 @@
 	case SnapshotRead:
 		decisions = f.take(e.Snapshot)
 	case SnapshotFailed:
-		f.failFetch(now, e.Hash)
+		f.failFetch(e.Hash)
 	case SnapshotAsked:
 		return f.give(e.From)
 	case SnapshotConfirmed:
