Let hedges go before less urgent work, and let weights and reports fade

A slow urgent attempt now waits for a hedge and gets a free slot before less urgent requests unless one of them is owed its floor. An endpoint whose weight or last report was slightly worse got no work at all on an idle service: weights now come back to 1 without observations, reports count nothing after a second, and a tenth of difference is none.

--- a/core/daisyhealth/endpoint.go
+++ b/core/daisyhealth/endpoint.go
@@ -76,6 +76,8 @@
 	// tried is when the last trial was made, or when the endpoint was ejected.
 	tried time.Time
 	place int
+	// observed is when an attempt last taught something.
+	observed time.Time
 }
 
 // State gives how the endpoint may be used.
@@ -97,8 +99,17 @@
 	return math.MaxInt
 }
 
-// Weight gives how much longer than usual a request may be expected to take there; 1 is usual.
-func (e *Endpoint) Weight() float64 { return e.slowness * (1 + faultPenalty*e.faults) }
+// weightHalfLife is the age at which the last observation counts half in a weight.
+const weightHalfLife = 200 * time.Millisecond
+
+// Weight gives how much longer than usual a request may be expected to take there;
+// 1 is usual. It comes back to 1 while nothing is observed, so that an endpoint
+// that gets no work for its weight gets some again.
+func (e *Endpoint) Weight(now time.Time) float64 {
+	weight := e.slowness * (1 + faultPenalty*e.faults)
+	halves := float64(max(now.Sub(e.observed), 0)) / float64(weightHalfLife)
+	return 1 + (weight-1)/(1+halves)
+}
 
 // SetSlots changes the slots as declared.
 func (e *Endpoint) SetSlots(slots int) { e.slots = slots }
--- a/core/daisyhealth/group.go
+++ b/core/daisyhealth/group.go
@@ -121,6 +121,7 @@
 		e.fault(1)
 		g.disappointed(now, e, sent)
 	}
+	e.observed = now
 	g.observed++
 	if g.observed >= max(compareAfter, len(g.endpoints)) {
 		g.compare(now)
--- a/core/daisyqueue/next.go
+++ b/core/daisyqueue/next.go
@@ -1,6 +1,10 @@
 package daisyqueue
 
-import "time"
+import (
+	"time"
+
+	"daisyyoke/core/daisyrank"
+)
 
 // Step is what Next gives. It is one of Serve, Drop and Idle.
 type Step[T any] interface{ step(T) }
@@ -63,6 +67,24 @@
 	return next
 }
 
+// Yields reports whether a free slot may go to extra work of a rank: no request of
+// the rank or of a more urgent one waits, and no rank with work is owed slot time.
+func (q *Queue[T]) Yields(now time.Time, index daisyrank.Index) bool {
+	q.settle(now)
+	for i, r := range q.ranks {
+		if r.earliest.Len() == 0 {
+			continue
+		}
+		if i <= int(index) || r.owed() {
+			return false
+		}
+	}
+	return true
+}
+
+// owed reports whether the rank got less than its floor.
+func (r *rank[T]) owed() bool { return r.declared.Floor > 0 && r.account.owed >= 0 }
+
 // turn gives the rank whose turn it is: the most urgent one that is owed slot
 // time, or else the most urgent one.
 func (q *Queue[T]) turn() *rank[T] {
@@ -71,7 +93,7 @@
 		if r.earliest.Len() == 0 {
 			continue
 		}
-		if r.declared.Floor > 0 && r.account.owed >= 0 {
+		if r.owed() {
 			return r
 		}
 		if first == nil {
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -66,7 +66,7 @@
 // fill gives free slots to waiting requests.
 func (d *Dispatcher) fill(now time.Time) {
 	for len(d.free)+len(d.trials) > 0 || d.usable == 0 {
-		if !d.serveNext(now) {
+		if !d.hedgeNext(now) && !d.serveNext(now) {
 			break
 		}
 	}
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -67,6 +67,8 @@
 	requests map[daisyrequest.ID]*request
 	attempts map[daisyrequest.AttemptID]*attempt
 	sent     daisyrequest.AttemptID
+	// hedges has the attempts that wait for a hedge, the first one first.
+	hedges []daisyrequest.AttemptID
 	// checks has the attempts by the time of their next check, timers the endpoints
 	// by the time at which they change by themselves.
 	checks *daisyheap.Heap[*attempt]
@@ -182,10 +184,10 @@
 // Spare gives how many further requests could be started at once.
 func (d *Dispatcher) Spare() int { return d.spare }
 
-// Demand gives what a rank waits for and uses.
+// Demand gives what a rank waits for, hedges among it, and uses.
 func (d *Dispatcher) Demand(rank daisyrank.Index) daisycredit.Demand {
 	return daisycredit.Demand{
-		Waiting:  uint32(d.queue.Waiting(rank)),
+		Waiting:  uint32(d.queue.Waiting(rank) + d.hedgesWaiting(rank)),
 		InFlight: uint32(d.queue.InFlight(rank)),
 	}
 }
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -1,10 +1,12 @@
 package daisyroute
 
 import (
+	"slices"
 	"time"
 
 	"daisyyoke/core/daisybudget"
 	"daisyyoke/core/daisyhealth"
+	"daisyyoke/core/daisyrank"
 )
 
 const (
@@ -14,8 +16,8 @@
 	unknownCheck = 500 * time.Millisecond
 	// shortestCheck is the shortest time to a check.
 	shortestCheck = time.Millisecond
-	// hedgeTries bounds the checks at which a hedge is tried.
-	hedgeTries = 5
+	// mostHedges bounds the attempts that wait for a hedge.
+	mostHedges = 64
 )
 
 // planCheck sets the first check of an attempt, at the 95th percentile of its rank.
@@ -40,29 +42,54 @@
 		d.observe(now, a, daisyhealth.AtLeast{Slowness: d.slowness(a, age)})
 	}
 	a.checks++
-	d.hedge(now, a)
-	next := age
-	if r := a.request; r != nil && r.Hedgeable && !r.hedged && a.checks < hedgeTries {
-		next = min(next, d.queue.Answers(a.rank).Median())
+	if d.hedgeable(a) && len(d.hedges) < mostHedges {
+		d.hedges = append(d.hedges, a.id)
 	}
-	d.checks.Push(now.Add(max(next, shortestCheck)), a, &a.check)
+	d.checks.Push(now.Add(max(age, shortestCheck)), a, &a.check)
 }
 
-// hedge sends a request a second time beside a slow attempt, into a slot that
-// nobody waits for, within the budget.
-func (d *Dispatcher) hedge(now time.Time, a *attempt) {
+// hedgeable reports whether the request of an attempt may be sent a second time beside it.
+func (d *Dispatcher) hedgeable(a *attempt) bool {
 	r := a.request
 	if r == nil || !r.Hedgeable || r.hedged || r.running != 1 || r.held != nil || r.sends >= maxAttempts {
-		return
+		return false
 	}
-	if d.queue.Len() > 0 || d.queue.Answers(a.rank).Samples() < fewestSamples {
-		return
+	return d.queue.Answers(a.rank).Samples() >= fewestSamples
+}
+
+// hedgeNext sends the request of a slow attempt a second time, into a slot that no
+// request as urgent waits for. It reports whether the hedge at the head was dealt with.
+func (d *Dispatcher) hedgeNext(now time.Time) bool {
+	if len(d.hedges) == 0 || len(d.free) == 0 {
+		return false
+	}
+	a := d.attempts[d.hedges[0]]
+	if a == nil || !d.hedgeable(a) || !d.budget.Allows(now, daisybudget.Hedge{}) {
+		d.hedges = slices.Delete(d.hedges, 0, 1)
+		return true
+	}
+	if !d.queue.Yields(now, a.rank) {
+		return false
 	}
-	c := d.choose(now, r)
-	if c.endpoint == nil || !d.budget.Take(now, daisybudget.Hedge{}) {
-		return
+	c := d.choose(now, a.request)
+	if c.endpoint == nil {
+		return false
+	}
+	d.hedges = slices.Delete(d.hedges, 0, 1)
+	d.budget.Take(now, daisybudget.Hedge{})
+	a.request.hedged = true
+	a.request.reason = Hedge
+	d.send(now, a.request, c)
+	return true
+}
+
+// hedgesWaiting counts the attempts of a rank that wait for a hedge.
+func (d *Dispatcher) hedgesWaiting(rank daisyrank.Index) int {
+	n := 0
+	for _, id := range d.hedges {
+		if a := d.attempts[id]; a != nil && a.rank == rank && d.hedgeable(a) {
+			n++
+		}
 	}
-	r.hedged = true
-	r.reason = Hedge
-	d.send(now, r, c)
+	return n
 }
--- a/core/daisyroute/policy.go
+++ b/core/daisyroute/policy.go
@@ -102,6 +102,10 @@
 	return c
 }
 
+// clearly is the part of the cost of an endpoint below which another one is taken
+// in its place: small differences must not starve an endpoint.
+const clearly = 0.9
+
 // trialOverdue is how long a trial waits for a request that another attempt could save.
 const trialOverdue = 2 * time.Second
 
@@ -122,7 +126,7 @@
 		return candidate{}
 	}
 	b := d.draw(r, a)
-	if b != nil && d.cost(now, b, policy) < d.cost(now, a, policy) {
+	if b != nil && d.cost(now, b, policy) < clearly*d.cost(now, a, policy) {
 		a, b = b, a
 	}
 	return candidate{endpoint: a, other: b, choice: LeastLoaded}
@@ -168,12 +172,16 @@
 	return nil
 }
 
-// reportHalfLife is the age at which a report counts half.
-const reportHalfLife = 50 * time.Millisecond
+const (
+	// reportHalfLife is the age at which a report counts half.
+	reportHalfLife = 50 * time.Millisecond
+	// reportLife is the age from which it counts nothing.
+	reportLife = time.Second
+)
 
 // cost estimates how long a further request would take at an endpoint, in no unit.
 func (d *Dispatcher) cost(now time.Time, e *endpoint, policy LeastOfTwo) float64 {
-	return (d.load(now, e, policy) + 1) * e.health.Weight() / float64(max(e.slots, 1))
+	return (d.load(now, e, policy) + 1) * e.health.Weight(now) / float64(max(e.slots, 1))
 }
 
 // load estimates how many requests an endpoint works on.
@@ -182,7 +190,11 @@
 	if !policy.Reports || e.report.At.IsZero() {
 		return own
 	}
-	halves := float64(max(now.Sub(e.report.At), 0)) / float64(reportHalfLife)
+	age := max(now.Sub(e.report.At), 0)
+	if age >= reportLife {
+		return own
+	}
+	halves := float64(age) / float64(reportHalfLife)
 	others := float64(min(max(e.report.InFlight-e.ownAtReport, 0), e.slots))
 	return own + others/(1+halves)
 }
--- /dev/null
+++ b/core/daisyroute/world_test.go
@@ -0,0 +1,134 @@
+package daisyroute_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyroute"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	ranks = []daisyrank.Rank{
+		{Name: "urgent", Target: 250 * time.Millisecond, Worth: 100, Floor: 0.5},
+		{Name: "standard", Target: 2 * time.Second, Worth: 10, Floor: 0.3},
+		{Name: "bulk", Target: 10 * time.Minute, Worth: 1, Floor: 0.05},
+	}
+	self = daisyvm.VM{Name: "vm-0", Incarnation: 1}
+)
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80)
+}
+
+func newService(endpoints, slots int) daisyservice.Service {
+	s := daisyservice.Service{ID: daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"}, Ranks: ranks}
+	for i := range endpoints {
+		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{Address: address(i), Slots: slots, Connections: 250})
+	}
+	return s
+}
+
+// holder drives a dispatcher as the holder of its decisions does.
+type holder struct {
+	t          *testing.T
+	dispatcher *daisyroute.Dispatcher
+	now        time.Time
+	requests   daisyrequest.ID
+	// decisions are those of the last event.
+	decisions []daisyroute.Decision
+}
+
+func newHolder(t *testing.T, service daisyservice.Service, policy daisyroute.Policy) *holder {
+	return &holder{t: t, now: start, dispatcher: daisyroute.NewDispatcher(daisyroute.Options{
+		Self:    self,
+		Service: service,
+		Random:  rand.New(rand.NewPCG(1, 2)),
+		Policy:  policy,
+	})}
+}
+
+func (h *holder) handle(event daisyroute.Event) []daisyroute.Decision {
+	h.decisions = append([]daisyroute.Decision(nil), h.dispatcher.Handle(h.now, event)...)
+	return h.decisions
+}
+
+// pass lets time pass, with every wake on the way, and gives all decisions.
+func (h *holder) pass(length time.Duration) []daisyroute.Decision {
+	end := h.now.Add(length)
+	var all []daisyroute.Decision
+	for {
+		wake := h.dispatcher.NextWake()
+		if wake.IsZero() || wake.After(end) {
+			h.now = end
+			return all
+		}
+		if wake.After(h.now) {
+			h.now = wake
+		}
+		all = append(all, h.handle(daisyroute.TimePassed{})...)
+	}
+}
+
+func (h *holder) request(rank daisyrank.Index) daisyrequest.Request {
+	h.requests++
+	return daisyrequest.Request{
+		ID:       h.requests,
+		Rank:     rank,
+		Arrived:  h.now,
+		Deadline: h.now.Add(ranks[rank].Target),
+	}
+}
+
+func (h *holder) arrive(request daisyrequest.Request) []daisyroute.Decision {
+	return h.handle(daisyroute.RequestArrived{Request: request})
+}
+
+// send brings a request that has to be sent at once.
+func (h *holder) send(request daisyrequest.Request) daisyroute.Send {
+	h.t.Helper()
+	return one[daisyroute.Send](h.t, h.arrive(request))
+}
+
+// serve answers a request after a time.
+func (h *holder) serve(attempt daisyrequest.AttemptID, status int, took time.Duration) []daisyroute.Decision {
+	all := h.handle(daisyroute.AttemptResolved{Attempt: attempt, Outcome: daisyrequest.Answered{Status: status, Took: took}})
+	return append(all, h.handle(daisyroute.AttemptReleased{Attempt: attempt, Whole: true})...)
+}
+
+// teach brings answers of a rank until hedges may be timed by its percentiles.
+func (h *holder) teach(rank daisyrank.Index, took time.Duration) {
+	for range 200 {
+		s := h.send(h.request(rank))
+		h.now = h.now.Add(took)
+		h.serve(s.Attempt, 200, took)
+	}
+}
+
+// of gives the decisions of one type.
+func of[D daisyroute.Decision](decisions []daisyroute.Decision) []D {
+	var some []D
+	for _, d := range decisions {
+		if x, ok := d.(D); ok {
+			some = append(some, x)
+		}
+	}
+	return some
+}
+
+// one gives the only decision of a type.
+func one[D daisyroute.Decision](t *testing.T, decisions []daisyroute.Decision) D {
+	t.Helper()
+	some := of[D](decisions)
+	assert.Equal(t, len(some), 1, "%#v", decisions)
+	return some[0]
+}
