--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -68,7 +68,9 @@
 	attempts map[daisyrequest.AttemptID]*attempt
 	sent     daisyrequest.AttemptID
 	// hedges has the attempts that wait for a hedge, the first one first.
-	hedges []daisyrequest.AttemptID
+	// Those that do so no longer stay in the list for a while; hedging counts the others by rank.
+	hedges  []daisyrequest.AttemptID
+	hedging []int
 	// checks has the attempts by the time of their next check, timers the endpoints
 	// by the time at which they change by themselves.
 	checks *daisyheap.Heap[*attempt]
@@ -187,7 +189,7 @@
 // Demand gives what a rank waits for, hedges among it, and uses.
 func (d *Dispatcher) Demand(rank daisyrank.Index) daisycredit.Demand {
 	return daisycredit.Demand{
-		Waiting:  uint32(d.queue.Waiting(rank) + d.hedgesWaiting(rank)),
+		Waiting:  uint32(d.queue.Waiting(rank) + d.hedging[rank]),
 		InFlight: uint32(d.queue.InFlight(rank)),
 	}
 }
--- a/core/daisyroute/endpoint_test.go
+++ b/core/daisyroute/endpoint_test.go
@@ -89,7 +89,7 @@
 	out := 0
 	for !takers(h)[0] {
 		for _, p := range of[daisyroute.Probe](h.pass(time.Second)) {
-			h.handle(daisyroute.ProbeFailed{Endpoint: p.Endpoint})
+			h.handle(daisyroute.ProbeFailed(p))
 		}
 		out++
 	}
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -6,7 +6,7 @@
 
 	"daisyyoke/core/daisybudget"
 	"daisyyoke/core/daisyhealth"
-	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
 )
 
 const (
@@ -42,19 +42,48 @@
 		d.observe(now, a, daisyhealth.AtLeast{Slowness: d.slowness(a, age)})
 	}
 	a.checks++
-	if d.hedgeable(a) && len(d.hedges) < mostHedges {
-		d.hedges = append(d.hedges, a.id)
+	if d.hedgeable(now, a) {
+		d.wantHedge(a)
 	}
 	d.checks.Push(now.Add(max(age, shortestCheck)), a, &a.check)
 }
 
 // hedgeable reports whether the request of an attempt may be sent a second time beside it.
-func (d *Dispatcher) hedgeable(a *attempt) bool {
+func (d *Dispatcher) hedgeable(now time.Time, a *attempt) bool {
 	r := a.request
 	if r == nil || !r.Hedgeable || r.hedged || r.running != 1 || r.held != nil || r.sends >= maxAttempts {
 		return false
 	}
-	return d.queue.Answers(a.rank).Samples() >= fewestSamples
+	times := d.queue.Answers(a.rank)
+	return times.Samples() >= fewestSamples && now.Add(times.Median()).Before(r.Deadline)
+}
+
+// wantHedge lets an attempt wait for a hedge.
+func (d *Dispatcher) wantHedge(a *attempt) {
+	if a.hedging {
+		return
+	}
+	if len(d.hedges) >= mostHedges {
+		d.hedges = slices.DeleteFunc(d.hedges, func(id daisyrequest.AttemptID) bool { return !d.wantsHedge(id) })
+	}
+	if len(d.hedges) < mostHedges {
+		a.hedging = true
+		d.hedging[a.rank]++
+		d.hedges = append(d.hedges, a.id)
+	}
+}
+
+func (d *Dispatcher) wantsHedge(id daisyrequest.AttemptID) bool {
+	a := d.attempts[id]
+	return a != nil && a.hedging
+}
+
+// forgoHedge says that an attempt waits for a hedge no longer.
+func (d *Dispatcher) forgoHedge(a *attempt) {
+	if a.hedging {
+		a.hedging = false
+		d.hedging[a.rank]--
+	}
 }
 
 // hedgeNext sends the request of a slow attempt a second time, into a slot that no
@@ -63,11 +92,16 @@
 	if len(d.hedges) == 0 || len(d.free) == 0 {
 		return false
 	}
-	a := d.attempts[d.hedges[0]]
-	if a == nil || !d.hedgeable(a) || !d.budget.Allows(now, daisybudget.Hedge{}) {
+	id := d.hedges[0]
+	if !d.wantsHedge(id) {
 		d.hedges = slices.Delete(d.hedges, 0, 1)
 		return true
 	}
+	a := d.attempts[id]
+	if !d.hedgeable(now, a) || !d.budget.Allows(now, daisybudget.Hedge{}) {
+		d.forgoHedge(a)
+		return true
+	}
 	if !d.queue.Yields(now, a.rank) {
 		return false
 	}
@@ -75,21 +109,10 @@
 	if c.endpoint == nil {
 		return false
 	}
-	d.hedges = slices.Delete(d.hedges, 0, 1)
+	d.forgoHedge(a)
 	d.budget.Take(now, daisybudget.Hedge{})
 	a.request.hedged = true
 	a.request.reason = Hedge
 	d.send(now, a.request, c)
 	return true
 }
-
-// hedgesWaiting counts the attempts of a rank that wait for a hedge.
-func (d *Dispatcher) hedgesWaiting(rank daisyrank.Index) int {
-	n := 0
-	for _, id := range d.hedges {
-		if a := d.attempts[id]; a != nil && a.rank == rank && d.hedgeable(a) {
-			n++
-		}
-	}
-	return n
-}
--- a/core/daisyroute/request.go
+++ b/core/daisyroute/request.go
@@ -34,11 +34,11 @@
 // mayTake reports whether the request may go to the endpoint.
 func (r *request) mayTake(e *endpoint) bool {
 	for _, a := range r.open[:r.running] {
-		if a.endpoint == e {
+		if a.endpoint.address == e.address {
 			return false
 		}
 	}
-	return e != r.failed
+	return r.failed == nil || r.failed.address != e.address
 }
 
 func (r *request) opened(a *attempt) {
@@ -70,6 +70,7 @@
 	counted  bool
 	answered bool
 	trial    bool
+	hedging  bool
 	// checks counts the checks made, and check is the place in the heap of checks.
 	checks, check int
 }
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -12,6 +12,7 @@
 	if a == nil || a.answered {
 		return
 	}
+	d.forgoHedge(a)
 	d.learn(now, a, event.Outcome)
 	d.credits.noteOutcome(now, a.endpoint, event.Outcome)
 	d.checks.Remove(a.check)
@@ -43,6 +44,7 @@
 // vacate gives the slot of an attempt back.
 func (d *Dispatcher) vacate(now time.Time, a *attempt) {
 	e := a.endpoint
+	d.forgoHedge(a)
 	delete(d.attempts, a.id)
 	d.checks.Remove(a.check)
 	d.queue.Ended(now, a.rank, now.Sub(a.sent), a.charge)
@@ -95,6 +97,7 @@
 
 func (d *Dispatcher) cancel(a *attempt) {
 	a.request = nil
+	d.forgoHedge(a)
 	d.checks.Remove(a.check)
 	d.emit(Cancel{Attempt: a.id})
 }
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -24,6 +24,9 @@
 func (d *Dispatcher) changeService(now time.Time, service daisyservice.Service) {
 	d.service = service
 	d.queue.SetRanks(service.Ranks)
+	for len(d.hedging) < len(service.Ranks) {
+		d.hedging = append(d.hedging, 0)
+	}
 	d.endpoints = make([]*endpoint, 0, len(service.Endpoints))
 	kept := make(map[*endpoint]bool, len(service.Endpoints))
 	for _, s := range service.Endpoints {
