Race two operators' confirmations under faults

Cause: a plan read from a lagging row looked open though it was confirmed, and a VM denied a plan that another had just made. Conclusion: the write of the head row alone makes a plan take effect.

--- a/core/daisyplan/state.go
+++ b/core/daisyplan/state.go
@@ -91,7 +91,7 @@
 		return s
 	case Open, Confirming:
 		if successor.Next.Revision != 0 {
-			return Superseded{Revision: successor.Head.Revision, By: successor.Head.ConfirmedBy}
+			return Superseded{Revision: successor.Next.Revision, By: successor.Next.ConfirmedBy}
 		}
 		if !now.Before(record.Expires) {
 			return Expired{}
--- a/io/daisycontroller/plan.go
+++ b/io/daisycontroller/plan.go
@@ -52,6 +52,8 @@
 	random *rand.Rand
 	// written has the rows that this VM wrote, since a read that follows may lag.
 	written map[daisyplan.ID]planRow
+	// links has parts of the chain of confirmed snapshots.
+	links map[daisyconfig.Hash]link
 }
 
 // planRow is a plan's row.
@@ -71,6 +73,7 @@
 		options: options,
 		random:  newRandom(options.Seed, options.Self.Name),
 		written: make(map[daisyplan.ID]planRow),
+		links:   make(map[daisyconfig.Hash]link),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -233,7 +236,11 @@
 	if err != nil {
 		return daisyplan.Plan{}, err
 	}
-	state, err := c.judge(ctx, row.record)
+	head, err := c.head(ctx)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	state, err := c.judge(ctx, row.record, head)
 	if err != nil {
 		return daisyplan.Plan{}, err
 	}
--- a/io/daisycontroller/plan_confirm.go
+++ b/io/daisycontroller/plan_confirm.go
@@ -25,7 +25,7 @@
 	}
 	defer end()
 	var p daisyplan.Plan
-	err = repeat(ctx, errRowChanged, func() error {
+	err = whileRowChanges(ctx, func() error {
 		var err error
 		p, err = c.confirm(ctx, id, operator)
 		return err
@@ -38,7 +38,11 @@
 	if err != nil {
 		return daisyplan.Plan{}, err
 	}
-	state, err := c.judge(ctx, row.record)
+	head, err := c.head(ctx)
+	if err != nil {
+		return daisyplan.Plan{}, err
+	}
+	state, err := c.judge(ctx, row.record, head)
 	if err != nil {
 		return daisyplan.Plan{}, err
 	}
@@ -182,7 +186,7 @@
 		w.snapshot = next
 		return nil
 	}
-	return stale(daisyplan.ID(w.snapshot.PlanID), w.snapshot.Revision-1, head.Revision, head.ConfirmedBy)
+	return stale(daisyplan.ID(w.snapshot.PlanID), w.snapshot.Revision-1, next.Revision, next.ConfirmedBy)
 }
 
 // record notes in the plan's row that it is confirmed, so that lists need not look
--- /dev/null
+++ b/io/daisycontroller/plan_race_test.go
@@ -0,0 +1,179 @@
+package daisycontroller_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyplan"
+	"daisyyoke/io/daisyplatform"
+)
+
+var platformFaults = []daisyplatform.Fault{
+	daisyplatform.Down{},
+	daisyplatform.Slow{Delay: 3 * time.Second},
+	daisyplatform.Slow{Delay: 20 * time.Second},
+	daisyplatform.Lagging{By: 5 * time.Second},
+	daisyplatform.LostReplies{Share: 0.5},
+	daisyplatform.LostReplies{Share: 1},
+	daisyplatform.Throttled{PerSecond: 5},
+}
+
+// race is two VMs, each with an operator, on one platform with two faults.
+type race struct {
+	t      *testing.T
+	random *rand.Rand
+	faulty *daisyplatform.Faulty
+	vms    []*stateVM
+}
+
+// raceGroups is the number of groups of seeds that run side by side.
+const raceGroups = 10
+
+// eachRace runs a test for so many seeds, each in virtual time of its own; a short
+// run takes a tenth of them.
+func eachRace(t *testing.T, seeds int, test func(r *race)) {
+	t.Helper()
+	size := seeds / raceGroups
+	if testing.Short() {
+		size /= 10
+	}
+	for group := range raceGroups {
+		t.Run(fmt.Sprintf("group %d", group), func(t *testing.T) {
+			t.Parallel()
+			for i := range size {
+				seed := uint64(size*group + i)
+				synctest.Test(t, func(t *testing.T) { runRace(t, seed, test) })
+				if t.Failed() {
+					t.Fatalf("seed %d", seed)
+				}
+			}
+		})
+	}
+}
+
+func runRace(t *testing.T, seed uint64, test func(r *race)) {
+	t.Helper()
+	r := &race{t: t, random: rand.New(rand.NewPCG(seed, 3)), faulty: daisyplatform.NewFaulty(daisyplatform.NewEmbedded(), seed)}
+	r.vms = []*stateVM{
+		newStateVM(t, "vm-1", r.faulty, silence{}, seed),
+		newStateVM(t, "vm-2", r.faulty, silence{}, seed),
+	}
+	defer r.vms[0].Close()
+	defer r.vms[1].Close()
+	assert.NilError(t, r.vms[0].plans.ConfirmFirst(t.Context(), testIntent(1), "ana"))
+	time.Sleep(10 * time.Second)
+	test(r)
+}
+
+// trouble brings two faults that go away after a while.
+func (r *race) trouble() {
+	a := platformFaults[r.random.IntN(len(platformFaults))]
+	b := platformFaults[r.random.IntN(len(platformFaults))]
+	length := time.Duration(r.random.Int64N(int64(15 * time.Second)))
+	r.faulty.SetFaults(a, b)
+	time.AfterFunc(length, func() { r.faulty.SetFaults() })
+}
+
+// confirm asks on a VM until the answer is a definite one.
+func (r *race) confirm(v *stateVM, id daisyplan.ID, operator string, wait time.Duration) error {
+	time.Sleep(wait)
+	for {
+		_, err := v.plans.Confirm(r.t.Context(), id, operator)
+		if !errorx.IsOfType(err, daisyerror.Unavailable) && !errorx.IsOfType(err, daisyerror.Unknown) {
+			return err
+		}
+	}
+}
+
+func (r *race) waits() (time.Duration, time.Duration) {
+	return time.Duration(r.random.IntN(3)) * time.Millisecond, time.Duration(r.random.IntN(3)) * time.Millisecond
+}
+
+// settle waits until no fault is left and both VMs have followed, and checks that they agree.
+func (r *race) settle() *daisyconfig.Snapshot {
+	time.Sleep(time.Minute)
+	s := r.vms[0].config.InForce()
+	assert.Equal(r.t, s.Hash, r.vms[1].config.InForce().Hash)
+	history, err := r.vms[1].config.History(r.t.Context(), 10)
+	assert.NilError(r.t, err)
+	assert.Equal(r.t, len(history), int(s.Revision))
+	return s
+}
+
+func (r *race) state(id daisyplan.ID) string {
+	p, err := r.vms[1].plans.View(r.t.Context(), id)
+	assert.NilError(r.t, err)
+	return daisyplan.StateName(p.State)
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	eachRace(t, 1000, func(r *race) {
+		ctx := r.t.Context()
+		a, err := r.vms[0].plans.Create(ctx, testIntent(2), "ana")
+		assert.NilError(r.t, err)
+		b, err := r.vms[1].plans.Create(ctx, testIntent(3), "rui")
+		assert.NilError(r.t, err)
+		r.trouble()
+		waitA, waitB := r.waits()
+		result := make(chan error, 1)
+		go func() { result <- r.confirm(r.vms[0], a.ID, "ana", waitA) }()
+		errB := r.confirm(r.vms[1], b.ID, "rui", waitB)
+		errA := <-result
+		s := r.settle()
+		assert.Equal(r.t, s.Revision, daisyconfig.Revision(2))
+		winner, loser, lost := a, b, errB
+		if errA != nil {
+			winner, loser, lost = b, a, errA
+		}
+		assert.Assert(r.t, (errA == nil) != (errB == nil), "%v, %v", errA, errB)
+		assert.Assert(r.t, errorx.IsOfType(lost, daisyerror.Stale), "%v", lost)
+		assert.Equal(r.t, s.PlanID, string(winner.ID))
+		assert.DeepEqual(r.t, len(s.Intent.Fleets[0].Services[0].Endpoints), len(winner.Intent.Fleets[0].Services[0].Endpoints))
+		assert.Equal(r.t, r.state(winner.ID), "confirmed")
+		assert.Equal(r.t, r.state(loser.ID), "superseded")
+	})
+}
+
+func TestOnePlanConfirmedTwice(t *testing.T) {
+	eachRace(t, 300, func(r *race) {
+		p, err := r.vms[0].plans.Create(r.t.Context(), testIntent(2), "ana")
+		assert.NilError(r.t, err)
+		r.trouble()
+		waitA, waitB := r.waits()
+		result := make(chan error, 1)
+		go func() { result <- r.confirm(r.vms[0], p.ID, "ana", waitA) }()
+		assert.NilError(r.t, r.confirm(r.vms[1], p.ID, "rui", waitB))
+		assert.NilError(r.t, <-result)
+		s := r.settle()
+		assert.Equal(r.t, s.Revision, daisyconfig.Revision(2))
+		assert.Equal(r.t, s.PlanID, string(p.ID))
+	})
+}
+
+func TestConfirmAndDiscardRace(t *testing.T) {
+	eachRace(t, 300, func(r *race) {
+		p, err := r.vms[0].plans.Create(r.t.Context(), testIntent(2), "ana")
+		assert.NilError(r.t, err)
+		r.trouble()
+		waitA, waitB := r.waits()
+		result := make(chan error, 1)
+		go func() { result <- r.confirm(r.vms[0], p.ID, "ana", waitA) }()
+		time.Sleep(waitB)
+		discarded := r.vms[1].plans.Discard(r.t.Context(), p.ID, "rui")
+		for errorx.IsOfType(discarded, daisyerror.Unavailable) {
+			discarded = r.vms[1].plans.Discard(r.t.Context(), p.ID, "rui")
+		}
+		confirmed := <-result
+		s := r.settle()
+		assert.Assert(r.t, (confirmed == nil) != (discarded == nil), "%v, %v", confirmed, discarded)
+		assert.Equal(r.t, s.Revision == 2, confirmed == nil)
+	})
+}
--- a/io/daisycontroller/plan_row.go
+++ b/io/daisycontroller/plan_row.go
@@ -7,16 +7,30 @@
 	"strings"
 	"time"
 
-	"daisyyoke/core/daisyconfig"
+	"github.com/joomcode/errorx"
+
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyplan"
 	"daisyyoke/io/daisyplatform"
 	"daisyyoke/io/daisysnapshot"
 )
 
+// lagAllowance is by how much reads of the table may lag.
+const lagAllowance = time.Minute
+
 // errRowChanged marks a row that is not of the expected version any more.
 var errRowChanged = daisyerror.Stale.NewSubtype("row-changed")
 
+// whileRowChanges runs an operation again while others change the row under it, or
+// reads that lag make it look so. It fails with daisyerror.Unavailable when ctx ends.
+func whileRowChanges(ctx context.Context, operation func() error) error {
+	err := repeat(ctx, errRowChanged, operation)
+	if errorx.IsOfType(err, errRowChanged) {
+		return daisyerror.Unavailable.Wrap(err, "given up for now")
+	}
+	return err
+}
+
 // find gives the newest known row of a plan.
 func (c *Plan) find(ctx context.Context, id daisyplan.ID) (planRow, error) {
 	var row planRow
@@ -40,6 +54,9 @@
 		if row, ok := c.writtenRow(id); ok {
 			return row, nil
 		}
+		if justMade(id, now()) {
+			return planRow{}, daisyerror.Unavailable.New("the platform does not show plan %s yet, or there is none", id)
+		}
 		return planRow{}, daisyerror.NotFound.New("no plan %s", id)
 	case daisyplatform.Unavailable:
 		return planRow{}, unavailable(a.Err, what)
@@ -54,6 +71,16 @@
 	return id != "" && len(id) <= daisyplatform.MaxNameLength/2 && rest == ""
 }
 
+// justMade reports whether the time in a plan's id is so near that a lagging read
+// may not show the plan yet.
+func justMade(id daisyplan.ID, at time.Time) bool {
+	if len(id) < len(planTime) {
+		return false
+	}
+	made, err := time.Parse(planTime, string(id[:len(planTime)]))
+	return err == nil && at.Sub(made).Abs() < lagAllowance
+}
+
 func (c *Plan) newestRow(id daisyplan.ID, row daisyplatform.Row) (planRow, error) {
 	if w, ok := c.writtenRow(id); ok && w.version > row.Version {
 		return w, nil
@@ -152,8 +179,12 @@
 		}
 		records = append(records, found...)
 	}
+	head, err := c.head(ctx)
+	if err != nil {
+		return nil, err
+	}
 	for i := range records {
-		if records[i].State, err = c.judge(ctx, records[i]); err != nil {
+		if records[i].State, err = c.judge(ctx, records[i], head); err != nil {
 			return nil, err
 		}
 	}
@@ -213,7 +244,7 @@
 		return err
 	}
 	defer end()
-	return repeat(ctx, errRowChanged, func() error { return c.discard(ctx, id, operator) })
+	return whileRowChanges(ctx, func() error { return c.discard(ctx, id, operator) })
 }
 
 func (c *Plan) discard(ctx context.Context, id daisyplan.ID, operator string) error {
@@ -235,39 +266,3 @@
 	}
 	return nil
 }
-
-// judge gives the state of a plan from its record and from what was confirmed after its base.
-func (c *Plan) judge(ctx context.Context, record daisyplan.Record) (daisyplan.State, error) {
-	var successor daisyplan.Successor
-	err := persist(ctx, func() error {
-		row, err := getHead(ctx, c.options.Platform)
-		if err != nil {
-			return err
-		}
-		successor, err = c.successor(ctx, record, row.head)
-		return err
-	})
-	return daisyplan.Judge(record, successor, now()), err
-}
-
-// successor finds the snapshot that followed a plan's base, given the head that the table shows.
-func (c *Plan) successor(ctx context.Context, record daisyplan.Record, head daisyconfig.Head) (daisyplan.Successor, error) {
-	if s := c.options.Config.InForce(); s != nil && s.Revision > head.Revision {
-		head = s.Head()
-	}
-	if head.Revision <= record.Base {
-		return daisyplan.Successor{Head: head}, nil
-	}
-	next := daisyconfig.Head{Revision: record.Base + 1}
-	if _, ok := record.State.(daisyplan.Confirming); ok {
-		s, err := fetchSnapshot(ctx, c.options.Platform, head.Hash)
-		if err != nil {
-			return daisyplan.Successor{}, err
-		}
-		if s, err = followChain(ctx, c.options.Platform, s, record.Base+1); err != nil {
-			return daisyplan.Successor{}, err
-		}
-		next = s.Head()
-	}
-	return daisyplan.Successor{Head: head, Next: next}, nil
-}
--- a/io/daisysnapshot/codec.go
+++ b/io/daisysnapshot/codec.go
@@ -12,6 +12,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyerror"
@@ -66,13 +67,21 @@
 	return intent, hash, err
 }
 
+// compressors keeps compressors, which take most of a megabyte each, for their next use.
+var compressors = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 func encode(document any) ([]byte, daisyconfig.Hash, error) {
 	plain, err := json.Marshal(document)
 	if err != nil {
 		return nil, "", daisyerror.Internal.Wrap(err, "encode")
 	}
 	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
+	z, ok := compressors.Get().(*gzip.Writer)
+	if !ok {
+		return nil, "", daisyerror.Internal.New("no compressor")
+	}
+	defer compressors.Put(z)
+	z.Reset(&b)
 	if _, err := z.Write(plain); err != nil {
 		return nil, "", daisyerror.Internal.Wrap(err, "compress")
 	}
