Set apart what a trial's own faults break off

Cause: requests in flight on a killed VM cannot be answered, so a trial that kills one always failed. Change: a call carries where and when it was under way; outages of the trial cover it only at that VM and time.

--- a/examples/trial/main.go
+++ b/examples/trial/main.go
@@ -102,12 +102,12 @@
 	ledger := &daisytrial.Ledger{}
 	faults := newInjector(ctx, f, o, ledger)
 	daisytrial.Run(ctx, o.load(f, o.streams(), "main", o.length), ledger)
-	faults.Close()
+	outages := faults.Close()
 	ran, err := f.ran()
 	if err != nil {
 		return err
 	}
-	audit := ledger.Audit(ran)
+	audit := ledger.Audit(ran, outages...)
 	if err := report(ledger, audit, o.json); err != nil {
 		return err
 	}
--- a/io/daisytrial/caller.go
+++ b/io/daisytrial/caller.go
@@ -32,19 +32,19 @@
 	if err != nil {
 		return NoAnswer{Cause: err}
 	}
-	var failure error
+	var failure NoAnswer
 	for _, a := range addresses {
 		started := time.Now()
 		response, err := c.do(ctx, a, call)
 		if err == nil {
-			return judge(call, response, started)
+			return judge(call, response, a, started)
 		}
-		failure = err
+		failure = NoAnswer{Cause: err, Span: Span{VM: a, From: started, To: time.Now()}}
 		if !errorx.IsOfType(err, notConnected) {
 			break
 		}
 	}
-	return NoAnswer{Cause: failure}
+	return failure
 }
 
 // notConnected marks a request that had no connection to be sent over.
@@ -88,11 +88,11 @@
 	return len(p), nil
 }
 
-func judge(call Call, response *http.Response, started time.Time) Fate {
+func judge(call Call, response *http.Response, vm netip.AddrPort, started time.Time) Fate {
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
 	if err != nil {
-		return Cut{Cause: err}
+		return Cut{Cause: err, Span: Span{VM: vm, From: started, To: time.Now()}}
 	}
 	switch response.Header.Get("Daisy-Run") {
 	case "not-run":
--- a/io/daisytrial/document.go
+++ b/io/daisytrial/document.go
@@ -30,6 +30,7 @@
 	MixedUp     int `json:"mixed-up"`
 	Doubled     int `json:"doubled"`
 	FalseNotRun int `json:"false-not-run"`
+	BrokenOff   int `json:"broken-off-by-the-trial"`
 	NeverRan    int `json:"never-ran"`
 }
 
--- a/io/daisytrial/ledger.go
+++ b/io/daisytrial/ledger.go
@@ -112,15 +112,19 @@
 	Doubled int
 	// FalseNotRun counts calls that were promised not to have run, and ran.
 	FalseNotRun int
+	// BrokenOff counts calls that a fault of the trial broke off by its nature, for
+	// instance those under way at a killed VM. They break no promise.
+	BrokenOff int
 	// NeverRan counts calls that were served though no endpoint ran them.
 	NeverRan int
 }
 
 // Sound says that nothing was lost, cut, mixed up, doubled or promised falsely.
-func (a Audit) Sound() bool { return a == Audit{} }
+func (a Audit) Sound() bool { return a == Audit{BrokenOff: a.BrokenOff} }
 
-// Audit compares the ledger with how often the endpoints ran each key.
-func (l *Ledger) Audit(ran map[string]int) Audit {
+// Audit compares the ledger with how often the endpoints ran each key, and sets
+// apart what the outages of the trial broke off.
+func (l *Ledger) Audit(ran map[string]int, outages ...Outage) Audit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var a Audit
@@ -129,23 +133,31 @@
 		if e.call.Stream.Method == http.MethodPost && runs > 1 {
 			a.Doubled++
 		}
-		switch e.fate.(type) {
+		switch f := e.fate.(type) {
 		case Served:
 			a.NeverRan += one(runs == 0)
 		case Refused:
 			a.FalseNotRun += one(runs > 0)
 		case Cut:
-			a.Cut++
+			covered := one(coversAny(outages, f.Span))
+			a.BrokenOff += covered
+			a.Cut += 1 - covered
 		case MixedUp:
 			a.MixedUp++
 		case NoAnswer:
-			a.Lost++
+			covered := one(f.Span.VM.IsValid() && coversAny(outages, f.Span))
+			a.BrokenOff += covered
+			a.Lost += 1 - covered
 		case Failed:
 		}
 	}
 	return a
 }
 
+func coversAny(outages []Outage, span Span) bool {
+	return slices.ContainsFunc(outages, func(o Outage) bool { return o.covers(span) })
+}
+
 func one(b bool) int {
 	if b {
 		return 1
--- a/io/daisytrial/report.go
+++ b/io/daisytrial/report.go
@@ -34,6 +34,6 @@
 
 // String gives the audit as one line.
 func (a Audit) String() string {
-	return fmt.Sprintf("lost %d, cut %d, mixed up %d, doubled %d, false not-run %d, served without a run %d",
-		a.Lost, a.Cut, a.MixedUp, a.Doubled, a.FalseNotRun, a.NeverRan)
+	return fmt.Sprintf("lost %d, cut %d, mixed up %d, doubled %d, false not-run %d, served without a run %d; broken off by the trial itself %d",
+		a.Lost, a.Cut, a.MixedUp, a.Doubled, a.FalseNotRun, a.NeverRan, a.BrokenOff)
 }
