Take an answer that an endpoint cuts as a fault of the endpoint

Change: the end of an answer says whether the endpoint cut it; a caller that has gone is told apart. The audit does not ask for a run behind an endpoint's own 5xx.

--- a/core/daisymeasure/route.go
+++ b/core/daisymeasure/route.go
@@ -119,7 +119,7 @@
 	}
 	w.handle(a.vm, s, daisyroute.AttemptResolved{Attempt: a.id, Outcome: e.outcome, Resendable: true})
 	if _, ok := e.outcome.(daisyrequest.Answered); ok {
-		w.handle(a.vm, s, daisyroute.AttemptReleased{Attempt: a.id, Whole: true})
+		w.handle(a.vm, s, daisyroute.AttemptReleased{Attempt: a.id})
 	}
 	delete(a.vm.attempts[s.index], a.id)
 }
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -41,7 +41,7 @@
 // AttemptReleased says that the body of an answered attempt has ended, whole or broken off.
 type AttemptReleased struct {
 	Attempt daisyrequest.AttemptID
-	Whole   bool
+	Ending  daisyrequest.Ending
 }
 
 // ReportReceived says what an endpoint reported with an answer, to a probe, or to another VM.
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"daisyyoke/core/daisybudget"
+	"daisyyoke/core/daisyhealth"
 	"daisyyoke/core/daisyrequest"
 )
 
@@ -38,6 +39,9 @@
 	if r := a.request; r != nil {
 		d.lose(now, r, a)
 	}
+	if event.Ending == daisyrequest.EndpointCut {
+		d.observe(now, a, daisyhealth.Fault{})
+	}
 	d.vacate(now, a)
 }
 
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -199,8 +199,8 @@
 }
 
 // Release reports that the body of an answered attempt has ended.
-func (t *Ticket) Release(attempt daisyrequest.AttemptID, whole bool) {
-	t.shard.release(daisyroute.AttemptReleased{Attempt: attempt, Whole: whole})
+func (t *Ticket) Release(attempt daisyrequest.AttemptID, ending daisyrequest.Ending) {
+	t.shard.release(daisyroute.AttemptReleased{Attempt: attempt, Ending: ending})
 }
 
 // Report passes on what an endpoint said of its load.
--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -250,6 +250,6 @@
 	a.closeBody()
 	if response != nil {
 		_ = response.Body.Close()
-		a.exchange.ticket.Release(a.send.Attempt, false)
+		a.exchange.ticket.Release(a.send.Attempt, daisyrequest.EndedWhole)
 	}
 }
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -23,7 +23,7 @@
 		x.passTrailers(response)
 	}
 	_ = response.Body.Close()
-	x.ticket.Release(a.send.Attempt, err == nil)
+	x.ticket.Release(a.send.Attempt, p.ending)
 	switch {
 	case err == nil:
 		x.outcome = daisymetric.Served
@@ -112,6 +112,8 @@
 	due time.Time
 	// begun says that the header was handed to the server.
 	begun bool
+	// ending is set when the endpoint, and not the caller, broke the answer off.
+	ending daisyrequest.Ending
 }
 
 func newPump(x *exchange, a *attempt, response *http.Response) *pump {
@@ -155,11 +157,20 @@
 			return nil
 		}
 		if err != nil {
+			p.blame()
 			return err
 		}
 	}
 }
 
+// blame sets the ending of an answer whose next bytes could not be read. A caller
+// that has gone ends the read too, and says nothing of the endpoint.
+func (p *pump) blame() {
+	if p.exchange.call.HTTP.Context().Err() == nil {
+		p.ending = daisyrequest.EndpointCut
+	}
+}
+
 // begin hands the header to the server unless that was done before.
 func (p *pump) begin() {
 	p.mu.Lock()
--- a/io/daisytrial/ledger.go
+++ b/io/daisytrial/ledger.go
@@ -135,7 +135,7 @@
 		}
 		switch f := e.fate.(type) {
 		case Served:
-			a.NeverRan += one(runs == 0)
+			a.NeverRan += one(runs == 0 && f.Status < http.StatusInternalServerError)
 		case Refused:
 			a.FalseNotRun += one(runs > 0)
 		case Cut:
--- a/io/daisytrial/ledger_test.go
+++ b/io/daisytrial/ledger_test.go
@@ -35,6 +35,7 @@
 		{"refused and not run", "POST", daisytrial.Refused{Status: 429}, 0, daisytrial.Audit{}},
 		{"refused and run", "GET", daisytrial.Refused{Status: 503}, 1, daisytrial.Audit{FalseNotRun: 1}},
 		{"unknown and run", "POST", daisytrial.Failed{Status: 502}, 1, daisytrial.Audit{}},
+		{"an endpoint's own failure", "GET", daisytrial.Served{Status: 500}, 0, daisytrial.Audit{}},
 		{"served and never run", "GET", daisytrial.Served{Status: 200}, 0, daisytrial.Audit{NeverRan: 1}},
 		{"cut", "GET", daisytrial.Cut{}, 1, daisytrial.Audit{Cut: 1}},
 		{"mixed up", "GET", daisytrial.MixedUp{}, 1, daisytrial.Audit{MixedUp: 1}},
