--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -17,6 +17,7 @@
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisylog"
 	"daisyyoke/io/daisymetric"
 )
 
@@ -35,6 +36,8 @@
 	Self   daisyvm.VM
 	Sender Sender
 	Prober Prober
+	// Log gets the changes of endpoints; nil writes nothing.
+	Log *daisylog.Log
 	// Metrics count the probes; nil counts nothing.
 	Metrics *daisymetric.Metrics
 	// Seed makes the random choices repeatable.
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -10,6 +10,7 @@
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisylog"
 )
 
 // routeShard holds the routing state of one service under its own lock.
@@ -169,6 +170,18 @@
 		s.route.options.Sender.Send(d.To, d.Message)
 	case daisyroute.Probe:
 		s.probe(d.Endpoint)
+	case daisyroute.EndpointChanged:
+		s.logChange(d)
+	}
+}
+
+func (s *routeShard) logChange(change daisyroute.EndpointChanged) {
+	if service := s.service.Load(); service != nil {
+		s.route.options.Log.Write(daisylog.Changed{
+			Service:   service.ID,
+			Endpoint:  change.Endpoint,
+			Condition: change.Condition.String(),
+		})
 	}
 }
 
--- a/io/daisycontroller/route_test.go
+++ b/io/daisycontroller/route_test.go
@@ -1,6 +1,8 @@
 package daisycontroller_test
 
 import (
+	"bytes"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,6 +18,7 @@
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisycontroller"
+	"daisyyoke/io/daisylog"
 )
 
 // outbox keeps what a VM sends to others.
@@ -72,3 +75,19 @@
 		ticket.Close()
 	})
 }
+
+func TestChangeOfAnEndpointIsLogged(t *testing.T) {
+	var output bytes.Buffer
+	log, err := daisylog.New(daisylog.Options{Output: &output, Level: "info"})
+	assert.NilError(t, err)
+	routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Sender: &outbox{sent: make(map[daisyvm.Name]int)}, Log: log})
+	routes.Apply(snapshotOf("a"))
+	drained := snapshotOf("a")
+	drained.Intent.Fleets[0].Services[0].Endpoints[0].Draining = true
+	routes.Apply(drained)
+	routes.Close()
+	log.Close()
+	assert.Equal(t, strings.Count(output.String(), "\n"), 1)
+	assert.Assert(t, strings.Contains(output.String(), `"@message":"endpoint changed"`), output.String())
+	assert.Assert(t, strings.Contains(output.String(), `"condition":"draining"`), output.String())
+}
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -10,7 +10,7 @@
 	"daisyyoke/core/daisyvm"
 )
 
-// Line is one decision. It is one of Sent, Refused, Canceled and Placed.
+// Line is one decision. It is one of Sent, Refused, Canceled, Changed and Placed.
 type Line interface{ line() }
 
 // Sent says which endpoint got an attempt and why.
@@ -51,6 +51,14 @@
 	Endpoint netip.AddrPort
 }
 
+// Changed says that a VM uses an endpoint differently from now on.
+type Changed struct {
+	Service  daisyservice.ID
+	Endpoint netip.AddrPort
+	// Condition is how it is used, for instance "ejected-slow".
+	Condition string
+}
+
 // Placed says which VM got a service or its credits, and why.
 type Placed struct {
 	Service    daisyservice.ID
@@ -62,4 +70,5 @@
 func (Sent) line()     {}
 func (Refused) line()  {}
 func (Canceled) line() {}
+func (Changed) line()  {}
 func (Placed) line()   {}
--- a/io/daisylog/log.go
+++ b/io/daisylog/log.go
@@ -122,6 +122,9 @@
 	case Canceled:
 		l.logger.Info("attempt canceled", "fleet", n.Service.Fleet, "service", n.Service.Name, "rank", n.Rank,
 			"endpoint", n.Endpoint.String(), "request", n.Request, "attempt", n.Attempt)
+	case Changed:
+		l.logger.Info("endpoint changed", "fleet", n.Service.Fleet, "service", n.Service.Name,
+			"endpoint", n.Endpoint.String(), "condition", n.Condition)
 	case Placed:
 		l.logger.Info("credits placed", "fleet", n.Service.Fleet, "service", n.Service.Name,
 			"vm", n.VM, "why", n.Why, "considered", n.Considered)
