Announce a VM to the platform again and again

Cause: a VM announced itself once, and the platform forgets what falls silent for 30 s, so after that no new VM could find it on the list. Change: it announces itself with each read of the list, every 7.5 to 10 s. Conclusion: one write a VM in about 9 s.

--- a/io/daisycontroller/member_list.go
+++ b/io/daisycontroller/member_list.go
@@ -11,12 +11,12 @@
 	"daisyyoke/io/daisyplatform"
 )
 
-// watchList announces this VM to the platform and reads its list now and then.
+// watchList announces this VM to the platform, which forgets those that fall
+// silent, and reads its list now and then.
 func (c *Member) watchList(random *rand.Rand) {
 	retries := backoff.NewExponentialBackOff()
 	retries.InitialInterval = 200 * time.Millisecond
 	retries.MaxInterval = listInterval
-	announced := daisyplatform.ListedVM{}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -26,9 +26,7 @@
 		case <-c.ctx.Done():
 			return
 		}
-		if own := c.listedSelf(); own != announced && c.announce(own) {
-			announced = own
-		}
+		c.announce(c.listedSelf())
 		if c.readList() {
 			retries.Reset()
 			timer.Reset(listInterval - time.Duration(random.Int64N(int64(listInterval/4))))
@@ -43,15 +41,13 @@
 	return daisyplatform.ListedVM{Name: v.Name, Zone: v.Zone, Peers: v.Peers, Leaving: c.currentStatus().Leaving}
 }
 
-func (c *Member) announce(vm daisyplatform.ListedVM) bool {
+func (c *Member) announce(vm daisyplatform.ListedVM) {
 	ctx, cancel := context.WithTimeout(c.ctx, platformTimeout)
 	defer cancel()
 	answer := c.options.List.AnnounceVM(ctx, vm)
-	_, ok := answer.(daisyplatform.VMAnnounced)
-	if !ok {
+	if _, ok := answer.(daisyplatform.VMAnnounced); !ok {
 		c.options.Logger.Warn("VM not announced to the platform", "answer", daisyplatform.AnswerName(answer))
 	}
-	return ok
 }
 
 func (c *Member) readList() bool {
