--- a/io/daisycontroller/plan_row.go
+++ b/io/daisycontroller/plan_row.go
@@ -120,13 +120,18 @@
 	what := "write plan " + string(row.record.ID)
 	lost := false
 	return persist(ctx, func() error {
+		if lost {
+			if settled, err := c.readBack(ctx, row, value); settled {
+				return err
+			}
+		}
 		switch a := c.options.Platform.SwapRow(ctx, key, row.version, value).(type) {
 		case daisyplatform.RowWritten:
 			c.remember(planRow{record: row.record, version: a.Version})
 			return nil
 		case daisyplatform.Conflict:
 			if lost {
-				return c.readBack(ctx, row, value)
+				return daisyerror.Unavailable.New("%s: reads lag behind the write", what)
 			}
 			return errRowChanged.New("plan %s was changed by somebody else", row.record.ID)
 		case daisyplatform.Unknown:
@@ -141,26 +146,17 @@
 }
 
 // readBack finds out whether a write whose reply was lost is what the row holds.
-// The row has left the written version, so that a read that still shows it lags.
-func (c *Plan) readBack(ctx context.Context, row planRow, value []byte) error {
-	what := "read back plan " + string(row.record.ID)
-	switch a := c.options.Platform.GetRow(ctx, planPrefix+string(row.record.ID)).(type) {
-	case daisyplatform.RowRead:
-		if a.Row.Version <= row.version {
-			return daisyerror.Unavailable.New("%s: the read lags", what)
-		}
-		if !bytes.Equal(a.Row.Value, value) {
-			return errRowChanged.New("plan %s was changed by somebody else", row.record.ID)
-		}
-		c.remember(planRow{record: row.record, version: a.Row.Version})
-		return nil
-	case daisyplatform.NotFound:
-		return daisyerror.Unavailable.New("%s: the read lags", what)
-	case daisyplatform.Unavailable:
-		return unavailable(a.Err, what)
-	default:
-		return unexpected(a, what)
+// It is not settled while the row is shown in the version that was written over.
+func (c *Plan) readBack(ctx context.Context, row planRow, value []byte) (settled bool, err error) {
+	a, ok := c.options.Platform.GetRow(ctx, planPrefix+string(row.record.ID)).(daisyplatform.RowRead)
+	if !ok || a.Row.Version <= row.version {
+		return false, nil
+	}
+	if !bytes.Equal(a.Row.Value, value) {
+		return true, errRowChanged.New("plan %s was changed by somebody else", row.record.ID)
 	}
+	c.remember(planRow{record: row.record, version: a.Row.Version})
+	return true, nil
 }
 
 // List gives the plans of the last days, the newest first.
--- a/io/daisycontroller/store.go
+++ b/io/daisycontroller/store.go
@@ -43,11 +43,18 @@
 // putObject writes an object until the store has it or ctx ends; writing it twice does no harm.
 func putObject(ctx context.Context, objects daisyplatform.Objects, name string, data []byte) error {
 	what := "write object " + name
+	lost := false
 	return persist(ctx, func() error {
+		if lost {
+			if _, ok := objects.GetObject(ctx, name).(daisyplatform.ObjectRead); ok {
+				return nil
+			}
+		}
 		switch a := objects.PutObject(ctx, name, data).(type) {
 		case daisyplatform.ObjectWritten:
 			return nil
 		case daisyplatform.Unknown:
+			lost = true
 			return unavailable(a.Err, what)
 		case daisyplatform.Unavailable:
 			return unavailable(a.Err, what)
