--- a/core/daisyconfig/follower.go
+++ b/core/daisyconfig/follower.go
@@ -28,7 +28,8 @@
 	peerMemory = 10 * time.Second
 	// originFanout bounds the peers to which the confirming VM sends the snapshot.
 	originFanout = 8
-	// relayFanout bounds the peers to which a VM passes on a snapshot that is new to it.
+	// relayFanout bounds the peers to which a VM passes on a snapshot that is new to
+	// it, where there are more than the confirming VM reaches itself.
 	relayFanout = 2
 )
 
@@ -217,7 +218,7 @@
 func (f *Follower) offer(now time.Time, event SnapshotOffered) []Decision {
 	isNew := f.inForce == nil || event.Snapshot.Revision > f.inForce.Revision
 	decisions := f.take(event.Snapshot)
-	if isNew {
+	if isNew && len(f.order) > originFanout {
 		decisions = append(decisions, f.spread(now, relayFanout, event.From)...)
 	}
 	return decisions
--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -165,8 +165,8 @@
 }
 
 // check takes a snapshot from another VM if its hash is that of its content. A VM
-// of another version may know fields that got lost on the way; then the snapshot
-// comes from the platform.
+// of another version may have dropped fields that it does not know; then the
+// snapshot comes from the platform.
 func (c *Config) check(from daisyvm.Name, snapshot *daisyconfig.Snapshot) {
 	if s := c.InForce(); s != nil && s.Hash == snapshot.Hash {
 		return
--- a/io/daisypeer/codec_test.go
+++ b/io/daisypeer/codec_test.go
@@ -22,6 +22,7 @@
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisysnapshot"
 	"daisyyoke/io/daisywire"
 )
 
@@ -51,9 +52,8 @@
 		address := netip.AddrPortFrom(testEndpoint.Addr(), uint16(9001+i))
 		service.Endpoints = append(service.Endpoints, daisyendpoint.Endpoint{Address: address, Zone: testZone, Slots: 3, Connections: 250, Draining: i == 1})
 	}
-	return daisyconfig.Snapshot{
+	return hashed(daisyconfig.Snapshot{
 		Revision: 9,
-		Hash:     "00ff10",
 		Intent: daisyconfig.Intent{Fleets: []daisyconfig.Fleet{{
 			Name:              "vigia-lar",
 			AvailabilityZones: []daisyfleet.AvailabilityZone{{ID: testZone, City: "lisboa"}},
@@ -63,7 +63,17 @@
 		ConfirmedAt: testNow,
 		ConfirmedBy: "ana",
 		PlanID:      "p-1",
+	})
+}
+
+// hashed gives the snapshot with the hash of its content.
+func hashed(s daisyconfig.Snapshot) daisyconfig.Snapshot {
+	hash, err := daisysnapshot.Hash(&s)
+	if err != nil {
+		panic(err)
 	}
+	s.Hash = hash
+	return s
 }
 
 func testHeartbeat() daisymessage.Heartbeat {
@@ -172,11 +182,14 @@
 	unpaired := &daisywire.Frame{Message: &daisywire.Frame_Heartbeat{Heartbeat: &daisywire.Heartbeat{HeardDigests: []uint32{1}}}}
 	badName := &daisywire.Frame{Message: &daisywire.Frame_Heartbeat{Heartbeat: &daisywire.Heartbeat{Vm: &daisywire.VM{Name: "VM 1"}}}}
 	badAddress := &daisywire.Frame{Message: &daisywire.Frame_EndpointNews{EndpointNews: &daisywire.EndpointNews{Address: []byte{1, 2, 3}}}}
-	badRank := &daisywire.Service{DefaultRank: 3}
-	badIntent := &daisywire.Intent{Fleets: []*daisywire.Fleet{{Services: []*daisywire.Service{badRank}}}}
-	badSnapshot := &daisywire.Frame{Message: &daisywire.Frame_SnapshotGiven{SnapshotGiven: &daisywire.SnapshotGiven{Intent: badIntent}}}
+	rankless := testSnapshot(1)
+	rankless.Intent.Fleets[0].Services[0].DefaultRank = 3
+	badRank := &daisywire.Frame{Message: &daisywire.Frame_SnapshotGiven{SnapshotGiven: encodeSnapshot(rankless)}}
+	cut := encodeSnapshot(testSnapshot(1))
+	cut.Snapshot = cut.Snapshot[:len(cut.Snapshot)/2]
+	badSnapshot := &daisywire.Frame{Message: &daisywire.Frame_SnapshotGiven{SnapshotGiven: cut}}
 	for name, f := range map[string]*daisywire.Frame{
-		"unpaired digests": unpaired, "bad name": badName, "bad address": badAddress, "bad rank": badSnapshot,
+		"unpaired digests": unpaired, "bad name": badName, "bad address": badAddress, "bad rank": badRank, "cut snapshot": badSnapshot,
 	} {
 		t.Run(name, func(t *testing.T) {
 			frame, err := proto.Marshal(f)
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -12,9 +12,9 @@
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
-	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisysnapshot"
 	"daisyyoke/io/daisywire"
 )
 
@@ -135,76 +135,14 @@
 	return daisyservice.ID{Fleet: daisyfleet.Name(w.GetFleet()), Name: w.GetName()}
 }
 
+// snapshot gives a snapshot with the hash of what arrived.
 func (r *reading) snapshot(w *daisywire.SnapshotGiven) daisyconfig.Snapshot {
-	s := daisyconfig.Snapshot{
-		Revision:    daisyconfig.Revision(w.GetRevision()),
-		Hash:        decodeHash(w.GetHash()),
-		ConfirmedAt: timeOf(w.GetConfirmedAtNanoseconds()),
-		ConfirmedBy: w.GetConfirmedBy(),
-		PlanID:      w.GetPlanId(),
-		Previous:    decodeHash(w.GetPrevious()),
+	s, err := daisysnapshot.Decode(w.GetSnapshot())
+	if err != nil {
+		r.fail("snapshot: %v", err)
+		return daisyconfig.Snapshot{}
 	}
-	for _, f := range w.GetIntent().GetFleets() {
-		s.Intent.Fleets = append(s.Intent.Fleets, r.fleet(f))
-	}
-	return s
-}
-
-// timeOf gives the time of a Unix time, and the zero time for 0.
-func timeOf(nanoseconds int64) time.Time {
-	if nanoseconds == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, nanoseconds).UTC()
-}
-
-func (r *reading) fleet(w *daisywire.Fleet) daisyconfig.Fleet {
-	f := daisyconfig.Fleet{Name: daisyfleet.Name(w.GetName()), Ranks: decodeRanks(w.GetRanks())}
-	for _, z := range w.GetAvailabilityZones() {
-		f.AvailabilityZones = append(f.AvailabilityZones, daisyfleet.AvailabilityZone{ID: decodeZone(z.GetId()), City: z.GetCity()})
-	}
-	for _, s := range w.GetServices() {
-		f.Services = append(f.Services, r.service(s))
-	}
-	return f
-}
-
-func decodeRanks(w []*daisywire.Rank) []daisyrank.Rank {
-	var ranks []daisyrank.Rank
-	for _, x := range w {
-		ranks = append(ranks, daisyrank.Rank{
-			Name:   daisyrank.Name(x.GetName()),
-			Target: time.Duration(x.GetTargetNanoseconds()),
-			Worth:  x.GetWorth(),
-			Floor:  x.GetFloor(),
-		})
-	}
-	return ranks
-}
-
-func (r *reading) service(w *daisywire.Service) daisyservice.Service {
-	s := daisyservice.Service{
-		ID:          decodeServiceID(w.GetId()),
-		Ranks:       decodeRanks(w.GetRanks()),
-		DefaultRank: daisyrank.Index(w.GetDefaultRank()),
-		Protocol:    daisyservice.Protocol(w.GetProtocol()),
-	}
-	if s.Protocol > daisyservice.HTTP2 {
-		r.fail("protocol %d", s.Protocol)
-	}
-	if int(s.DefaultRank) >= len(s.Ranks) {
-		r.fail("default rank %d of %d", s.DefaultRank, len(s.Ranks))
-	}
-	for _, e := range w.GetEndpoints() {
-		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{
-			Address:     r.address(e.GetAddress()),
-			Zone:        decodeZone(e.GetZone()),
-			Slots:       int(e.GetSlots()),
-			Connections: int(e.GetConnections()),
-			Draining:    e.GetDraining(),
-		})
-	}
-	return s
+	return *s
 }
 
 func decodeTerm(w *daisywire.Term) daisycredit.Term {
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -9,12 +9,11 @@
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisycredit"
-	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
-	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisysnapshot"
 	"daisyyoke/io/daisywire"
 )
 
@@ -128,70 +127,13 @@
 	}
 }
 
+// encodeSnapshot gives an empty snapshot, which no VM takes, for one that cannot be encoded.
 func encodeSnapshot(s daisyconfig.Snapshot) *daisywire.SnapshotGiven {
-	w := &daisywire.SnapshotGiven{
-		Revision:               uint64(s.Revision),
-		Hash:                   hashBytes(s.Hash),
-		Intent:                 &daisywire.Intent{},
-		ConfirmedAtNanoseconds: nanoseconds(s.ConfirmedAt),
-		ConfirmedBy:            s.ConfirmedBy,
-		PlanId:                 s.PlanID,
-		Previous:               hashBytes(s.Previous),
-	}
-	for _, f := range s.Intent.Fleets {
-		w.Intent.Fleets = append(w.Intent.Fleets, encodeFleet(f))
-	}
-	return w
-}
-
-// nanoseconds gives the Unix time, and 0 for the zero time.
-func nanoseconds(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixNano()
-}
-
-func encodeFleet(f daisyconfig.Fleet) *daisywire.Fleet {
-	w := &daisywire.Fleet{Name: string(f.Name), Ranks: encodeRanks(f.Ranks)}
-	for _, z := range f.AvailabilityZones {
-		w.AvailabilityZones = append(w.AvailabilityZones, &daisywire.AvailabilityZone{Id: encodeZone(z.ID), City: z.City})
-	}
-	for _, s := range f.Services {
-		w.Services = append(w.Services, encodeService(s))
-	}
-	return w
-}
-
-func encodeRanks(ranks []daisyrank.Rank) []*daisywire.Rank {
-	var w []*daisywire.Rank
-	for _, r := range ranks {
-		w = append(w, &daisywire.Rank{Name: string(r.Name), TargetNanoseconds: r.Target.Nanoseconds(), Worth: r.Worth, Floor: r.Floor})
-	}
-	return w
-}
-
-func encodeService(s daisyservice.Service) *daisywire.Service {
-	w := &daisywire.Service{
-		Id:          encodeServiceID(s.ID),
-		Ranks:       encodeRanks(s.Ranks),
-		DefaultRank: uint32(s.DefaultRank),
-		Protocol:    uint32(s.Protocol),
-	}
-	for _, e := range s.Endpoints {
-		w.Endpoints = append(w.Endpoints, encodeEndpoint(e))
-	}
-	return w
-}
-
-func encodeEndpoint(e daisyendpoint.Endpoint) *daisywire.Endpoint {
-	return &daisywire.Endpoint{
-		Address:     addressBytes(e.Address),
-		Zone:        encodeZone(e.Zone),
-		Slots:       int64(e.Slots),
-		Connections: int64(e.Connections),
-		Draining:    e.Draining,
+	data, _, err := daisysnapshot.Encode(&s)
+	if err != nil {
+		return &daisywire.SnapshotGiven{}
 	}
+	return &daisywire.SnapshotGiven{Snapshot: data}
 }
 
 func encodeTerm(t daisycredit.Term) *daisywire.Term {
--- a/io/daisypeer/fields_test.go
+++ b/io/daisypeer/fields_test.go
@@ -67,12 +67,8 @@
 		v := reflect.New(reflect.TypeOf(m)).Elem()
 		(&filler{}).fill(v)
 		if s, ok := v.Interface().(daisymessage.SnapshotGiven); ok {
-			for _, f := range s.Snapshot.Intent.Fleets {
-				f.Services[0].DefaultRank = 1
-				f.Services[1].DefaultRank = 1
-				f.Services[0].Protocol = daisyservice.HTTP2
-				f.Services[1].Protocol = daisyservice.HTTP2
-			}
+			agree(s.Snapshot.Intent)
+			s.Snapshot = hashed(s.Snapshot)
 			v.Set(reflect.ValueOf(s))
 		}
 		e, d := testCodecs()
@@ -85,3 +81,22 @@
 		assert.DeepEqual(t, got, want, compareAddresses...)
 	}
 }
+
+// agree gives the parts of an intent the values that have to be the same in several places.
+func agree(intent daisyconfig.Intent) {
+	for _, f := range intent.Fleets {
+		for i := range f.AvailabilityZones {
+			f.AvailabilityZones[i].ID.Fleet = f.Name
+		}
+		for i := range f.Services {
+			s := &f.Services[i]
+			s.ID.Fleet = f.Name
+			s.Ranks = f.Ranks
+			s.DefaultRank = 1
+			s.Protocol = daisyservice.HTTP2
+			for j := range s.Endpoints {
+				s.Endpoints[j].Zone.Fleet = f.Name
+			}
+		}
+	}
+}
