Estimate waits with at least the VM's even share of the slots

A VM with little work holds few slot credits, so the wait of a burst was taken for too long and requests were refused although the owner lends the VM its share within a round trip. A test brings such a burst.

--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -79,7 +79,8 @@
 }
 
 // Wait estimates how long a request of a rank that arrives now will wait: the
-// slot time of the requests before it, over the slots in use.
+// slot time of the requests before it, over the slots in use or, if that is more,
+// the even share.
 func (q *Queue[T]) Wait(index daisyrank.Index) time.Duration {
 	if q.inFlight == 0 || q.waiting == 0 {
 		return 0
@@ -88,13 +89,14 @@
 	for _, r := range q.ranks[:index] {
 		before += time.Duration(r.earliest.Len()) * r.account.mean()
 	}
+	slots := max(float64(q.inFlight), q.even)
 	r := q.ranks[index]
 	own := time.Duration(r.earliest.Len()) * r.account.mean()
-	all := float64(before+own) / float64(q.inFlight)
+	all := float64(before+own) / slots
 	share := max(r.account.share, r.declared.Floor, leastShare)
-	alone := float64(own) / (share * float64(q.inFlight))
+	alone := float64(own) / (share * slots)
 	if r.declared.Floor > 0 {
-		return time.Duration(min(max(all, alone), float64(own)/(r.declared.Floor*float64(q.inFlight))))
+		return time.Duration(min(max(all, alone), float64(own)/(r.declared.Floor*slots)))
 	}
 	return time.Duration(max(all, alone))
 }
--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -78,6 +78,8 @@
 	// inFlight counts the attempts under way, of all ranks.
 	inFlight  int
 	accounted time.Time
+	// even is the even share of this VM in the slots.
+	even float64
 }
 
 type rank[T any] struct {
@@ -120,6 +122,10 @@
 	}
 }
 
+// SetEvenShare says how many slots the VM has when all VMs want as many; it may
+// use fewer while others need more, and is lent its share when it needs it.
+func (q *Queue[T]) SetEvenShare(slots float64) { q.even = slots }
+
 // Len gives how many requests wait.
 func (q *Queue[T]) Len() int { return q.waiting }
 
--- a/core/daisyqueue/queue_test.go
+++ b/core/daisyqueue/queue_test.go
@@ -195,3 +195,29 @@
 		}
 	})
 }
+
+func TestBurstAtAVMWithFewSlotsInUseIsNotRefused(t *testing.T) {
+	cases := []struct {
+		name    string
+		even    float64
+		refused bool
+	}{
+		{name: "one slot at most", even: 1, refused: true},
+		{name: "five are lent on demand", even: 5, refused: false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := daisyqueue.New[time.Time](ranks, daisyqueue.Options{Limits: daisyqueue.Limits{Rank: 100, Service: 100}})
+			q.SetEvenShare(c.even)
+			q.Ended(start, 0, 20*time.Millisecond, q.Started(start, 0))
+			q.Learn(0, 20*time.Millisecond)
+			q.Started(start, 0)
+			refused := false
+			for range 30 {
+				_, out := q.Admit(start, &item{Deadline: start.Add(ranks[0].Target)}).(daisyqueue.Refused[time.Time])
+				refused = refused || out
+			}
+			assert.Equal(t, refused, c.refused)
+		})
+	}
+}
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -34,6 +34,7 @@
 		kept[e] = true
 		d.endpoints = append(d.endpoints, e)
 	}
+	d.queue.SetEvenShare(d.evenShare())
 	for _, e := range d.byAddress {
 		if !kept[e] && !e.removed {
 			d.remove(now, e)
@@ -84,6 +85,7 @@
 			d.peers = append(d.peers, v.Name)
 		}
 	}
+	d.queue.SetEvenShare(d.evenShare())
 	d.setVMs(now, vms)
 	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
 	d.owner = !ok || owner.Name == d.self
@@ -91,3 +93,8 @@
 		d.refresh(now, e)
 	}
 }
+
+// evenShare gives the slots that this VM has when all VMs want as many.
+func (d *Dispatcher) evenShare() float64 {
+	return float64(d.service.Slots()) / float64(len(d.peers)+1)
+}
