--- a/core/daisylatency/distribution.go
+++ b/core/daisylatency/distribution.go
@@ -26,7 +26,7 @@
 	sum    float64
 	seen   uint64
 
-	median, p95, p99 time.Duration
+	median, p90, p95, p99 time.Duration
 }
 
 // Add counts a sample.
@@ -58,6 +58,9 @@
 // Median gives the 50th percentile, or 0 when the distribution is empty.
 func (d *Distribution) Median() time.Duration { return d.median }
 
+// P90 gives the 90th percentile, or 0 when the distribution is empty.
+func (d *Distribution) P90() time.Duration { return d.p90 }
+
 // P95 gives the 95th percentile, or 0 when the distribution is empty.
 func (d *Distribution) P95() time.Duration { return d.p95 }
 
@@ -74,7 +77,7 @@
 
 func (d *Distribution) rank() {
 	var below float32
-	d.median, d.p95, d.p99 = 0, 0, 0
+	d.median, d.p90, d.p95, d.p99 = 0, 0, 0, 0
 	for i, c := range d.counts {
 		if c == 0 {
 			continue
@@ -83,6 +86,9 @@
 		if d.median == 0 && below >= 0.5*d.total {
 			d.median = middle(i)
 		}
+		if d.p90 == 0 && below >= 0.90*d.total {
+			d.p90 = middle(i)
+		}
 		if d.p95 == 0 && below >= 0.95*d.total {
 			d.p95 = middle(i)
 		}
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -20,12 +20,12 @@
 	mostHedges = 64
 )
 
-// planCheck sets the first check of an attempt, at the 95th percentile of its rank.
+// planCheck sets the first check of an attempt, at the 90th percentile of its rank.
 func (d *Dispatcher) planCheck(now time.Time, a *attempt) {
 	times := d.queue.Answers(a.rank)
 	delay := unknownCheck
 	if times.Samples() >= fewestSamples {
-		delay = times.P95()
+		delay = times.P90()
 		if a.trial {
 			delay = 2 * times.Median()
 		}
