--- a/io/daisydaemon/operator.go
+++ b/io/daisydaemon/operator.go
@@ -64,21 +64,30 @@
 }
 
 func encodeMember(m daisyvm.Member) daisyoperator.VM {
-	state := m.State.String()
-	if m.Status.Leaving {
-		state = "leaving"
-	}
 	return daisyoperator.VM{
 		Name:     string(m.VM.Name),
 		Zone:     m.VM.Zone.String(),
 		Callers:  m.VM.Callers,
-		State:    state,
+		State:    memberState(m),
 		Revision: m.Status.Revision,
 		Ready:    m.Status.Ready,
 		Spare:    int(m.Status.Spare),
 	}
 }
 
+// memberState names how far a planned stop of a live VM has come, or its state.
+func memberState(m daisyvm.Member) string {
+	switch {
+	case m.State == daisyvm.Dead:
+		return m.State.String()
+	case m.Status.Leaving:
+		return "leaving"
+	case m.Status.Stopping:
+		return "stopping"
+	}
+	return m.State.String()
+}
+
 // Drain begins a planned stop of this VM or asks another for it.
 func (m operatorMembers) Drain(ctx context.Context, name daisyvm.Name) error {
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
