Take a shard's lock three times for a request in place of five

A goroutine that loses its processor while it holds the lock of a shard stalls every request of the service.

--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -196,19 +196,28 @@
 // Decisions gives the decisions on this request: Send, Deliver, Fail and Cancel.
 func (t *Ticket) Decisions() <-chan daisyroute.Decision { return t.decisions }
 
-// Resolve reports the outcome of an attempt.
-func (t *Ticket) Resolve(attempt daisyrequest.AttemptID, outcome daisyrequest.Outcome, resendable bool) {
-	t.shard.resolve(daisyroute.AttemptResolved{Attempt: attempt, Outcome: outcome, Resendable: resendable})
+// Resolution is what became of an attempt.
+type Resolution struct {
+	Attempt daisyrequest.AttemptID
+	Outcome daisyrequest.Outcome
+	// Resendable says that the whole request could be sent again.
+	Resendable bool
+	// Endpoint is the one that reported its load with the answer; the zero value says that none did.
+	Endpoint netip.AddrPort
+	Report   daisyendpoint.Report
 }
 
-// Release reports that the body of an answered attempt has ended.
+// Resolve reports what became of an attempt.
+func (t *Ticket) Resolve(resolution Resolution) { t.shard.resolve(resolution) }
+
+// Release reports that the body of an answered attempt has ended that was not delivered.
 func (t *Ticket) Release(attempt daisyrequest.AttemptID, ending daisyrequest.Ending) {
 	t.shard.release(daisyroute.AttemptReleased{Attempt: attempt, Ending: ending})
 }
 
-// Report passes on what an endpoint said of its load.
-func (t *Ticket) Report(endpoint netip.AddrPort, report daisyendpoint.Report) {
-	t.shard.handle(daisyroute.ReportReceived{Endpoint: endpoint, Report: report})
+// Finish reports that the body of the delivered attempt has ended, and ends the ticket.
+func (t *Ticket) Finish(attempt daisyrequest.AttemptID, ending daisyrequest.Ending) {
+	t.shard.finish(t.request.ID, daisyroute.AttemptReleased{Attempt: attempt, Ending: ending})
 }
 
 // Abandon says that the caller has gone.
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -118,14 +118,17 @@
 	s.step(daisyroute.TimePassed{})
 }
 
-// resolve takes the outcome of an attempt; only an answered one is heard of again.
-func (s *routeShard) resolve(event daisyroute.AttemptResolved) {
+// resolve takes what became of an attempt; only an answered one is heard of again.
+func (s *routeShard) resolve(r Resolution) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, answered := event.Outcome.(daisyrequest.Answered); !answered {
-		delete(s.attempts, event.Attempt)
+	if _, answered := r.Outcome.(daisyrequest.Answered); !answered {
+		delete(s.attempts, r.Attempt)
 	}
-	s.step(event)
+	if r.Endpoint.IsValid() {
+		s.take(daisyroute.ReportReceived{Endpoint: r.Endpoint, Report: r.Report})
+	}
+	s.step(daisyroute.AttemptResolved{Attempt: r.Attempt, Outcome: r.Outcome, Resendable: r.Resendable})
 }
 
 func (s *routeShard) release(event daisyroute.AttemptReleased) {
@@ -135,6 +138,15 @@
 	s.step(event)
 }
 
+// finish takes the release of the delivered attempt and the end of its request at once.
+func (s *routeShard) finish(id daisyrequest.ID, event daisyroute.AttemptReleased) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tickets, id)
+	delete(s.attempts, event.Attempt)
+	s.step(event)
+}
+
 // probed takes the result of a probe; a nil error brings a report.
 func (s *routeShard) probed(endpoint netip.AddrPort, report daisyendpoint.Report, err error) {
 	s.mu.Lock()
@@ -149,10 +161,15 @@
 
 // step runs under the lock of the shard.
 func (s *routeShard) step(event daisyroute.Event) {
+	s.take(event)
+	s.schedule()
+}
+
+// take runs under the lock of the shard; a step has to follow.
+func (s *routeShard) take(event daisyroute.Event) {
 	for _, d := range s.dispatcher.Handle(now(), event) {
 		s.carryOut(d)
 	}
-	s.schedule()
 }
 
 func (s *routeShard) carryOut(decision daisyroute.Decision) {
--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -17,6 +17,7 @@
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/io/daisyconnection"
+	"daisyyoke/io/daisycontroller"
 	"daisyyoke/io/daisyfilter"
 	"daisyyoke/io/daisyload"
 	"daisyyoke/io/daisyproblem"
@@ -134,20 +135,20 @@
 // finish reports what became of the attempt.
 func (a *attempt) finish(response *http.Response, err error) {
 	took := time.Since(a.started)
-	outcome := a.outcome(response, err, took)
-	if response != nil {
-		a.reportLoad(response)
-	}
-	if _, ok := outcome.(daisyrequest.Answered); ok && a.keep(response, took) {
-		a.exchange.ticket.Resolve(a.send.Attempt, outcome, false)
+	resolution := daisycontroller.Resolution{Attempt: a.send.Attempt, Outcome: a.outcome(response, err, took)}
+	a.readLoad(response, &resolution)
+	_, answered := resolution.Outcome.(daisyrequest.Answered)
+	if answered && a.keep(response, took) {
+		a.exchange.ticket.Resolve(resolution)
 		return
 	}
-	if _, ok := outcome.(daisyrequest.Answered); ok {
-		outcome = daisyrequest.Canceled{}
+	if answered {
+		resolution.Outcome = daisyrequest.Canceled{}
 	}
 	// From here on this attempt takes nothing more of the body: another one may need it.
 	a.closeBody()
-	a.exchange.ticket.Resolve(a.send.Attempt, outcome, a.exchange.source.resendable())
+	resolution.Resendable = a.exchange.source.resendable()
+	a.exchange.ticket.Resolve(resolution)
 	a.drop(response)
 }
 
@@ -218,15 +219,17 @@
 	return daisyrequest.Canceled{}
 }
 
-func (a *attempt) reportLoad(response *http.Response) {
-	values := response.Header[daisyload.Header]
-	if len(values) == 0 {
+// readLoad adds what the endpoint says of its load.
+func (a *attempt) readLoad(response *http.Response, resolution *daisycontroller.Resolution) {
+	if response == nil || len(response.Header[daisyload.Header]) == 0 {
 		return
 	}
-	report, err := a.exchange.forwarder.reports.Parse(time.Now(), values)
-	if err == nil {
-		a.exchange.ticket.Report(a.send.Endpoint, report)
+	report, err := a.exchange.forwarder.reports.Parse(time.Now(), response.Header[daisyload.Header])
+	if err != nil {
+		return
 	}
+	resolution.Endpoint = a.send.Endpoint
+	resolution.Report = report
 }
 
 // take hands the answer over to the exchange.
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -23,7 +23,8 @@
 		x.passTrailers(response)
 	}
 	_ = response.Body.Close()
-	x.ticket.Release(a.send.Attempt, p.ending)
+	x.finished = true
+	x.ticket.Finish(a.send.Attempt, p.ending)
 	switch {
 	case err == nil:
 		x.outcome = daisymetric.Served
@@ -229,13 +230,15 @@
 	p.timer.Reset(p.patience())
 }
 
-// pass writes bytes to the caller; the last ones leave when the handler returns.
+// pass writes bytes to the caller. The last ones leave at once where that is the
+// end of the answer, before routing hears of it, and else when the handler returns.
 func (p *pump) pass(bytes []byte, last bool) error {
-	p.exchange.extendWrite()
-	if _, err := p.exchange.writer.Write(bytes); err != nil {
+	x := p.exchange
+	x.extendWrite()
+	if _, err := x.writer.Write(bytes); err != nil {
 		return err
 	}
-	if last {
+	if last && (p.response.ContentLength < 0 || x.call.HTTP.ProtoMajor != 1) {
 		// The deadline stays for what the server still has to send.
 		return nil
 	}
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -94,7 +94,9 @@
 	interim chan *attempt
 	metrics *daisymetric.Rank
 	outcome daisymetric.Outcome
-	ended   bool
+	// ended says that routing has no more to decide, finished that the ticket is closed too.
+	ended    bool
+	finished bool
 }
 
 func newExchange(f *Forwarder, ticket *daisycontroller.Ticket, call *daisyfilter.Call, w http.ResponseWriter) *exchange {
@@ -137,11 +139,9 @@
 		case a := <-x.interim:
 			x.passInterim(a)
 		case <-x.bodyFailed:
-			x.ticket.Abandon()
 			x.refuseBody()
 			return
 		case <-ctx.Done():
-			x.ticket.Abandon()
 			if x.source.stalled() {
 				x.refuseBody()
 				return
@@ -216,10 +216,12 @@
 // end lets go of everything that is left: attempts nobody waits for, decisions
 // that were not carried out, and the caller's body.
 func (x *exchange) end() {
-	if !x.ended {
-		x.ticket.Abandon()
+	if !x.finished {
+		if !x.ended {
+			x.ticket.Abandon()
+		}
+		x.ticket.Close()
 	}
-	x.ticket.Close()
 	x.returnSends()
 	for _, a := range x.attempts {
 		a.giveUp()
@@ -236,7 +238,7 @@
 		select {
 		case d := <-x.ticket.Decisions():
 			if s, ok := d.(daisyroute.Send); ok {
-				x.ticket.Resolve(s.Attempt, daisyrequest.NotSent{Cause: errGivenUp}, false)
+				x.ticket.Resolve(daisycontroller.Resolution{Attempt: s.Attempt, Outcome: daisyrequest.NotSent{Cause: errGivenUp}})
 			}
 		default:
 			return
