Share the room for waiting requests between the services of a VM

A VM holds 20,000 requests; four flooded services could hold all of them and have the urgent work of the others refused at the door. A service may now hold as many as the VM has room left, so N flooded services leave the N+1st part free. A test floods 1, 3 and 9 services.

--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -44,16 +44,16 @@
 	mostRetryAfter  = time.Minute
 )
 
-// Admit lets a request wait if it can finish in time and there is room for it. At
-// a limit the latest deadline of the least urgent rank that holds more than its
+// Admit lets a request wait if it can finish in time and there is room for it: room
+// is how many further requests the VM can hold, 0 any number. At a limit the latest deadline of the least urgent rank that holds more than its
 // floor of the room gives way.
-func (q *Queue[T]) Admit(now time.Time, item *Item[T]) Verdict[T] {
+func (q *Queue[T]) Admit(now time.Time, item *Item[T], room int) Verdict[T] {
 	q.settle(now)
 	if q.hopeless(now, item) {
 		return Refused[T]{Cause: Hopeless, RetryAfter: q.retryAfter(item.Rank)}
 	}
 	q.Push(now, item)
-	out := q.overfull(item.Rank)
+	out := q.overfull(item.Rank, q.options.Limits.within(room))
 	if out == nil {
 		return Admitted[T]{}
 	}
@@ -109,15 +109,15 @@
 }
 
 // overfull gives the request that has to go after one of a rank was added, or nil.
-func (q *Queue[T]) overfull(index daisyrank.Index) *Item[T] {
-	if q.ranks[index].earliest.Len() > q.options.Limits.Rank {
+func (q *Queue[T]) overfull(index daisyrank.Index, limits Limits) *Item[T] {
+	if q.ranks[index].earliest.Len() > limits.Rank {
 		return q.last(index)
 	}
-	if q.waiting <= q.options.Limits.Service {
+	if q.waiting <= limits.Service {
 		return nil
 	}
 	for i := len(q.ranks) - 1; i >= 0; i-- {
-		room := q.ranks[i].declared.Floor * float64(q.options.Limits.Service)
+		room := q.ranks[i].declared.Floor * float64(limits.Service)
 		n := q.ranks[i].earliest.Len()
 		if n > 0 && float64(n) > room {
 			return q.last(daisyrank.Index(i))
--- a/core/daisyqueue/load_test.go
+++ b/core/daisyqueue/load_test.go
@@ -123,7 +123,7 @@
 	s.plan(rank)
 	s.tallies[rank].arrived++
 	i := &item{Value: s.now, Rank: daisyrank.Index(rank), Deadline: s.now.Add(ranks[rank].Target)}
-	switch v := s.queue.Admit(s.now, i).(type) {
+	switch v := s.queue.Admit(s.now, i, 0).(type) {
 	case daisyqueue.Refused[time.Time]:
 		s.tallies[rank].refused++
 	case daisyqueue.Displaced[time.Time]:
--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -35,6 +35,17 @@
 	Service int
 }
 
+// within gives the limits when all services of the VM together have room for some
+// further requests; 0 stands for any number. A service may hold as many as are
+// left free for the others, so that floods of several services leave room (the
+// dynamic threshold of Choudhury and Hahne, 1998).
+func (l Limits) within(room int) Limits {
+	if room == 0 {
+		return l
+	}
+	return Limits{Rank: min(l.Rank, room), Service: min(l.Service, room)}
+}
+
 // Options are the choices of a queue.
 type Options struct {
 	Limits Limits
--- a/core/daisyqueue/queue_test.go
+++ b/core/daisyqueue/queue_test.go
@@ -122,7 +122,7 @@
 			if c.sooner {
 				newcomer.Deadline = start.Add(time.Second)
 			}
-			switch v := q.Admit(start, newcomer).(type) {
+			switch v := q.Admit(start, newcomer, 0).(type) {
 			case daisyqueue.Refused[time.Time]:
 				assert.Assert(t, c.arrives == c.out && !c.sooner)
 				assert.Equal(t, v.Cause, daisyqueue.Full)
@@ -157,7 +157,7 @@
 				n := daisyrank.Index(rapid.IntRange(0, 2).Draw(t, "rank"))
 				i := &item{Rank: n, Deadline: now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "timeout")) * time.Millisecond)}
 				all = append(all, i)
-				switch v := q.Admit(now, i).(type) {
+				switch v := q.Admit(now, i, 0).(type) {
 				case daisyqueue.Admitted[time.Time]:
 					waiting[i] = true
 				case daisyqueue.Displaced[time.Time]:
@@ -214,10 +214,37 @@
 			q.Started(start, 0)
 			refused := false
 			for range 30 {
-				_, out := q.Admit(start, &item{Deadline: start.Add(ranks[0].Target)}).(daisyqueue.Refused[time.Time])
+				_, out := q.Admit(start, &item{Deadline: start.Add(ranks[0].Target)}, 0).(daisyqueue.Refused[time.Time])
 				refused = refused || out
 			}
 			assert.Equal(t, refused, c.refused)
 		})
 	}
 }
+
+func TestFloodsOfSeveralServicesLeaveRoom(t *testing.T) {
+	const room = 1000
+	for _, flooded := range []int{1, 3, 9} {
+		t.Run(fmt.Sprint(flooded), func(t *testing.T) {
+			queues := make([]*daisyqueue.Queue[time.Time], flooded)
+			for i := range queues {
+				queues[i] = daisyqueue.New[time.Time](ranks, daisyqueue.Options{Limits: daisyqueue.Limits{Rank: 4096, Service: 6144}})
+			}
+			held := 0
+			for i := range 5000 {
+				queues[i%flooded].Admit(start, &item{Rank: 2, Deadline: start.Add(time.Hour)}, room-held)
+				held = 0
+				for _, q := range queues {
+					held += q.Len()
+				}
+			}
+			left := room - held
+			assert.Assert(t, left >= room/(flooded+1)-flooded && left <= room/(flooded+1)+flooded, "%d left", left)
+			quiet := daisyqueue.New[time.Time](ranks, daisyqueue.Options{Limits: daisyqueue.Limits{Rank: 4096, Service: 6144}})
+			for range left / 2 {
+				_, ok := quiet.Admit(start, &item{Deadline: start.Add(time.Hour)}, room-held-quiet.Len()).(daisyqueue.Admitted[time.Time])
+				assert.Assert(t, ok)
+			}
+		})
+	}
+}
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -13,7 +13,8 @@
 // retryAfter is what a caller is asked to wait that no endpoint can serve.
 const retryAfter = time.Second
 
-func (d *Dispatcher) arrive(now time.Time, q daisyrequest.Request) {
+func (d *Dispatcher) arrive(now time.Time, event RequestArrived) {
+	q := event.Request
 	if d.requests[q.ID] != nil {
 		return
 	}
@@ -34,11 +35,11 @@
 			return
 		}
 	}
-	d.admit(now, r)
+	d.admit(now, r, event.Room)
 }
 
-func (d *Dispatcher) admit(now time.Time, r *request) {
-	switch v := d.queue.Admit(now, &r.item).(type) {
+func (d *Dispatcher) admit(now time.Time, r *request, room int) {
+	switch v := d.queue.Admit(now, &r.item, room).(type) {
 	case daisyqueue.Refused[*request]:
 		d.fail(now, r, causeOf(v.Cause), v.RetryAfter)
 	case daisyqueue.Displaced[*request]:
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -123,7 +123,7 @@
 func (d *Dispatcher) take(now time.Time, event Event) {
 	switch e := event.(type) {
 	case RequestArrived:
-		d.arrive(now, e.Request)
+		d.arrive(now, e)
 	case RequestAbandoned:
 		d.abandon(now, e.Request)
 	case AttemptResolved:
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -22,7 +22,11 @@
 type Event interface{ event() }
 
 // RequestArrived says that a caller's request wants an endpoint.
-type RequestArrived struct{ Request daisyrequest.Request }
+type RequestArrived struct {
+	Request daisyrequest.Request
+	// Room is how many further requests the VM can hold, of all services; 0 stands for any number.
+	Room int
+}
 
 // RequestAbandoned says that the caller of a request has gone.
 type RequestAbandoned struct{ Request daisyrequest.ID }
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -40,6 +40,8 @@
 	Log *daisylog.Log
 	// Metrics count the probes; nil counts nothing.
 	Metrics *daisymetric.Metrics
+	// MostRequests is how many requests of all services the VM can hold; 0 stands for any number.
+	MostRequests int
 	// Seed makes the random choices repeatable.
 	Seed uint64
 }
@@ -53,6 +55,8 @@
 	// peers are the VMs that share the services, for shards to come.
 	peers    []daisyvm.VM
 	requests atomic.Uint64
+	// held counts the requests in the hands of routing.
+	held atomic.Int64
 	// configured says that Apply was called.
 	configured atomic.Bool
 	probes     *probes
@@ -151,6 +155,14 @@
 	return t, nil
 }
 
+// room gives how many further requests the VM can hold; 0 stands for any number.
+func (c *Route) room() int {
+	if c.options.MostRequests == 0 {
+		return 0
+	}
+	return max(1, c.options.MostRequests-int(c.held.Load()))
+}
+
 // Spare gives how many further requests of all services this VM could take if the
 // others had none: the services' slots less this VM's own requests. The credits
 // held say nothing of it, since they follow the callers; callers sent after them
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -94,14 +94,18 @@
 		return false
 	}
 	s.tickets[t.request.ID] = t
-	s.step(daisyroute.RequestArrived{Request: t.request})
+	s.route.held.Add(1)
+	s.step(daisyroute.RequestArrived{Request: t.request, Room: s.route.room()})
 	return true
 }
 
 func (s *routeShard) end(id daisyrequest.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.tickets, id)
+	if s.tickets[id] != nil {
+		delete(s.tickets, id)
+		s.route.held.Add(-1)
+	}
 }
 
 func (s *routeShard) handle(event daisyroute.Event) {
