Forget VMs that left by plan sooner, and show links and stops to operators

vm list went on showing a stopped VM as leaving for two hours. It now says stopping, leaving, left or dead, and a VM that left is forgotten after ten minutes. The metrics gain the links' messages, bytes, drops and refusals.

--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -19,6 +19,8 @@
 	DeadAfter = 2 * time.Second
 	// ForgetAfter is how long a dead VM is remembered and dialed.
 	ForgetAfter = 2 * time.Hour
+	// ForgetLeftAfter is the same for one that left by plan.
+	ForgetLeftAfter = 10 * time.Minute
 	// heardWindow is how far back a heartbeat tells whom its sender heard.
 	heardWindow = 2 * BeatInterval
 	// pauseAfter is how late a round shows that this VM itself was paused.
@@ -342,7 +344,7 @@
 		if since.IsZero() {
 			since = m.learnedAt
 		}
-		if now.Sub(since) > ForgetAfter && m.Listed != ListedLive {
+		if now.Sub(since) > m.remembered() && m.Listed != ListedLive {
 			forgotten = append(forgotten, m.VM.Name)
 		}
 	}
@@ -353,6 +355,14 @@
 	return decisions
 }
 
+// remembered gives how long a silent VM is remembered.
+func (m *member) remembered() time.Duration {
+	if m.Status.Leaving {
+		return ForgetLeftAfter
+	}
+	return ForgetAfter
+}
+
 func (m *member) verdict(now time.Time) State {
 	silence := now.Sub(m.HeardAt)
 	if silence < SuspectAfter {
--- a/core/daisyvm/members_test.go
+++ b/core/daisyvm/members_test.go
@@ -141,3 +141,17 @@
 	}
 	assert.Assert(t, found)
 }
+
+func TestSilentVMsAreForgotten(t *testing.T) {
+	w := newWatcher()
+	left := daisyvm.Status{Leaving: true}
+	w.members.Handle(w.now, daisyvm.HeartbeatArrived{VM: vmAt("vm-2", 1, 2, "a"), Sequence: 1})
+	w.members.Handle(w.now, daisyvm.HeartbeatArrived{VM: vmAt("vm-3", 1, 3, "a"), Sequence: 1, Status: left})
+	for _, c := range []struct {
+		until time.Duration
+		known int
+	}{{daisyvm.ForgetLeftAfter, 2}, {daisyvm.ForgetLeftAfter + time.Second, 1}, {daisyvm.ForgetAfter, 1}, {daisyvm.ForgetAfter + time.Second, 0}} {
+		w.pass(start.Add(c.until).Sub(w.now))
+		assert.Equal(t, len(w.members.All()), c.known, "%s", c.until)
+	}
+}
--- /dev/null
+++ b/io/daisydaemon/link_metric.go
@@ -0,0 +1,17 @@
+package daisydaemon
+
+import "daisyyoke/io/daisypeer"
+
+// addLinkMetrics shows what the links to other VMs carry.
+func (d *Daemon) addLinkMetrics() {
+	d.metrics.AddGauge("daisyyoke_peer_links", func() float64 { return float64(len(d.links.Linked())) })
+	add := func(name string, read func(c daisypeer.Counts) uint64) {
+		d.metrics.AddGauge(name, func() float64 { return float64(read(d.links.Counts())) })
+	}
+	add("daisyyoke_peer_messages_sent_total", func(c daisypeer.Counts) uint64 { return c.Sent })
+	add("daisyyoke_peer_messages_received_total", func(c daisypeer.Counts) uint64 { return c.Received })
+	add("daisyyoke_peer_messages_dropped_total", func(c daisypeer.Counts) uint64 { return c.Dropped })
+	add("daisyyoke_peer_connections_refused_total", func(c daisypeer.Counts) uint64 { return c.Refused })
+	add("daisyyoke_peer_bytes_sent_total", func(c daisypeer.Counts) uint64 { return c.BytesSent })
+	add("daisyyoke_peer_bytes_received_total", func(c daisypeer.Counts) uint64 { return c.BytesReceived })
+}
--- a/io/daisydaemon/operator.go
+++ b/io/daisydaemon/operator.go
@@ -75,10 +75,12 @@
 	}
 }
 
-// memberState names how far a planned stop of a live VM has come, or its state.
+// memberState names how far a planned stop of a VM has come, or its state.
 func memberState(m daisyvm.Member) string {
 	switch {
-	case m.State == daisyvm.Dead:
+	case m.State == daisyvm.Dead && m.Status.Leaving:
+		return "left"
+	case m.State == daisyvm.Dead || m.State == daisyvm.Unheard:
 		return m.State.String()
 	case m.Status.Leaving:
 		return "leaving"
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -99,6 +99,7 @@
 		Seed:     seed,
 	})
 	d.onClose(d.links.Close)
+	d.addLinkMetrics()
 	for _, a := range d.settings.Seeds {
 		d.links.Connect(daisyvm.VM{Peers: a})
 	}
