Try less often on a platform that is down

Cause: an operation on a platform that is down was tried up to eight times in 3 s, which 500 VMs would add up to more than it takes. Change: pauses of 0.25 s, doubled each time. Measured: go test ./io/daisyplatform passes; the throttled client still gets its turn. Conclusion: four tries in 3 s.

--- a/io/daisyplatform/client.go
+++ b/io/daisyplatform/client.go
@@ -24,7 +24,7 @@
 	// patience bounds the tries of an operation that the platform does not carry out.
 	patience = 3 * time.Second
 	// firstPause is the mean wait before the second try.
-	firstPause = 50 * time.Millisecond
+	firstPause = 250 * time.Millisecond
 	// requestRate and requestBurst bound what one VM asks of the platform, in requests a second.
 	requestRate  = 20
 	requestBurst = 40
@@ -221,6 +221,7 @@
 	var answer Answer
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = firstPause
+	pause.Multiplier = 2
 	// The answer says it all; the error only tells Retry whether to go on.
 	_, _ = backoff.Retry(ctx, func() (struct{}, error) {
 		answer = c.try(ctx, operation)
