Say in readiness why no configuration is in force

Cause: a VM without a platform and without peers said only that it had none. Change: the reason of the Config controller. Conclusion: operators see whether to confirm a plan or to look after the platform.

--- a/io/daisydaemon/operator.go
+++ b/io/daisydaemon/operator.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisyoperator"
 )
@@ -102,8 +103,8 @@
 
 // Readiness says which services the VM can serve.
 func (h health) Readiness() daisyoperator.Readiness {
-	if h.daemon.config.InForce() == nil {
-		return daisyoperator.Readiness{Reason: "no configuration is in force yet"}
+	if waiting := h.daemon.config.Waiting(); waiting != nil {
+		return daisyoperator.Readiness{Reason: daisyconfig.WaitingText(waiting)}
 	}
 	r := daisyoperator.Readiness{Ready: true}
 	for _, s := range h.daemon.routes.Services() {
