Count the operations on the platform and show the revision in force

Cause: outages of the platform and a VM that falls behind were seen in logs only. Change: a metered platform, and a gauge for the revision. Conclusion: the contract suite passes for the metered platform too.

--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -127,6 +127,15 @@
 // InForce gives the configuration in force, or nil when there is none yet.
 func (c *Config) InForce() *daisyconfig.Snapshot { return c.inForce.Load() }
 
+// Revision gives the revision in force; 0 means none.
+func (c *Config) Revision() daisyconfig.Revision {
+	s := c.InForce()
+	if s == nil {
+		return 0
+	}
+	return s.Revision
+}
+
 // Waiting says why no configuration is in force; it is nil when there is one.
 func (c *Config) Waiting() daisyconfig.Waiting {
 	if c.InForce() != nil {
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -23,9 +23,16 @@
 const maxRequests = 20_000
 
 func (d *Daemon) findPlatform() error {
-	if d.platform != nil {
-		return nil
+	if d.platform == nil {
+		if err := d.newPlatform(); err != nil {
+			return err
+		}
 	}
+	d.platform = daisyplatform.NewMetered(d.platform, d.metrics)
+	return nil
+}
+
+func (d *Daemon) newPlatform() error {
 	switch p := d.settings.Platform.(type) {
 	case daisysetting.EmbeddedPlatform:
 		d.platform = daisyplatform.NewEmbedded()
@@ -75,6 +82,7 @@
 		Seed:     seed,
 	})
 	d.onClose(d.config.Close)
+	d.metrics.AddGauge("daisyyoke_configuration_revision", func() float64 { return float64(d.config.Revision()) })
 	d.plans = daisycontroller.NewPlan(daisycontroller.PlanOptions{
 		Self:     d.self,
 		Platform: d.platform,
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// PlatformOperation counts an operation on the platform.
+func (m *Metrics) PlatformOperation(operation, answer string) {
+	if m != nil {
+		m.counter(fmt.Sprintf(`daisyyoke_platform_operations_total{operation=%q,answer=%q}`, operation, answer)).Inc()
+	}
+}
+
 // MessageSent counts a message to another VM.
 func (m *Metrics) MessageSent(kind string, bytes int) {
 	if m == nil {
--- a/io/daisyplatform/contract_test.go
+++ b/io/daisyplatform/contract_test.go
@@ -86,6 +86,26 @@
 		t.Helper()
 		return serve(t, f)
 	}, retries: true},
+	{name: "metered", make: func(_ *testing.T, f *daisyplatform.Faulty, _ *daisyplatform.Embedded) daisyplatform.Platform {
+		return daisyplatform.NewMetered(f, ignore{})
+	}},
+}
+
+type ignore struct{}
+
+func (ignore) PlatformOperation(string, string) {}
+
+type meter map[string]int
+
+func (m meter) PlatformOperation(operation, answer string) { m[operation+" "+answer]++ }
+
+func TestOperationsAreCounted(t *testing.T) {
+	m := meter{}
+	p := daisyplatform.NewMetered(daisyplatform.NewEmbedded(), m)
+	p.GetRow(t.Context(), "row")
+	p.SwapRow(t.Context(), "row", 0, nil)
+	p.SwapRow(t.Context(), "row", 0, nil)
+	assert.DeepEqual(t, m, meter{"get-row not-found": 1, "swap-row written": 1, "swap-row conflict": 1})
 }
 
 var embedded = implementation{name: "embedded", make: func(_ *testing.T, _ *daisyplatform.Faulty, e *daisyplatform.Embedded) daisyplatform.Platform {
--- /dev/null
+++ b/io/daisyplatform/metered.go
@@ -0,0 +1,59 @@
+package daisyplatform
+
+import "context"
+
+// Meter counts the operations on a platform by their kind and that of their answer.
+type Meter interface {
+	PlatformOperation(operation, answer string)
+}
+
+// Metered is a platform whose operations are counted.
+type Metered struct {
+	inner Platform
+	meter Meter
+}
+
+var _ Platform = (*Metered)(nil)
+
+// NewMetered gives the platform with its operations counted.
+func NewMetered(inner Platform, meter Meter) *Metered { return &Metered{inner: inner, meter: meter} }
+
+func (m *Metered) count(operation string, answer Answer) Answer {
+	m.meter.PlatformOperation(operation, AnswerName(answer))
+	return answer
+}
+
+// GetRow reads a row.
+func (m *Metered) GetRow(ctx context.Context, key string) Answer {
+	return m.count("get-row", m.inner.GetRow(ctx, key))
+}
+
+// SwapRow writes a row.
+func (m *Metered) SwapRow(ctx context.Context, key string, expected Version, value []byte) Answer {
+	return m.count("swap-row", m.inner.SwapRow(ctx, key, expected, value))
+}
+
+// ListRows lists rows.
+func (m *Metered) ListRows(ctx context.Context, prefix string) Answer {
+	return m.count("list-rows", m.inner.ListRows(ctx, prefix))
+}
+
+// PutObject writes an object.
+func (m *Metered) PutObject(ctx context.Context, name string, data []byte) Answer {
+	return m.count("put-object", m.inner.PutObject(ctx, name, data))
+}
+
+// GetObject reads an object.
+func (m *Metered) GetObject(ctx context.Context, name string) Answer {
+	return m.count("get-object", m.inner.GetObject(ctx, name))
+}
+
+// ListVMs lists the VMs.
+func (m *Metered) ListVMs(ctx context.Context) Answer {
+	return m.count("list-vms", m.inner.ListVMs(ctx))
+}
+
+// AnnounceVM announces a VM.
+func (m *Metered) AnnounceVM(ctx context.Context, vm ListedVM) Answer {
+	return m.count("announce-vm", m.inner.AnnounceVM(ctx, vm))
+}
