--- a/io/daisydaemon/command.go
+++ b/io/daisydaemon/command.go
@@ -86,6 +86,7 @@
 }
 
 func daemonRun(ctx context.Context, options Options) error {
+	TuneCollector()
 	signals, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	d, err := New(signals, options)
