--- a/core/daisyvm/owner_test.go
+++ b/core/daisyvm/owner_test.go
@@ -27,3 +27,10 @@
 	}
 	assert.Equal(t, daisyvm.Owner(nil, "vigia-lar/lookups"), daisyvm.Name(""))
 }
+
+func ExampleOwner() {
+	vms := []daisyvm.VM{{Name: "vm-1"}, {Name: "vm-2"}, {Name: "vm-3"}}
+	reversed := []daisyvm.VM{vms[2], vms[1], vms[0]}
+	fmt.Println(daisyvm.Owner(vms, "vigia-lar/lookups") == daisyvm.Owner(reversed, "vigia-lar/lookups"))
+	// Output: true
+}
