--- a/io/daisyplatform/contract_test.go
+++ b/io/daisyplatform/contract_test.go
@@ -354,3 +354,17 @@
 }
 
 var compareAddresses = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
+func TestTriesOnAPlatformThatIsDown(t *testing.T) {
+	for seed := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			faulty := daisyplatform.NewFaulty(daisyplatform.NewEmbedded(), uint64(seed))
+			faulty.SetFaults(daisyplatform.Down{})
+			m := meter{}
+			want(t, serve(t, daisyplatform.NewMetered(faulty, m)).GetRow(t.Context(), "head"), "unavailable")
+			tries := m["get-row unavailable"]
+			assert.Assert(t, tries >= 2 && tries <= 6, "%d tries", tries)
+			t.Logf("%d tries", tries)
+		})
+	}
+}
