--- /dev/null
+++ b/io/daisycontroller/route_probe_test.go
@@ -0,0 +1,99 @@
+package daisycontroller
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+// slowProber answers no probe before its context ends.
+type slowProber struct {
+	mu                   sync.Mutex
+	running, most, ended int
+}
+
+func (p *slowProber) Probe(ctx context.Context, _ daisyservice.Service, _ netip.AddrPort) (daisyendpoint.Report, error) {
+	p.begin()
+	<-ctx.Done()
+	p.end()
+	return daisyendpoint.Report{}, ctx.Err()
+}
+
+func (p *slowProber) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running++
+	p.most = max(p.most, p.running)
+}
+
+func (p *slowProber) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running--
+	p.ended++
+}
+
+func (p *slowProber) counts() (running, most, ended int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running, p.most, p.ended
+}
+
+// mute loses every message.
+type mute struct{}
+
+func (mute) Send(daisyvm.Name, daisymessage.Message) {}
+
+func newProbeShard(c *Route) *routeShard {
+	service := daisyservice.Service{ID: daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"}}
+	for i := range 3 * probeWorkers {
+		a := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))
+		service.Endpoints = append(service.Endpoints, daisyendpoint.Endpoint{Address: a, Slots: 1})
+	}
+	c.changing.Lock()
+	defer c.changing.Unlock()
+	shards := *c.shards.Load()
+	c.applyService(shards, service)
+	return shards[service.ID]
+}
+
+func TestProbesAreBoundedAndEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		prober := &slowProber{}
+		c := NewRoute(RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Sender: mute{}, Prober: prober})
+		s := newProbeShard(c)
+		ask := func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, e := range s.service.Load().Endpoints {
+				// The second one for an endpoint is left out while the first is under way.
+				s.probe(e.Address)
+				s.probe(e.Address)
+			}
+		}
+		ask()
+		synctest.Wait()
+		running, _, _ := prober.counts()
+		assert.Equal(t, running, probeWorkers)
+		time.Sleep(3*probeTimeout + time.Millisecond)
+		synctest.Wait()
+		_, most, ended := prober.counts()
+		assert.Equal(t, most, probeWorkers)
+		assert.Assert(t, ended >= 3*probeWorkers, "%d", ended)
+		ask()
+		synctest.Wait()
+		c.Close()
+		running, _, _ = prober.counts()
+		assert.Equal(t, running, 0)
+	})
+}
