Learn nothing of endpoints from attempts that a pause of the VM spoiled

After a pause all attempts under way look far too slow: endpoints were ejected and all service times learned wrong.

--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -76,6 +76,9 @@
 	checks *daisyheap.Heap[*attempt]
 	timers *daisyheap.Heap[*endpoint]
 
+	// promised is the last answer of NextWake, resumed the end of the last pause of this VM.
+	promised, resumed time.Time
+
 	decisions []Decision
 	spent     spent
 }
@@ -114,6 +117,7 @@
 	clear(d.decisions)
 	d.decisions = d.decisions[:0]
 	d.begin(now)
+	d.noticePause(now)
 	d.take(now, event)
 	d.fill(now)
 	d.exchange(now)
@@ -172,6 +176,7 @@
 	if d.owner {
 		wake = sooner(wake, d.probes.Next())
 	}
+	d.promised = wake
 	return wake
 }
 
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -37,6 +37,10 @@
 // evidence against its endpoint, and it may be hedged.
 func (d *Dispatcher) check(now time.Time, a *attempt) {
 	d.checks.Remove(a.check)
+	if now.Equal(d.resumed) {
+		d.planCheck(now, a)
+		return
+	}
 	age := now.Sub(a.sent)
 	if a.checks > 0 {
 		d.observe(now, a, daisyhealth.AtLeast{Slowness: d.slowness(a, age)})
--- a/core/daisyroute/learn.go
+++ b/core/daisyroute/learn.go
@@ -26,7 +26,7 @@
 		d.observe(now, a, daisyhealth.Fault{})
 	case daisyrequest.TimedOut, daisyrequest.Canceled:
 		d.observe(now, a, daisyhealth.AtLeast{Slowness: d.slowness(a, age)})
-		if times := d.queue.Answers(a.rank); age > times.P95() && times.Samples() > 0 {
+		if times := d.queue.Answers(a.rank); age > times.P95() && times.Samples() > 0 && !d.spoiled(a) {
 			d.queue.Learn(a.rank, age)
 		}
 	}
@@ -47,7 +47,9 @@
 		took = now.Sub(a.sent)
 	}
 	d.observe(now, a, daisyhealth.Answer{Slowness: d.slowness(a, took)})
-	d.queue.Learn(a.rank, took)
+	if !d.spoiled(a) {
+		d.queue.Learn(a.rank, took)
+	}
 }
 
 // slowness gives a time as a multiple of the median of the rank.
@@ -60,7 +62,7 @@
 }
 
 func (d *Dispatcher) observe(now time.Time, a *attempt, observation daisyhealth.Observation) {
-	if a.endpoint.removed {
+	if a.endpoint.removed || d.spoiled(a) {
 		return
 	}
 	d.health.Observe(now, a.endpoint.health, a.sent, observation)
