--- a/io/daisyconnection/endpoint.go
+++ b/io/daisyconnection/endpoint.go
@@ -38,6 +38,12 @@
 	e.wakeWaiting()
 }
 
+func (e *endpoint) size() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.connections)
+}
+
 // acquire gives a connection with a place for one request, opening one where that is allowed.
 func (e *endpoint) acquire(ctx context.Context) (*connection, error) {
 	for {
--- a/io/daisyconnection/pool.go
+++ b/io/daisyconnection/pool.go
@@ -122,6 +122,17 @@
 	}
 }
 
+// Connections gives the number of open connections to all endpoints.
+func (p *Pool) Connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, e := range p.endpoints {
+		n += e.size()
+	}
+	return n
+}
+
 // Apply takes the limits of the declared endpoints and lets go of the others.
 func (p *Pool) Apply(snapshot *daisyconfig.Snapshot) {
 	declared := make(map[Target]daisyendpoint.Endpoint)
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -38,7 +38,7 @@
 	Prober Prober
 	// Log gets the changes of endpoints; nil writes nothing.
 	Log *daisylog.Log
-	// Metrics count the probes; nil counts nothing.
+	// Metrics count the probes and the messages about services; nil counts nothing.
 	Metrics *daisymetric.Metrics
 	// MostRequests is how many requests of all services the VM can hold; 0 stands for any number.
 	MostRequests int
@@ -187,6 +187,7 @@
 
 // Receive takes a message of another VM that concerns a service.
 func (c *Route) Receive(from daisyvm.Name, service daisyservice.ID, message daisymessage.Message) {
+	c.options.Metrics.MessageReceived(message)
 	if s := c.shard(service); s != nil {
 		s.handle(daisyroute.PeerMessage{From: from, Message: message})
 	}
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -189,6 +189,7 @@
 		s.tell(s.attempts[d.Attempt], d)
 	case daisyroute.Tell:
 		s.route.options.Sender.Send(d.To, d.Message)
+		s.route.options.Metrics.MessageSent(d.Message)
 	case daisyroute.Probe:
 		s.probe(d.Endpoint)
 	case daisyroute.EndpointChanged:
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -132,12 +132,14 @@
 		Metrics: d.metrics,
 	})
 	d.onClose(d.forwarder.Close)
+	admit := daisyfilter.NewAdmit(maxRequests)
+	d.addCallerMetrics(admit)
 	chain := daisyfilter.NewChain(daisyfilter.Options{
 		Forwarder: d.forwarder,
 		Stall:     limits.Stall,
 		Metrics:   d.metrics,
 		Filters: []daisyfilter.Filter{
-			daisyfilter.NewAdmit(maxRequests),
+			admit,
 			daisyfilter.Screen{},
 			daisyfilter.Addresses{Book: d.members},
 			daisyfilter.AwaitConfiguration{Configuration: d.routes},
--- /dev/null
+++ b/io/daisymetric/message.go
@@ -0,0 +1,39 @@
+package daisymetric
+
+import "daisyyoke/core/daisymessage"
+
+// Names of the counters of messages about services, one for each kind and direction.
+const (
+	reportsSent     = `daisyyoke_service_messages_total{direction="sent",kind="credit-report"}`
+	grantsSent      = `daisyyoke_service_messages_total{direction="sent",kind="credit-grant"}`
+	newsSent        = `daisyyoke_service_messages_total{direction="sent",kind="endpoint-news"}`
+	reportsReceived = `daisyyoke_service_messages_total{direction="received",kind="credit-report"}`
+	grantsReceived  = `daisyyoke_service_messages_total{direction="received",kind="credit-grant"}`
+	newsReceived    = `daisyyoke_service_messages_total{direction="received",kind="endpoint-news"}`
+)
+
+// MessageSent counts a message about a service to another VM.
+func (m *Metrics) MessageSent(message daisymessage.Message) {
+	m.countMessage(message, reportsSent, grantsSent, newsSent)
+}
+
+// MessageReceived counts a message about a service from another VM.
+func (m *Metrics) MessageReceived(message daisymessage.Message) {
+	m.countMessage(message, reportsReceived, grantsReceived, newsReceived)
+}
+
+func (m *Metrics) countMessage(message daisymessage.Message, report, grant, news string) {
+	if m == nil {
+		return
+	}
+	switch message.(type) {
+	case daisymessage.CreditReport:
+		m.counter(report).Inc()
+	case daisymessage.CreditGrant:
+		m.counter(grant).Inc()
+	case daisymessage.EndpointNews:
+		m.counter(news).Inc()
+	case daisymessage.Heartbeat, daisymessage.SnapshotWanted, daisymessage.SnapshotGiven, daisymessage.StopWanted:
+		// They concern no service; the links count them.
+	}
+}
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -13,7 +13,6 @@
 
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
-	"daisyyoke/core/daisyvm"
 )
 
 // Metrics holds the metrics of one VM. Its methods do nothing on a nil pointer,
@@ -90,24 +89,6 @@
 	}
 }
 
-// MessageSent counts a message to another VM.
-func (m *Metrics) MessageSent(kind string, bytes int) {
-	if m == nil {
-		return
-	}
-	m.counter(fmt.Sprintf(`daisyyoke_peer_messages_total{direction="sent",kind=%q}`, kind)).Inc()
-	m.counter(fmt.Sprintf(`daisyyoke_peer_bytes_total{direction="sent",kind=%q}`, kind)).Add(bytes)
-}
-
-// MessageReceived counts a message of another VM.
-func (m *Metrics) MessageReceived(_ daisyvm.Name, kind string, bytes int) {
-	if m == nil {
-		return
-	}
-	m.counter(fmt.Sprintf(`daisyyoke_peer_messages_total{direction="received",kind=%q}`, kind)).Inc()
-	m.counter(fmt.Sprintf(`daisyyoke_peer_bytes_total{direction="received",kind=%q}`, kind)).Add(bytes)
-}
-
 func (m *Metrics) counter(name string) *metrics.Counter {
 	return m.counters.get(name, func() *metrics.Counter { return m.set.GetOrCreateCounter(name) })
 }
