Let hedges use 90% of the budget less what retries used

With slow spells the hedges ran into their 70% and waited 97 ms in the mean. The budget of a tenth for both together stays. Attempts are checked at the 90th, 95th and 99th percentile.

--- a/core/daisybudget/budget.go
+++ b/core/daisybudget/budget.go
@@ -3,8 +3,9 @@
 // In the ten seconds before any extra send, that send included, the extra sends
 // are at most a tenth of the first sends; and in the second before it at most a
 // fifth, so that ten seconds of allowance are never spent at once. Hedges may use
-// 70% of either allowance, so that they leave some to retries. Where the allowance is smaller
-// than the reserve, retries may use the reserve.
+// 90% of either allowance less what retries have used, so that hedges make way
+// while retries are needed. Where the allowance is smaller than the reserve, retries
+// may use the reserve.
 package daisybudget
 
 import "time"
@@ -14,7 +15,7 @@
 	shortWindow = time.Second
 	longShare   = 0.1
 	shortShare  = 0.2
-	hedgePart   = 0.7
+	hedgePart   = 0.9
 	reserve     = 3
 )
 
@@ -56,8 +57,8 @@
 	if !b.Allows(now, extra) {
 		return false
 	}
-	b.long.addExtra()
-	b.short.addExtra()
+	b.long.add(extra)
+	b.short.add(extra)
 	return true
 }
 
--- a/core/daisybudget/example_test.go
+++ b/core/daisybudget/example_test.go
@@ -20,5 +20,5 @@
 		retries++
 	}
 	fmt.Println(hedges, "hedges and", retries, "retries")
-	// Output: 7 hedges and 3 retries
+	// Output: 9 hedges and 1 retries
 }
--- a/core/daisybudget/window.go
+++ b/core/daisybudget/window.go
@@ -6,6 +6,9 @@
 // that still lies in the window.
 const steps = 100
 
+// counts are the sends of a step or of a window.
+type counts struct{ firsts, retries, hedges int }
+
 // window counts the sends of a sliding window. It never counts too many first
 // sends nor too few extra ones: of the step that lies partly in the window it
 // counts the extra sends only.
@@ -13,10 +16,10 @@
 	length time.Duration
 	share  float64
 	// began is the time of the first send; steps are numbered from there.
-	began                 time.Time
-	step                  int64
-	firsts, extras        [steps + 1]int
-	firstsTotal, allExtra int
+	began  time.Time
+	step   int64
+	counts [steps + 1]counts
+	total  counts
 }
 
 func (w *window) advance(now time.Time) {
@@ -30,30 +33,38 @@
 	for range min(step-w.step, steps+1) {
 		w.step++
 		i := w.step % (steps + 1)
-		w.firstsTotal -= w.firsts[i]
-		w.allExtra -= w.extras[i]
-		w.firsts[i], w.extras[i] = 0, 0
+		w.total.firsts -= w.counts[i].firsts
+		w.total.retries -= w.counts[i].retries
+		w.total.hedges -= w.counts[i].hedges
+		w.counts[i] = counts{}
 	}
 	w.step = step
 }
 
 func (w *window) addFirst() {
-	w.firsts[w.step%(steps+1)]++
-	w.firstsTotal++
+	w.counts[w.step%(steps+1)].firsts++
+	w.total.firsts++
 }
 
-func (w *window) addExtra() {
-	w.extras[w.step%(steps+1)]++
-	w.allExtra++
+func (w *window) add(extra Extra) {
+	c := &w.counts[w.step%(steps+1)]
+	switch extra.(type) {
+	case Retry:
+		c.retries++
+		w.total.retries++
+	case Hedge:
+		c.hedges++
+		w.total.hedges++
+	}
 }
 
 func (w *window) allows(extra Extra) bool {
 	oldest := (w.step + 1) % (steps + 1)
-	allowance := w.share * float64(w.firstsTotal-w.firsts[oldest])
-	wanted := float64(w.allExtra + 1)
+	allowance := w.share * float64(w.total.firsts-w.counts[oldest].firsts)
+	wanted := float64(w.total.retries + w.total.hedges + 1)
 	switch extra.(type) {
 	case Hedge:
-		return wanted <= hedgePart*allowance
+		return wanted <= hedgePart*allowance-float64(w.total.retries)
 	case Retry:
 		return wanted <= max(allowance, reserve)
 	}
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -16,6 +16,8 @@
 	unknownCheck = 500 * time.Millisecond
 	// shortestCheck is the shortest time to a check.
 	shortestCheck = time.Millisecond
+	// evidenceFrom is the number of checks after which age is evidence against an endpoint.
+	evidenceFrom = 2
 	// mostHedges bounds the attempts that wait for a hedge.
 	mostHedges = 64
 )
@@ -42,14 +44,27 @@
 		return
 	}
 	age := now.Sub(a.sent)
-	if a.checks > 0 {
+	if a.checks >= evidenceFrom {
 		d.observe(now, a, daisyhealth.AtLeast{Slowness: d.slowness(a, age)})
 	}
 	a.checks++
 	if d.hedgeable(now, a) {
 		d.wantHedge(a)
 	}
-	d.checks.Push(now.Add(max(age, shortestCheck)), a, &a.check)
+	d.checks.Push(now.Add(max(d.nextCheck(a, age), shortestCheck)), a, &a.check)
+}
+
+// nextCheck gives the time to the next check: at the 95th and the 99th percentile,
+// and then each time that the age has doubled.
+func (d *Dispatcher) nextCheck(a *attempt, age time.Duration) time.Duration {
+	times := d.queue.Answers(a.rank)
+	if a.checks == 1 && times.P95() > age {
+		return times.P95() - age
+	}
+	if a.checks <= 2 && times.P99() > age {
+		return times.P99() - age
+	}
+	return age
 }
 
 // hedgeable reports whether the request of an attempt may be sent a second time beside it.
