--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -115,7 +115,7 @@
 	b.leaveTerm(now)
 	b.pace = pace{gap: messageGap}
 	if owner.Name == b.self.Name {
-		b.pace.gap = 0
+		b.pace.gap = localGap
 	}
 	b.pace.urge(now)
 }
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -147,7 +147,7 @@
 		if o.account(v.Name) == nil {
 			a := &account{vm: v, pace: pace{gap: messageGap}, lines: make(map[netip.AddrPort]*loan)}
 			if v.Name == o.options.Self.Name {
-				a.pace.gap = 0
+				a.pace.gap = localGap
 			}
 			o.accounts = append(o.accounts, a)
 			o.openTerm(now, a)
--- a/core/daisycredit/pace.go
+++ b/core/daisycredit/pace.go
@@ -5,6 +5,8 @@
 const (
 	// messageGap is the shortest time between two messages to one VM about one service.
 	messageGap = time.Millisecond
+	// localGap is the same between an owner and the borrower on its own VM.
+	localGap = 100 * time.Microsecond
 	// lazyDelay is how long news that nobody waits for is held back to share a message.
 	lazyDelay = 20 * time.Millisecond
 	// repeatAfter is when a message without an acknowledgement is first sent
@@ -19,7 +21,7 @@
 // numbered, and repeated until they are acknowledged; mere acknowledgements
 // have no number and are not.
 type pace struct {
-	// gap is the shortest time between two messages; 0 within a VM.
+	// gap is the shortest time between two messages.
 	gap          time.Duration
 	sent         uint64
 	acknowledged uint64
