--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -114,7 +114,7 @@
 	dispatcher := daisyroute.NewDispatcher(daisyroute.Options{
 		Self:    c.options.Self,
 		Service: service,
-		Policy:  daisyroute.Credits{},
+		Policy:  daisyroute.Credits{Overcommit: 1},
 		Random:  random,
 	})
 	s := newRouteShard(c, service, dispatcher)
