--- a/core/daisymeasure/central.go
+++ b/core/daisymeasure/central.go
@@ -33,7 +33,7 @@
 		c := s.central.waiting[rank][0]
 		s.central.waiting[rank] = s.central.waiting[rank][1:]
 		if w.now.After(c.Deadline) {
-			c.ended = true
+			w.end(c)
 			w.tally.noteFailure(c, daisyroute.Fail{Failure: daisyrequest.DeadlinePassed{}})
 			continue
 		}
@@ -90,7 +90,7 @@
 func (w *World) endCentral(_ Central, a *attempt) {
 	c := a.call
 	c.service.central.inFlight[c.Rank]--
-	c.ended = true
-	w.tally.noteAnswerAt(c, w.now.Add(w.scenario.Fleet.delay(c.vm.Zone, a.endpoint.Zone)), daisyrequest.Answered{Status: 200})
+	w.end(c)
+	w.tally.noteAnswerAt(w, c, w.now.Add(w.scenario.Fleet.delay(c.vm.Zone, a.endpoint.Zone)), daisyrequest.Answered{Status: 200})
 	w.fillCentral(c.service)
 }
--- a/core/daisymeasure/fault.go
+++ b/core/daisymeasure/fault.go
@@ -107,6 +107,12 @@
 // kill ends a VM; its connections close, so that endpoints stop its work.
 func (w *World) kill(v *vm) {
 	v.dead = true
+	for _, c := range w.calls {
+		if c.vm == v && !c.ended {
+			w.end(c)
+			w.tally.Broken++
+		}
+	}
 	for _, attempts := range v.attempts {
 		for _, a := range attempts {
 			w.schedule(w.scenario.Fleet.delay(v.Zone, a.endpoint.Zone), stopped{attempt: a})
--- a/core/daisymeasure/fleet.go
+++ b/core/daisymeasure/fleet.go
@@ -108,3 +108,12 @@
 	}
 	return f.Far
 }
+
+// slots counts the slots of all services.
+func (f Fleet) slots() int {
+	sum := 0
+	for _, n := range f.Endpoints {
+		sum += n * f.Slots
+	}
+	return sum
+}
--- a/core/daisymeasure/route.go
+++ b/core/daisymeasure/route.go
@@ -130,7 +130,7 @@
 		w.tally.MixedUp++
 		return
 	}
-	c.ended = true
+	w.end(c)
 	answer, ok := a.outcome.(daisyrequest.Answered)
 	if !ok {
 		w.tally.MixedUp++
@@ -145,7 +145,7 @@
 		w.tally.MixedUp++
 		return
 	}
-	c.ended = true
+	w.end(c)
 	c.notRun = promisesNotRun(d.Failure)
 	w.tally.noteFailure(c, d)
 }
@@ -176,3 +176,8 @@
 	}
 	w.handle(e.vm, e.service, daisyroute.ReportReceived{Endpoint: e.address, Report: e.report})
 }
+
+func (w *World) end(c *call) {
+	c.ended = true
+	w.open--
+}
--- /dev/null
+++ b/core/daisymeasure/table.go
@@ -0,0 +1,67 @@
+package daisymeasure
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"daisyyoke/core/daisyroute"
+)
+
+// Named is a policy with the name that the table gives it.
+type Named struct {
+	Name   string
+	Policy Policy
+}
+
+// Policies gives what the table compares, the limit first.
+func Policies() []Named {
+	return []Named{
+		{"central queue", Central{}},
+		{"random", Routed{daisyroute.Random{}}},
+		{"round robin", Routed{daisyroute.RoundRobin{}}},
+		{"least of two", Routed{daisyroute.LeastOfTwo{}}},
+		{"least of two, reports", Routed{daisyroute.LeastOfTwo{Reports: true}}},
+		{"credits", Routed{daisyroute.Credits{Overcommit: 1}}},
+	}
+}
+
+// WriteTable appends one Markdown table for each case, with a row for each policy.
+func WriteTable(b *strings.Builder, cases []Case) {
+	for _, c := range cases {
+		fmt.Fprintf(b, "\n### %s\n\n", c.Name)
+		b.WriteString("| policy | urgent p50 ms | p99 ms | p99.9 ms | of the central p99 | urgent useful | standard served | bulk served | useful work | sheds | retries | hedges | messages |\n")
+		b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+		var limit time.Duration
+		for _, p := range Policies() {
+			if _, ok := p.Policy.(Central); ok && c.Unbounded {
+				continue
+			}
+			t := Run(c.Scenario, p.Policy)
+			if _, ok := p.Policy.(Central); ok {
+				limit = t.Percentile(Urgent, 0.99)
+			}
+			writeRow(b, c, p.Name, t, limit)
+		}
+	}
+}
+
+func writeRow(b *strings.Builder, c Case, name string, t *Tally, limit time.Duration) {
+	p99 := t.Percentile(Urgent, 0.99)
+	fmt.Fprintf(b, "| %s | %s | %s | %s |", name, milliseconds(t.Percentile(Urgent, 0.5)), milliseconds(p99), milliseconds(t.Percentile(Urgent, 0.999)))
+	if limit > 0 {
+		fmt.Fprintf(b, " %.2f |", float64(p99)/float64(limit))
+	} else {
+		b.WriteString(" |")
+	}
+	for _, v := range []float64{t.UsefulShare(Urgent), t.ServedShare(Standard), t.ServedShare(Bulk), t.UsefulWork(c.Scenario)} {
+		fmt.Fprintf(b, " %.2f%% |", 100*v)
+	}
+	fmt.Fprintf(b, " %d | %d | %d | %d |\n", t.Sheds, t.Sends[daisyroute.Retry], t.Sends[daisyroute.Hedge], t.Messages)
+}
+
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.1f", float64(d)/float64(time.Millisecond))
+}
+
+func percent(share float64) string { return fmt.Sprintf("%.0f%%", 100*share) }
