--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -40,16 +40,22 @@
 	return true
 }
 
+// noteSaturation keeps track of whether work waits. Overcommitting goes on for
+// a while after it, so that credits do not come and go with every short queue.
 func (o *Owner) noteSaturation(now time.Time) {
+	waiting := false
 	for _, a := range o.accounts {
-		if a.unmet() > 0 {
-			if o.saturated.IsZero() {
-				o.saturated = now
-			}
-			return
-		}
+		waiting = waiting || a.unmet() > 0
+	}
+	switch {
+	case !waiting:
+		o.saturated = time.Time{}
+	case o.saturated.IsZero():
+		o.saturated = now
+	}
+	if waiting && now.Sub(o.saturated) >= saturatedAfter {
+		o.overcommitted = now.Add(overcommitFor)
 	}
-	o.saturated = time.Time{}
 }
 
 // capacity gives the credits that may be lent at an endpoint.
@@ -57,7 +63,7 @@
 	if p.Draining || o.broken(p) {
 		return 0
 	}
-	if !o.saturated.IsZero() && now.Sub(o.saturated) >= saturatedAfter && now.After(p.calm) {
+	if now.Before(o.overcommitted) && now.After(p.calm) {
 		return p.Slots + o.options.Overcommit
 	}
 	return p.Slots
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -16,6 +16,8 @@
 	rebuildWithin = 100 * time.Millisecond
 	// saturatedAfter is how long work has to wait before credits are overcommitted.
 	saturatedAfter = 20 * time.Millisecond
+	// overcommitFor is how long they stay so after work last waited that long.
+	overcommitFor = 500 * time.Millisecond
 	// shedPause is how long an endpoint that sheds gets no overcommitted credits.
 	shedPause = 5 * time.Second
 	// demandMemory is the time over which the demand of a VM is averaged.
@@ -53,6 +55,8 @@
 	pools    []*pool
 	// saturated is since when work has waited without a break.
 	saturated time.Time
+	// overcommitted is until when credits are overcommitted.
+	overcommitted time.Time
 }
 
 // pool is the slots of one endpoint.
