Keep the last free credit of a VM for the most urgent rank

Work that was begun cannot be taken back, so an urgent request that found every credit of its VM taken by bulk waited for one to end.

--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -15,7 +15,7 @@
 	// rebuildWithin is how long a new owner waits for the claims of all borrowers before it lends.
 	rebuildWithin = 100 * time.Millisecond
 	// saturatedAfter is how long work has to wait before credits are overcommitted.
-	saturatedAfter = 20 * time.Millisecond
+	saturatedAfter = 60 * time.Millisecond
 	// overcommitFor is how long they stay so after work last waited that long.
 	overcommitFor = 500 * time.Millisecond
 	// shedPause is how long an endpoint that sheds gets no overcommitted credits.
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -14,6 +14,7 @@
 const retryAfter = time.Second
 
 func (d *Dispatcher) arrive(now time.Time, event RequestArrived) {
+	d.credits.noteArrival(now, event.Request.Rank)
 	q := event.Request
 	if d.requests[q.ID] != nil {
 		return
@@ -88,6 +89,9 @@
 		d.drop(now, s.Item.Value)
 		return true
 	case daisyqueue.Serve[*request]:
+		if d.keepsFree(now, s.Item.Value.Rank) {
+			return false
+		}
 		return d.serve(now, s.Item.Value)
 	case daisyqueue.Idle[*request]:
 	}
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -34,6 +34,8 @@
 	// lastTerm is the last term of the former owner on this VM.
 	lastTerm uint64
 	demand   []daisycredit.Demand
+	// urgent is when a request of the most urgent rank last arrived.
+	urgent time.Time
 	// changed says that credits came or went since the free list was last brought up to date.
 	changed bool
 }
@@ -205,3 +207,22 @@
 		c.borrower.NoteShed(now, e.address)
 	}
 }
+
+// keepFor is how long after a request of the most urgent rank one credit is kept free for the next.
+const keepFor = 200 * time.Millisecond
+
+// keepsFree reports whether the last free credit is not for this rank: work that
+// was begun cannot be taken back when a more urgent request comes.
+func (d *Dispatcher) keepsFree(now time.Time, rank daisyrank.Index) bool {
+	if d.credits == nil || rank == 0 || d.spare > 1 {
+		return false
+	}
+	return now.Sub(d.credits.urgent) < keepFor
+}
+
+// noteArrival notes a request of the most urgent rank.
+func (c *credits) noteArrival(now time.Time, rank daisyrank.Index) {
+	if c != nil && rank == 0 {
+		c.urgent = now
+	}
+}
