--- /dev/null
+++ b/examples/capacity/series.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"daisyyoke/core/daisyerror"
+)
+
+// measure is one quantity and how it is measured.
+type measure struct {
+	name string
+	// by is what it grows with, unit what it is counted in.
+	by, unit string
+	sizes    []int
+	// target is the size of two years from now.
+	target int
+	at     func(size int) float64
+}
+
+// series is what a measure gave.
+type series struct {
+	measure
+	x, y []float64
+	// alpha and beta are the fitted line alpha + beta*x, r2 how much of the variance it explains.
+	alpha, beta, r2 float64
+}
+
+func (m measure) measure() *series {
+	s := &series{measure: m}
+	for _, n := range m.sizes {
+		s.x = append(s.x, float64(n))
+		s.y = append(s.y, m.at(n))
+	}
+	s.alpha, s.beta = stat.LinearRegression(s.x, s.y, nil, false)
+	s.r2 = stat.RSquared(s.x, s.y, nil, s.alpha, s.beta)
+	return s
+}
+
+func (s *series) atTarget() float64 { return s.alpha + s.beta*float64(s.target) }
+
+func (s *series) write(w io.Writer) {
+	fmt.Fprintf(w, "\n## %s\n\n| %s | %s |\n|---|---|\n", s.name, s.by, s.unit)
+	for i := range s.x {
+		fmt.Fprintf(w, "| %.0f | %.4g |\n", s.x[i], s.y[i])
+	}
+	fmt.Fprintf(w, "\nFit: %.4g + %.4g for each of %s (r² %.3f). At %d: %.4g %s.\n\n![%s](%s)\n",
+		s.alpha, s.beta, s.by, s.r2, s.target, s.atTarget(), s.unit, s.name, s.file())
+}
+
+func (s *series) file() string {
+	name := []byte("capacity-" + s.name + ".svg")
+	for i, c := range name {
+		if c == ' ' {
+			name[i] = '-'
+		}
+	}
+	return string(name)
+}
+
+const (
+	plotWidth  = 14 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+func (s *series) plot(folder string) error {
+	p := plot.New()
+	p.Title.Text = s.name
+	p.X.Label.Text = s.by
+	p.Y.Label.Text = s.unit
+	points := make(plotter.XYs, len(s.x))
+	for i := range s.x {
+		points[i] = plotter.XY{X: s.x[i], Y: s.y[i]}
+	}
+	dots, err := plotter.NewScatter(points)
+	if err != nil {
+		return daisyerror.Internal.Wrap(err, "plotting %s", s.name)
+	}
+	line := plotter.NewFunction(func(x float64) float64 { return s.alpha + s.beta*x })
+	p.Add(dots, line)
+	p.X.Min, p.Y.Min = 0, 0
+	if err := p.Save(plotWidth, plotHeight, filepath.Join(folder, s.file())); err != nil {
+		return daisyerror.Unavailable.Wrap(err, "plotting %s", s.name)
+	}
+	return nil
+}
+
+// middle gives the median.
+func middle(values []float64) float64 {
+	slices.Sort(values)
+	return stat.Quantile(0.5, stat.Empirical, values, nil)
+}
--- a/examples/trial/fleet.go
+++ b/examples/trial/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -217,6 +218,14 @@
 	}
 }
 
+// writeUsage prints what each daemon took, once it has ended.
+func (f *fleet) writeUsage(w io.Writer) {
+	for _, v := range f.vms {
+		fmt.Fprintf(w, "%s: %s of processor time, at most %d MB of memory\n",
+			v.process.name, v.process.spent.Round(time.Millisecond), v.process.peak>>20)
+	}
+}
+
 func (f *fleet) callers() []netip.AddrPort {
 	addresses := make([]netip.AddrPort, 0, len(f.vms))
 	for _, v := range f.vms {
--- a/examples/trial/main.go
+++ b/examples/trial/main.go
@@ -108,9 +108,11 @@
 		return err
 	}
 	audit := ledger.Audit(ran, outages...)
+	f.close()
 	if err := report(ledger, audit, o.json); err != nil {
 		return err
 	}
+	f.writeUsage(os.Stderr)
 	if !audit.Sound() {
 		return daisyerror.Internal.New("promises were broken: %s", audit)
 	}
--- a/examples/trial/process.go
+++ b/examples/trial/process.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"time"
 
 	"daisyyoke/core/daisyerror"
 )
@@ -23,6 +24,9 @@
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
+	// spent is the processor time and peak the most memory, in bytes, of ended runs.
+	spent time.Duration
+	peak  int64
 }
 
 func startProcess(name, path, logs string, args ...string) (*process, error) {
@@ -48,11 +52,24 @@
 	go func() {
 		_ = cmd.Wait()
 		_ = file.Close()
+		p.account(cmd.ProcessState)
 		close(ended)
 	}()
 	return nil
 }
 
+// kilobyte is the unit in which Linux gives the most memory of a process.
+const kilobyte = 1024
+
+func (p *process) account(s *os.ProcessState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spent += s.UserTime() + s.SystemTime()
+	if usage, ok := s.SysUsage().(*syscall.Rusage); ok {
+		p.peak = max(p.peak, usage.Maxrss*kilobyte)
+	}
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
