--- a/examples/trial/main.go
+++ b/examples/trial/main.go
@@ -113,6 +113,9 @@
 		return err
 	}
 	f.writeUsage(os.Stderr)
+	for c, n := range ledger.Causes() {
+		fmt.Fprintf(os.Stderr, "%6d  %s\n", n, c)
+	}
 	if !audit.Sound() {
 		return daisyerror.Internal.New("promises were broken: %s", audit)
 	}
--- a/io/daisytrial/ledger.go
+++ b/io/daisytrial/ledger.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/joomcode/errorx"
 
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
@@ -100,6 +102,39 @@
 	}
 }
 
+// Causes counts why calls were cut or got no answer.
+func (l *Ledger) Causes() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	causes := make(map[string]int)
+	for _, e := range l.entries {
+		switch f := e.fate.(type) {
+		case Cut:
+			causes["cut: "+rootOf(f.Cause)]++
+		case NoAnswer:
+			causes["no answer: "+rootOf(f.Cause)]++
+		case Served, Refused, Failed, MixedUp:
+		}
+	}
+	return causes
+}
+
+// rootOf names the innermost cause, which is free of addresses.
+func rootOf(err error) string {
+	for {
+		var next error
+		if x := errorx.Cast(err); x != nil {
+			next = x.Cause()
+		} else {
+			next = errors.Unwrap(err)
+		}
+		if next == nil {
+			return err.Error()
+		}
+		err = next
+	}
+}
+
 // Audit is what the ledger and the endpoints' own counts show together.
 type Audit struct {
 	// Lost counts calls that got no answer at all, not even a failure.
