Leave a connection whole, or announce its end, when an answer comes before the body is read

Cause: full duplex was switched on for every request with a body. With it, the server reads what is left of the body only after the answer, and the end of that body starts a background read just as the connection's next request is read: 'invalid concurrent Body.Read call' ended the whole process, or the connection. Ending a read under way by a deadline could also hit that background read, which cancels the context of every later request on the connection. Change: full duplex only for an answer that begins before the body has ended, and such an answer closes an HTTP/1.1 connection and says so; before an answer of daisyyoke's own the body goes back to the server, and a read that had to be interrupted closes the connection and says so.

--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -41,10 +41,42 @@
 }
 
 func (x *exchange) writeProblem(p daisyproblem.Problem) {
+	x.settleBody()
 	x.extendWrite()
 	p.Write(x.writer)
 }
 
+// settleBody leaves the caller's body to the server, which reads what is left of it
+// before an answer of daisyyoke's own. A read that had to be interrupted leaves the
+// connection in no state to be used again.
+func (x *exchange) settleBody() {
+	if x.source.close() {
+		x.announceClose()
+		return
+	}
+	if x.source != nil {
+		_ = x.control.SetReadDeadline(time.Now().Add(x.forwarder.limits.Stall))
+	}
+}
+
+// beginDuplex lets an answer begin while the caller's body is still being read. The
+// server would read the rest of it after the answer and, in HTTP/1.1, take the
+// connection's next request up at the same time, so that one ends here.
+func (x *exchange) beginDuplex() {
+	if x.source.whole() {
+		return
+	}
+	_ = x.control.EnableFullDuplex()
+	x.announceClose()
+}
+
+// announceClose tells an HTTP/1.1 caller to use the connection no more.
+func (x *exchange) announceClose() {
+	if x.call.HTTP.ProtoMajor == 1 {
+		x.writer.Header().Set("Connection", "close")
+	}
+}
+
 // refuseBody answers a caller whose body broke off or stalled.
 func (x *exchange) refuseBody() {
 	p := daisyproblem.Problem{
@@ -186,6 +218,7 @@
 	p.begun = true
 	x := p.exchange
 	incomingHeader(x.writer.Header(), p.response, x.forwarder.self)
+	x.beginDuplex()
 	x.extendWrite()
 	x.writer.WriteHeader(p.response.StatusCode)
 	x.metrics.Added(time.Since(x.call.Arrived) - p.attempt.send.Waited - p.attempt.took)
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -118,8 +118,6 @@
 	x.source = newSource(call.HTTP, x.control, f.limits)
 	if x.source != nil {
 		x.bodyFailed = x.source.failed
-		// The answer may begin while the request's body is still being read.
-		_ = x.control.EnableFullDuplex()
 	}
 	x.metrics.Begin()
 	return x
--- a/io/daisyforward/source.go
+++ b/io/daisyforward/source.go
@@ -29,6 +29,8 @@
 	// due is when the read under way has taken too long.
 	due    time.Time
 	closed bool
+	// interrupted says that close found a read under way.
+	interrupted bool
 	// changed is closed and replaced after each read.
 	changed chan struct{}
 	ended   sync.WaitGroup
@@ -58,7 +60,7 @@
 }
 
 func (s *source) read(chunk []byte) {
-	_ = s.control.SetReadDeadline(s.expect())
+	s.expect()
 	n, err := s.request.Body.Read(chunk)
 	// Only a read under way has a limit: the endpoint may take its time.
 	_ = s.control.SetReadDeadline(time.Time{})
@@ -75,12 +77,19 @@
 	s.changed = make(chan struct{})
 }
 
-// expect gives the time by which the read that begins now has to bring a byte.
-func (s *source) expect() time.Time {
+// passed is a deadline that ends a read at once.
+var passed = time.Unix(1, 0)
+
+// expect sets the time by which the read that begins now has to bring a byte.
+func (s *source) expect() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		_ = s.control.SetReadDeadline(passed)
+		return
+	}
 	s.due = time.Now().Add(s.limits.Stall)
-	return s.due
+	_ = s.control.SetReadDeadline(s.due)
 }
 
 // stalled says that the caller sent no byte for too long. In HTTP/1.1 the
@@ -136,20 +145,39 @@
 	return s.err != nil && s.err != io.EOF
 }
 
-// close waits for a read under way, which it ends, so that the server has the body to itself again.
-func (s *source) close() {
+// whole says that the body has been read to its end.
+func (s *source) whole() bool {
 	if s == nil {
-		return
+		return true
 	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == io.EOF
+}
+
+// close waits for a read under way, which it ends, so that the server has the body
+// to itself again. It reports whether a read was interrupted or had failed, and may
+// be called more than once.
+func (s *source) close() (interrupted bool) {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	first := !s.closed
 	s.closed = true
-	reading := s.reading
-	close(s.demand)
-	s.mu.Unlock()
-	if reading {
-		_ = s.control.SetReadDeadline(time.Unix(1, 0))
+	if s.reading {
+		s.interrupted = true
+	}
+	if first {
+		close(s.demand)
 	}
+	if first && s.reading {
+		_ = s.control.SetReadDeadline(passed)
+	}
+	interrupted = s.interrupted
+	s.mu.Unlock()
 	s.ended.Wait()
+	return interrupted || s.broken()
 }
 
 // view gives one attempt the body from its start.
