--- a/core/daisyroute/speed_test.go
+++ b/core/daisyroute/speed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -137,3 +138,38 @@
 		}
 	})
 }
+
+// BenchmarkMemory gives the heap bytes that a dispatcher keeps for an endpoint with
+// half of its three slots in use, for a further attempt and for a waiting request.
+func BenchmarkMemory(b *testing.B) {
+	const endpoints, waiting = 1800, 4000
+	for range b.N {
+		empty := heapBytes()
+		c := newCycle(endpoints, daisyroute.LeastOfTwo{Reports: true})
+		half := heapBytes()
+		rest := 3*endpoints - len(c.open)
+		c.flood(rest)
+		full := heapBytes()
+		c.flood(waiting)
+		flooded := heapBytes()
+		b.ReportMetric(float64(half-empty)/endpoints, "B/endpoint")
+		b.ReportMetric(float64(full-half)/float64(rest), "B/attempt")
+		b.ReportMetric(float64(flooded-full)/waiting, "B/waiting")
+		runtime.KeepAlive(c)
+	}
+}
+
+func (c *cycle) flood(requests int) {
+	for range requests {
+		c.requests++
+		request := daisyrequest.Request{ID: c.requests, Rank: 2, Arrived: c.now, Deadline: c.now.Add(time.Hour)}
+		c.dispatcher.Handle(c.now, daisyroute.RequestArrived{Request: request})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
