--- a/core/daisyvm/addresses.go
+++ b/core/daisyvm/addresses.go
@@ -13,6 +13,9 @@
 const (
 	// KeepFor is how long callers may keep an answer.
 	KeepFor = 5 * time.Second
+	// SettlingKeepFor takes its place while some live VM is not ready yet: callers
+	// would otherwise stay with the first ready ones for the whole of KeepFor.
+	SettlingKeepFor = time.Second
 	// StragglerMargin is how much longer a leaving VM serves callers with an old
 	// answer: the answer may have been made just before the word of leaving arrived.
 	StragglerMargin = 2 * time.Second
@@ -51,8 +54,11 @@
 // Leaving and dead VMs are left out. While no VM is ready, those that are not
 // are named, and with no other VM left self is named in any case.
 func (a *Addresses) Answer(self Member, others []Member) Answer {
+	candidates, settling := candidatesOf(self, others)
 	answer := Answer{KeepFor: KeepFor}
-	candidates := candidatesOf(self, others)
+	if settling {
+		answer.KeepFor = SettlingKeepFor
+	}
 	preferred := a.prefersZone(self.VM.Zone, candidates)
 	drawn := make([]draw, 0, len(candidates))
 	for _, m := range candidates {
@@ -112,8 +118,9 @@
 	return a.random.Float64() < (share-zoneLow)/(zoneHigh-zoneLow)
 }
 
-// candidatesOf gives the ready VMs, else the live ones, else self.
-func candidatesOf(self Member, others []Member) []Member {
+// candidatesOf gives the ready VMs, else the live ones, else self; settling says
+// that a live one is not ready.
+func candidatesOf(self Member, others []Member) (candidates []Member, settling bool) {
 	var ready, live []Member
 	for _, m := range append([]Member{self}, others...) {
 		heard := m.State == Live || m.State == Suspect
@@ -125,13 +132,14 @@
 			ready = append(ready, m)
 		}
 	}
+	settling = len(ready) < len(live)
 	if len(ready) > 0 {
-		return ready
+		return ready, settling
 	}
 	if len(live) > 0 {
-		return live
+		return live, settling
 	}
-	return []Member{self}
+	return []Member{self}, true
 }
 
 // ServesUntil gives when a VM that announced its leaving at the given time has
