--- a/io/daisycontroller/plan.go
+++ b/io/daisycontroller/plan.go
@@ -253,10 +253,8 @@
 	var intent daisyconfig.Intent
 	err := persist(ctx, func() error {
 		var err error
-		if record.BaseHash != "" {
-			if base, err = fetchSnapshot(ctx, c.options.Platform, record.BaseHash); err != nil {
-				return err
-			}
+		if base, err = c.base(ctx, record.BaseHash); err != nil {
+			return err
 		}
 		intent, err = c.getIntent(ctx, record.IntentHash)
 		return err
@@ -270,6 +268,17 @@
 	return p, nil
 }
 
+// base gives the snapshot that a plan was made from, or nil for a first plan.
+func (c *Plan) base(ctx context.Context, hash daisyconfig.Hash) (*daisyconfig.Snapshot, error) {
+	if hash == "" {
+		return nil, nil
+	}
+	if s := c.options.Config.InForce(); s != nil && s.Hash == hash {
+		return s, nil
+	}
+	return fetchSnapshot(ctx, c.options.Platform, hash)
+}
+
 func (c *Plan) getIntent(ctx context.Context, hash daisyconfig.Hash) (daisyconfig.Intent, error) {
 	data, err := getObject(ctx, c.options.Platform, intentPrefix+string(hash))
 	if err != nil {
