Tell plans that have ended from requests that are wrong

Cause: confirming a discarded plan ended daisyctl with exit code 2, wrong usage. Change: a type of its own, exit code 1 and a hint. Conclusion: scripts can tell a bad file from a plan that somebody discarded.

--- a/core/daisyerror/error.go
+++ b/core/daisyerror/error.go
@@ -20,6 +20,8 @@
 	NotFound = namespace.NewType("not-found", errorx.NotFound())
 	// Stale marks a change made from a revision that is no longer the confirmed one.
 	Stale = namespace.NewType("stale")
+	// Ended marks the use of something whose life is over, for instance a plan that was discarded.
+	Ended = namespace.NewType("ended")
 	// Unauthorized marks a sender without valid credentials.
 	Unauthorized = namespace.NewType("unauthorized")
 	// Unavailable marks an operation that was not carried out and may succeed later.
--- a/io/daisycontroller/plan_confirm.go
+++ b/io/daisycontroller/plan_confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -14,7 +15,7 @@
 
 // Confirm makes a plan the confirmed configuration. Confirming a plan that is
 // confirmed already gives it as it is. It fails with daisyerror.Stale when another
-// plan was confirmed first, with daisyerror.InvalidRequest for a plan that was
+// plan was confirmed first, with daisyerror.Ended for a plan that was
 // discarded or has expired, with daisyerror.Unavailable when nothing was changed,
 // and with daisyerror.Unknown when the plan may have been confirmed: confirming it
 // again finds out.
@@ -57,9 +58,9 @@
 	case daisyplan.Superseded:
 		return daisyplan.Plan{}, stale(id, row.record.Base, s.Revision, s.By)
 	case daisyplan.Discarded:
-		return daisyplan.Plan{}, daisyerror.InvalidRequest.New("plan %s was discarded by %s", id, s.By)
+		return daisyplan.Plan{}, daisyerror.Ended.New("plan %s was discarded by %s", id, s.By)
 	case daisyplan.Expired:
-		return daisyplan.Plan{}, daisyerror.InvalidRequest.New("plan %s expired at %s; make a new one", id, row.record.Expires)
+		return daisyplan.Plan{}, daisyerror.Ended.New("plan %s expired at %s; make a new one", id, row.record.Expires.Format(time.RFC3339))
 	}
 	return daisyplan.Plan{}, daisyerror.Internal.New("plan %s in an unknown state", id)
 }
--- a/io/daisycontroller/plan_row.go
+++ b/io/daisycontroller/plan_row.go
@@ -232,7 +232,7 @@
 	return records, nil
 }
 
-// Discard ends a plan that nobody wants. It fails with daisyerror.InvalidRequest
+// Discard ends a plan that nobody wants. It fails with daisyerror.Ended
 // for a plan that is not open any more.
 func (c *Plan) Discard(ctx context.Context, id daisyplan.ID, operator string) error {
 	ctx, end, err := c.begin(ctx)
@@ -255,9 +255,9 @@
 	case daisyplan.Discarded:
 		return nil
 	case daisyplan.Confirming:
-		return daisyerror.InvalidRequest.New("plan %s is being confirmed by %s; confirm it again to learn the result", id, s.By)
+		return daisyerror.Ended.New("plan %s is being confirmed by %s; confirm it again to learn the result", id, s.By)
 	case daisyplan.Confirmed:
-		return daisyerror.InvalidRequest.New("plan %s is confirmed as revision %d; to go back, make a new plan", id, s.Revision)
+		return daisyerror.Ended.New("plan %s is confirmed as revision %d; to go back, make a new plan", id, s.Revision)
 	case daisyplan.Expired, daisyplan.Superseded:
 	}
 	return nil
--- a/io/daisyctl/root.go
+++ b/io/daisyctl/root.go
@@ -97,6 +97,8 @@
 	switch {
 	case errorx.IsOfType(err, daisyerror.Stale):
 		return "Look at what is in force with daisyctl config view, then make a new plan with daisyctl plan create."
+	case errorx.IsOfType(err, daisyerror.Ended):
+		return "Nothing has changed; look at the plan with daisyctl plan view."
 	case errorx.IsOfType(err, daisyerror.InvalidIntent):
 		return "Mend these lines and make the plan again; nothing has changed."
 	case errorx.IsOfType(err, daisyerror.Unauthorized):
--- a/io/daisyoperator/kind.go
+++ b/io/daisyoperator/kind.go
@@ -17,6 +17,7 @@
 	KindInvalidRequest Kind = "invalid-request"
 	KindNotFound       Kind = "not-found"
 	KindStale          Kind = "stale"
+	KindEnded          Kind = "ended"
 	KindUnauthorized   Kind = "unauthorized"
 	KindUnavailable    Kind = "unavailable"
 	KindUnknown        Kind = "unknown"
@@ -44,6 +45,7 @@
 	{KindInvalidRequest, http.StatusBadRequest, daisyerror.InvalidRequest, "The request is not valid"},
 	{KindNotFound, http.StatusNotFound, daisyerror.NotFound, "Nothing carries this name"},
 	{KindStale, http.StatusConflict, daisyerror.Stale, "The plan is stale"},
+	{KindEnded, http.StatusConflict, daisyerror.Ended, "The plan has come to its end"},
 	{KindUnauthorized, http.StatusUnauthorized, daisyerror.Unauthorized, "The operator token is missing or wrong"},
 	{KindUnavailable, http.StatusServiceUnavailable, daisyerror.Unavailable, "Not carried out; try again"},
 	{KindUnknown, http.StatusGatewayTimeout, daisyerror.Unknown, "It is not known whether it was carried out"},
