--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -49,6 +49,7 @@
 type Config struct {
 	options ConfigOptions
 	inForce atomic.Pointer[daisyconfig.Snapshot]
+	chain   *chain
 
 	mu       sync.Mutex
 	follower *daisyconfig.Follower
@@ -80,6 +81,7 @@
 	}
 	c := &Config{
 		options: options,
+		chain:   newChain(options.Platform),
 		heads:   make(map[daisyvm.Name]InForceAt),
 		apply:   make(chan struct{}, 1),
 		wake:    time.NewTimer(0),
@@ -242,6 +244,7 @@
 	for _, a := range c.options.Appliers {
 		a.Apply(s)
 	}
+	c.chain.add(s)
 	c.inForce.Store(s)
 	c.options.Logger.Info("configuration in force",
 		"revision", s.Revision, "hash", s.Hash, "plan", s.PlanID, "by", s.ConfirmedBy)
--- a/io/daisycontroller/config_history.go
+++ b/io/daisycontroller/config_history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyerror"
@@ -9,51 +10,45 @@
 	"daisyyoke/io/daisysnapshot"
 )
 
-// History gives the confirmed snapshots, the newest first, at most limit of them.
-// It starts from the snapshot in force and follows the chain of snapshots, each
-// of which names the one before. It fails with daisyerror.NotFound when nothing
-// is in force and with daisyerror.Unavailable when the object store does not answer.
-func (c *Config) History(ctx context.Context, limit int) ([]*daisyconfig.Snapshot, error) {
+// historyTimeout bounds the search through earlier snapshots.
+const historyTimeout = 5 * time.Second
+
+// History says who confirmed what and when, the newest first, at most limit
+// revisions back from the one in force. It fails with daisyerror.NotFound when
+// nothing is in force. When the object store does not answer it fails with
+// daisyerror.Unavailable and gives what it found so far.
+func (c *Config) History(ctx context.Context, limit int) ([]daisyconfig.Head, error) {
 	s := c.InForce()
 	if s == nil {
 		return nil, daisyerror.NotFound.New("no configuration is in force")
 	}
-	var history []*daisyconfig.Snapshot
-	for len(history) < limit {
-		history = append(history, s)
-		if s.Previous == "" {
-			return history, nil
-		}
-		var err error
-		if s, err = fetchSnapshot(ctx, c.options.Platform, s.Previous); err != nil {
-			return history, err
-		}
-	}
-	return history, nil
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	return c.chain.history(ctx, s.Head(), limit)
 }
 
 // View gives the snapshot of an earlier revision. It fails with
-// daisyerror.NotFound when there is no such revision.
+// daisyerror.NotFound when there is no such revision and with
+// daisyerror.Unavailable when the object store does not answer.
 func (c *Config) View(ctx context.Context, revision daisyconfig.Revision) (*daisyconfig.Snapshot, error) {
 	s := c.InForce()
 	if s == nil || revision == 0 || revision > s.Revision {
 		return nil, daisyerror.NotFound.New("no revision %d", revision)
 	}
-	return followChain(ctx, c.options.Platform, s, revision)
-}
-
-// followChain goes back from a snapshot to the one of a revision.
-func followChain(ctx context.Context, objects daisyplatform.Objects, s *daisyconfig.Snapshot, revision daisyconfig.Revision) (*daisyconfig.Snapshot, error) {
-	var err error
-	for s.Revision > revision {
-		if s, err = fetchSnapshot(ctx, objects, s.Previous); err != nil {
-			return nil, err
-		}
+	if revision == s.Revision {
+		return s, nil
 	}
-	if s.Revision != revision {
-		return nil, daisyerror.Internal.New("snapshot %s has revision %d where %d was expected", s.Hash, s.Revision, revision)
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	head, err := c.chain.ancestor(ctx, s.Head(), revision)
+	if err != nil {
+		return nil, err
 	}
-	return s, nil
+	err = persist(ctx, func() error {
+		s, err = fetchSnapshot(ctx, c.options.Platform, head.Hash)
+		return err
+	})
+	return s, err
 }
 
 // fetchSnapshot reads a snapshot from the object store and checks it against its hash.
--- a/io/daisycontroller/fleet_test.go
+++ b/io/daisycontroller/fleet_test.go
@@ -26,6 +26,8 @@
 type counted struct {
 	daisyplatform.Platform
 	reads, writes atomic.Int64
+	// objects counts the objects read, which are among the reads.
+	objects atomic.Int64
 }
 
 func (c *counted) GetRow(ctx context.Context, key string) daisyplatform.Answer {
@@ -40,6 +42,7 @@
 
 func (c *counted) GetObject(ctx context.Context, name string) daisyplatform.Answer {
 	c.reads.Add(1)
+	c.objects.Add(1)
 	return c.Platform.GetObject(ctx, name)
 }
 
--- a/io/daisycontroller/plan.go
+++ b/io/daisycontroller/plan.go
@@ -52,8 +52,6 @@
 	random *rand.Rand
 	// written has the rows that this VM wrote, since a read that follows may lag.
 	written map[daisyplan.ID]planRow
-	// links has parts of the chain of confirmed snapshots.
-	links map[daisyconfig.Hash]link
 }
 
 // planRow is a plan's row.
@@ -73,7 +71,6 @@
 		options: options,
 		random:  newRandom(options.Seed, options.Self.Name),
 		written: make(map[daisyplan.ID]planRow),
-		links:   make(map[daisyconfig.Hash]link),
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
--- a/io/daisycontroller/plan_confirm.go
+++ b/io/daisycontroller/plan_confirm.go
@@ -175,21 +175,28 @@
 
 // resolve finds out which plan followed the base.
 func (w *headWrite) resolve(ctx context.Context, head daisyconfig.Head) error {
-	s, err := fetchSnapshot(ctx, w.plan.options.Platform, head.Hash)
-	if err != nil {
-		return err
-	}
-	next, err := followChain(ctx, w.plan.options.Platform, s, w.snapshot.Revision)
+	next, err := w.plan.options.Config.chain.ancestor(ctx, head, w.snapshot.Revision)
 	if err != nil {
 		return err
 	}
 	if next.PlanID == w.snapshot.PlanID {
-		w.snapshot = next
-		return nil
+		return w.take(ctx, next)
 	}
 	return stale(daisyplan.ID(w.snapshot.PlanID), w.snapshot.Revision-1, next.Revision, next.ConfirmedBy)
 }
 
+// take takes the snapshot that the plan was confirmed as.
+func (w *headWrite) take(ctx context.Context, head daisyconfig.Head) error {
+	if head.Hash == w.snapshot.Hash {
+		return nil
+	}
+	s, err := fetchSnapshot(ctx, w.plan.options.Platform, head.Hash)
+	if err == nil {
+		w.snapshot = s
+	}
+	return err
+}
+
 // record notes in the plan's row that it is confirmed, so that lists need not look
 // it up. The plan is confirmed whether or not this succeeds.
 func (c *Plan) record(record daisyplan.Record) {
--- a/io/daisyoperator/desk.go
+++ b/io/daisyoperator/desk.go
@@ -28,7 +28,7 @@
 	// InForce gives nil while nothing is in force.
 	InForce() *daisyconfig.Snapshot
 	View(ctx context.Context, revision daisyconfig.Revision) (*daisyconfig.Snapshot, error)
-	History(ctx context.Context, limit int) ([]*daisyconfig.Snapshot, error)
+	History(ctx context.Context, limit int) ([]daisyconfig.Head, error)
 }
 
 // Work gives what a VM has under way.
--- a/io/daisyoperator/encode.go
+++ b/io/daisyoperator/encode.go
@@ -67,7 +67,7 @@
 	}, nil
 }
 
-func encodeRevision(s *daisyconfig.Snapshot) Revision {
+func encodeRevision(s daisyconfig.Head) Revision {
 	return Revision{
 		Revision:    uint64(s.Revision),
 		Hash:        string(s.Hash),
