--- a/examples/trial/main.go
+++ b/examples/trial/main.go
@@ -29,6 +29,7 @@
 	seed                    uint64
 	json                    bool
 	keep                    bool
+	random                  bool
 	faultTexts              []string
 	faults                  []timedFault
 }
@@ -66,6 +67,7 @@
 	flags.Uint64Var(&o.seed, "seed", 1, "seed of arrivals and choices")
 	flags.BoolVar(&o.json, "json", false, "print JSON")
 	flags.BoolVar(&o.keep, "keep-logs", false, "keep the processes' logs and say where")
+	flags.BoolVar(&o.random, "random-faults", false, "bring faults about from --seed, two at a time")
 	flags.StringArrayVar(&o.faultTexts, "fault", nil, faultHelp)
 	return c
 }
@@ -78,6 +80,13 @@
 		}
 		o.faults = append(o.faults, f)
 	}
+	if o.random {
+		faults, err := randomFaults(o.seed, o)
+		if err != nil {
+			return err
+		}
+		o.faults = append(o.faults, faults...)
+	}
 	folder, err := os.MkdirTemp("", "daisyyoke-trial-")
 	if err != nil {
 		return daisyerror.Unavailable.Wrap(err, "making a folder")
--- /dev/null
+++ b/examples/trial/random.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// firstRandom is when the first random fault begins, and randomStep the time to the next pair.
+	firstRandom = time.Second
+	randomStep  = 3 * time.Second
+	// faultTime is how long a random fault lasts at the least; it is up to twice that.
+	faultTime = time.Second
+)
+
+// randomFaults gives pairs of faults, two at a time, for a load of the given length.
+func randomFaults(seed uint64, o *options) ([]timedFault, error) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var faults []timedFault
+	for at := firstRandom; at+randomStep <= o.length; at += randomStep {
+		for range 2 {
+			f, err := parseFault(randomText(random, at, o))
+			if err != nil {
+				return nil, err
+			}
+			faults = append(faults, f)
+		}
+	}
+	return faults, nil
+}
+
+func randomText(random *rand.Rand, at time.Duration, o *options) string {
+	length := faultTime + time.Duration(random.Int64N(int64(faultTime)))
+	names := []string{
+		"kill-vm", "pause-vm", "slow-endpoint", "fail-fast-endpoint", "shed-endpoint", "drain-endpoint",
+		"break-endpoint", "freeze-endpoint", "platform-down", "platform-slow", "platform-lost-replies", "flood",
+	}
+	name := names[random.IntN(len(names))]
+	which := fmt.Sprint(random.IntN(o.endpoints))
+	switch name {
+	case "kill-vm", "pause-vm":
+		which = fmt.Sprint(random.IntN(o.vms))
+	case "flood":
+		which = []string{"urgent", "standard", "bulk"}[random.IntN(3)] + "*5"
+	}
+	return fmt.Sprintf("%s,%s,%s,%s", at, name, which, length.Round(time.Millisecond))
+}
