--- a/io/daisytrial/caller.go
+++ b/io/daisytrial/caller.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -14,15 +12,19 @@
 	"github.com/joomcode/errorx"
 
 	"daisyyoke/core/daisyerror"
+	"daisyyoke/io/daisyconnection"
 )
 
 // maxAnswer bounds an answer that is kept, in bytes.
 const maxAnswer = 1 << 20
 
-// caller sends calls to the VMs that its resolver names.
+// caller sends calls to the VMs that its resolver names. Its pool sends none of
+// them twice by itself, as the library's client would after a broken connection:
+// a VM can only answer for what it was sent.
 type caller struct {
 	resolver *Resolver
 	client   *http.Client
+	pool     *daisyconnection.Pool
 }
 
 // send gives the fate of a call. Where no connection could be had, which proves
@@ -40,24 +42,13 @@
 			return judge(call, response, a, started)
 		}
 		failure = NoAnswer{Cause: err, Span: Span{VM: a, From: started, To: time.Now()}}
-		if !errorx.IsOfType(err, notConnected) {
+		if !errorx.IsOfType(err, daisyconnection.NotSent) {
 			break
 		}
 	}
 	return failure
 }
 
-// notConnected marks a request that had no connection to be sent over.
-var notConnected = daisyerror.Unavailable.NewSubtype("not-connected")
-
-func sendFault(err error, address netip.AddrPort) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return notConnected.Wrap(err, "connecting to %s", address)
-	}
-	return daisyerror.Unavailable.Wrap(err, "sending to %s", address)
-}
-
 func (c *caller) do(ctx context.Context, address netip.AddrPort, call Call) (*http.Response, error) {
 	var body io.Reader
 	if call.Stream.BodySize > 0 {
@@ -73,11 +64,7 @@
 	request.Host = call.Stream.Service.Name + "." + string(call.Stream.Service.Fleet)
 	request.Header.Set("Daisy-Rank", string(call.Stream.Rank))
 	request.Header.Set("X-Request-Id", call.Key)
-	response, err := c.client.Do(request)
-	if err != nil {
-		return nil, sendFault(err, address)
-	}
-	return response, nil
+	return c.pool.RoundTrip(request, daisyconnection.Target{Address: address})
 }
 
 // zeros is an endless body.
--- a/io/daisytrial/load.go
+++ b/io/daisytrial/load.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"daisyyoke/io/daisyconnection"
 )
 
 // Options are the settings of a Load.
@@ -36,15 +38,22 @@
 	}
 	senders.Wait()
 	for _, c := range callers {
+		c.pool.Close()
 		c.client.CloseIdleConnections()
 	}
 }
 
 func newCallers(options Options) []*caller {
 	callers := make([]*caller, 0, options.Callers)
+	limits := daisyconnection.DefaultLimits()
+	limits.Connections = maxConnections
 	for i := range options.Callers {
-		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxConnections, MaxConnsPerHost: maxConnections}}
-		callers = append(callers, &caller{client: client, resolver: options.NewResolver(client, options.Seed+uint64(i))})
+		client := &http.Client{}
+		callers = append(callers, &caller{
+			client:   client,
+			pool:     daisyconnection.NewPool(limits),
+			resolver: options.NewResolver(client, options.Seed+uint64(i)),
+		})
 	}
 	return callers
 }
