Test that no body is taken for a request, and hold less for requests that wait

Also: 404 for a service removed meanwhile, OPTIONS * forwarded, bounds and pings on HTTP/2 connections to endpoints. A request that waits for a slot holds no chunk of memory.

--- a/io/daisycaller/server.go
+++ b/io/daisycaller/server.go
@@ -62,6 +62,8 @@
 		ReadHeaderTimeout: limits.Header,
 		IdleTimeout:       limits.Idle,
 		MaxHeaderBytes:    limits.HeaderBytes,
+		// OPTIONS * is for the endpoint to answer, as any other request.
+		DisableGeneralOptionsHandler: true,
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams:          limits.Streams,
 			MaxReceiveBufferPerStream:     limits.StreamBytes,
--- a/io/daisyconnection/pool.go
+++ b/io/daisyconnection/pool.go
@@ -44,6 +44,12 @@
 	HeaderBytes int64
 	// Connections is the number of connections to an endpoint whose declaration gives none.
 	Connections int
+	// Ping is how long an HTTP/2 connection may be silent before it is asked
+	// whether it is still there, and then how long it has to answer.
+	Ping time.Duration
+	// StreamBytes and ConnectionBytes bound what an HTTP/2 endpoint may send ahead of its being read.
+	StreamBytes     int
+	ConnectionBytes int
 }
 
 // DefaultLimits are the limits that a VM uses unless told otherwise.
@@ -54,6 +60,10 @@
 		Continue:    time.Second,
 		HeaderBytes: 64 << 10,
 		Connections: 32,
+
+		Ping:            10 * time.Second,
+		StreamBytes:     256 << 10,
+		ConnectionBytes: 2 << 20,
 	}
 }
 
@@ -98,6 +108,12 @@
 		DisableCompression:     true,
 		ExpectContinueTimeout:  limits.Continue,
 		MaxResponseHeaderBytes: limits.HeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:               limits.Ping,
+			PingTimeout:                   limits.Ping,
+			MaxReceiveBufferPerStream:     limits.StreamBytes,
+			MaxReceiveBufferPerConnection: limits.ConnectionBytes,
+		},
 	}
 }
 
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -69,7 +69,8 @@
 func (f *Forwarder) Forward(w http.ResponseWriter, call *daisyfilter.Call) {
 	ticket, err := f.routes.Begin(call.Request)
 	if err != nil {
-		daisyproblem.FromFailure(daisyrequest.NoEndpoint{RetryAfter: time.Second}).Write(w)
+		// The service was removed after the chain had found it.
+		daisyproblem.Problem{Status: http.StatusNotFound, Title: "No such service or fleet", Run: daisyrequest.NotRun}.Write(w)
 		return
 	}
 	x := newExchange(f, ticket, call, w)
--- a/io/daisyforward/malformed_test.go
+++ b/io/daisyforward/malformed_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -67,7 +70,11 @@
 		{"NUL in value", head("X: a\x00b", "Content-Length: 2") + "ok" + hidden, ""},
 		{"chunk size too large", head("Transfer-Encoding: chunked") + "fffffffffffffffff\r\nok\r\n0\r\n\r\n" + hidden, ""},
 		{"chunk size signed", head("Transfer-Encoding: chunked") + "+2\r\nok\r\n0\r\n\r\n" + hidden, ""},
+		{"request after a bad chunk", head("Transfer-Encoding: chunked") + "+2\r\n" + hidden, ""},
+		{"request after a good and a bad chunk", head("Transfer-Encoding: chunked") + "2\r\nok\r\n+2\r\n" + hidden, ""},
 		{"chunk longer than its size", head("Transfer-Encoding: chunked") + "2\r\nokok\r\n0\r\n\r\n" + hidden, ""},
+		{"options of the server", "OPTIONS * HTTP/1.1\r\nHost: lookups.vigia-lar\r\n\r\n" + last, "OPTIONS * , GET /last "},
+		{"absolute target", "GET http://lookups.vigia-lar/a HTTP/1.1\r\nHost: orders.vigia-lar\r\n\r\n" + last, "GET /a , GET /last "},
 		{"no host", "GET /a HTTP/1.1\r\n\r\n" + hidden, ""},
 		{"two hosts", "GET /a HTTP/1.1\r\nHost: lookups.vigia-lar\r\nHost: orders.vigia-lar\r\n\r\n" + hidden, ""},
 		{"bad method", "G(T /a HTTP/1.1\r\nHost: lookups.vigia-lar\r\n\r\n" + hidden, ""},
@@ -89,6 +96,91 @@
 	}
 }
 
+// early is an endpoint at the level of the socket that answers each request
+// without reading its body.
+type early struct {
+	answer string
+	mu     sync.Mutex
+	seen   []string
+}
+
+func (e *early) start(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l := listen(t)
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			ended.Go(func() {
+				defer c.Close()
+				e.serve(c)
+			})
+		}
+	})
+	t.Cleanup(ended.Wait)
+	t.Cleanup(func() { _ = l.Close() })
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func (e *early) serve(c net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.seen = append(e.seen, request.URL.Path)
+	e.mu.Unlock()
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n"+e.answer)
+	_ = c.(*net.TCPConn).CloseWrite()
+	_, _ = io.Copy(io.Discard, c)
+}
+
+func (e *early) paths() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.seen)
+}
+
+// TestBodyIsNeverTakenForARequest has an endpoint answer before the caller has
+// sent the body, which looks like a request.
+func TestBodyIsNeverTakenForARequest(t *testing.T) {
+	const hidden = "GET /hidden HTTP/1.1\r\nHost: lookups.vigia-lar\r\n\r\n"
+	const last = "GET /last HTTP/1.1\r\nHost: lookups.vigia-lar\r\nConnection: close\r\n\r\n"
+	cases := []struct{ name, head, before, after string }{
+		{"whole with the request", fmt.Sprintf("Content-Length: %d", len(hidden)), hidden + last, ""},
+		{"whole in a chunk", "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n%s", len(hidden), hidden, last), ""},
+		{"after the answer", fmt.Sprintf("Content-Length: %d", len(hidden)), "", hidden + last},
+		{"half before and half after", fmt.Sprintf("Content-Length: %d", 2+len(hidden)), "ok", hidden + last},
+		{"longer than what is read after the answer", "Content-Length: 1000000", "", hidden + last},
+		{"no chunk after the answer", "Transfer-Encoding: chunked", "", hidden + last},
+		{"after a bad chunk", "Transfer-Encoding: chunked", "+2\r\n" + hidden + last, ""},
+		{"after a good and a bad chunk", "Transfer-Encoding: chunked", "2\r\nok\r\n+2\r\n" + hidden + last, ""},
+	}
+	for _, answer := range []string{"Content-Length: 5\r\n\r\nearly", "Transfer-Encoding: chunked\r\n\r\n5\r\nearly\r\n0\r\n\r\n"} {
+		for _, c := range cases {
+			t.Run(c.name+"/"+answer[:8], func(t *testing.T) {
+				endpoint := &early{answer: answer}
+				v := startVM(t, newSettings(endpoint.start(t)))
+				conn, err := net.Dial("tcp", v.server.Address().String())
+				assert.NilError(t, err)
+				defer conn.Close()
+				_, err = io.WriteString(conn, "POST /a HTTP/1.1\r\nHost: lookups.vigia-lar\r\n"+c.head+"\r\n\r\n"+c.before)
+				assert.NilError(t, err)
+				reader := bufio.NewReader(conn)
+				response, err := http.ReadResponse(reader, nil)
+				assert.NilError(t, err)
+				_, _ = io.ReadAll(response.Body)
+				_, _ = io.WriteString(conn, c.after)
+				_, _ = io.Copy(io.Discard, reader)
+				assert.Assert(t, !slices.Contains(endpoint.paths(), "/hidden"), "%v", endpoint.paths())
+			})
+		}
+	}
+}
+
 // exchange sends text over a new connection and gives all that comes back until the VM closes it.
 func (v *vm) exchange(t *testing.T, text string) string {
 	t.Helper()
--- a/io/daisyforward/source.go
+++ b/io/daisyforward/source.go
@@ -50,10 +50,11 @@
 		changed: make(chan struct{}),
 	}
 	s.ended.Go(func() {
-		chunk := getChunk(request.ContentLength)
-		defer putChunk(chunk)
 		for range s.demand {
-			s.read(chunk.bytes)
+			// A request that waits for a slot holds no chunk.
+			c := getChunk(request.ContentLength)
+			s.read(c.bytes)
+			putChunk(c)
 		}
 	})
 	return s
--- a/io/daisystand/endpoint_server.go
+++ b/io/daisystand/endpoint_server.go
@@ -19,7 +19,11 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	s := &EndpointServer{listener: listener, server: &http.Server{Handler: endpoint, Protocols: &protocols}}
+	s := &EndpointServer{listener: listener, server: &http.Server{
+		Handler:                      endpoint,
+		Protocols:                    &protocols,
+		DisableGeneralOptionsHandler: true,
+	}}
 	s.ended.Go(func() { _ = s.server.Serve(listener) })
 	return s
 }
