--- a/io/daisydaemon/command.go
+++ b/io/daisydaemon/command.go
@@ -94,6 +94,7 @@
 		return err
 	}
 	defer d.Close()
+	d.takeStandardLog()
 	select {
 	case <-signals.Done():
 		d.WantStop("signal")
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -151,6 +151,7 @@
 		Listener: d.listeners.callers,
 		Handler:  chain,
 		Limits:   daisycaller.DefaultLimits(),
+		ErrorLog: d.libraryLog(),
 	})
 	d.onClose(d.callers.Close)
 	return nil
