--- a/io/daisyconnection/pool.go
+++ b/io/daisyconnection/pool.go
@@ -56,7 +56,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Dial:        time.Second,
-		Idle:        30 * time.Second,
+		Idle:        4 * time.Second,
 		Continue:    time.Second,
 		HeaderBytes: 64 << 10,
 		Connections: 32,
--- a/io/daisyconnection/pool_test.go
+++ b/io/daisyconnection/pool_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
@@ -156,3 +157,38 @@
 		})
 	}
 }
+
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	closed := make(chan struct{}, 8)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	server.Start()
+	defer server.Close()
+	limits := daisyconnection.DefaultLimits()
+	limits.Idle = 10 * time.Millisecond
+	pool := daisyconnection.NewPool(limits)
+	defer pool.Close()
+	target := daisyconnection.Target{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	response, err := pool.RoundTrip(newRequest(t, http.MethodGet, "", ""), target)
+	readWhole(t, response, err)
+	<-closed
+	response, err = pool.RoundTrip(newRequest(t, http.MethodPost, "order", ""), target)
+	readWhole(t, response, err)
+}
+
+func TestRemovedEndpointIsLetGo(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
+	defer pool.Close()
+	target := daisyconnection.Target{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	response, err := pool.RoundTrip(newRequest(t, http.MethodGet, "", ""), target)
+	readWhole(t, response, err)
+	assert.Equal(t, pool.Connections(), 1)
+	pool.Apply(&daisyconfig.Snapshot{})
+	assert.Equal(t, pool.Connections(), 0)
+}
