--- a/core/daisymeasure/bound_test.go
+++ b/core/daisymeasure/bound_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"daisyyoke/core/daisyroute"
 )
 
 // The bounds are those of the table, not what was measured.
@@ -22,7 +20,7 @@
 )
 
 // ours is the policy of the daemon.
-var ours = Routed{daisyroute.Credits{Overcommit: 1}}
+var ours = Routed{daemonPolicy()}
 
 func testSize() Size {
 	if testing.Short() {
--- a/core/daisymeasure/table.go
+++ b/core/daisymeasure/table.go
@@ -22,10 +22,13 @@
 		{"round robin", Routed{daisyroute.RoundRobin{}}},
 		{"least of two", Routed{daisyroute.LeastOfTwo{}}},
 		{"least of two, reports", Routed{daisyroute.LeastOfTwo{Reports: true}}},
-		{"credits", Routed{daisyroute.Credits{Overcommit: 1}}},
+		{"credits", Routed{daemonPolicy()}},
 	}
 }
 
+// daemonPolicy is the policy that the daemon uses.
+func daemonPolicy() daisyroute.Policy { return daisyroute.Credits{Overcommit: 1} }
+
 // WriteTable appends one Markdown table for each case, with a row for each policy.
 func WriteTable(b *strings.Builder, cases []Case) {
 	for _, c := range cases {
