--- a/core/daisycredit/pace.go
+++ b/core/daisycredit/pace.go
@@ -9,9 +9,11 @@
 	localGap = 100 * time.Microsecond
 	// lazyDelay is how long news that nobody waits for is held back to share a message.
 	lazyDelay = 20 * time.Millisecond
+	// answerDelay is how long an acknowledgement is held back to share a message.
+	answerDelay = 200 * time.Millisecond
 	// repeatAfter is when a message without an acknowledgement is first sent
 	// again; the time doubles up to repeatAtMost.
-	repeatAfter  = 40 * time.Millisecond
+	repeatAfter  = 300 * time.Millisecond
 	repeatAtMost = 500 * time.Millisecond
 	// silentAfter is when a VM that acknowledges nothing counts as silent.
 	silentAfter = time.Second
@@ -50,7 +52,7 @@
 
 // answer asks for an acknowledgement before long.
 func (p *pace) answer(now time.Time) {
-	p.answerDue = earlier(p.answerDue, p.spaced(now.Add(lazyDelay)))
+	p.answerDue = earlier(p.answerDue, p.spaced(now.Add(answerDelay)))
 }
 
 func (p *pace) spaced(due time.Time) time.Time {
