--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -104,9 +104,12 @@
 	return l
 }
 
+// SetShare sets the number of VMs that share the slots evenly while there is no owner.
+func (b *Borrower) SetShare(vms int) { b.vms = max(1, vms) }
+
 // SetVMs brings the live VMs that share the service, this VM among them.
 func (b *Borrower) SetVMs(now time.Time, vms []daisyvm.VM) {
-	b.vms = max(1, len(vms))
+	b.SetShare(len(vms))
 	owner, ok := ChooseOwner(b.service.ID, vms)
 	if !ok || owner.Name == b.owner.Name && owner.Incarnation == b.owner.Incarnation {
 		return
--- a/core/daisymeasure/table.go
+++ b/core/daisymeasure/table.go
@@ -22,6 +22,8 @@
 		{"round robin", Routed{daisyroute.RoundRobin{}}},
 		{"least of two", Routed{daisyroute.LeastOfTwo{}}},
 		{"least of two, reports", Routed{daisyroute.LeastOfTwo{Reports: true}}},
+		{"even shares", Routed{daisyroute.EvenShares{}}},
+		{"credits, none overcommitted", Routed{daisyroute.Credits{}}},
 		{"credits", Routed{daemonPolicy()}},
 	}
 }
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -19,15 +19,21 @@
 	Overcommit int
 }
 
-func (Credits) policy() {}
+// EvenShares gives each live VM an even share of the slots, without any message.
+type EvenShares struct{}
+
+func (Credits) policy()    {}
+func (EvenShares) policy() {}
 
 // exchangesAtMost bounds the messages that an owner and a borrower on the same VM pass in one go.
 const exchangesAtMost = 8
 
 // credits is the part of a Dispatcher that shares slots with other VMs.
 type credits struct {
-	self     daisyvm.VM
-	policy   Credits
+	self   daisyvm.VM
+	policy Credits
+	// even says that no VM owns the slots.
+	even     bool
 	borrower *daisycredit.Borrower
 	// owner is nil while another VM owns the slots.
 	owner *daisycredit.Owner
@@ -40,13 +46,18 @@
 	changed bool
 }
 
-// newCredits gives nil for a policy without credits.
+// newCredits gives nil for a policy without credits or shares.
 func newCredits(options Options) *credits {
-	p, ok := options.Policy.(Credits)
-	if !ok {
+	c := &credits{self: options.Self, borrower: daisycredit.NewBorrower(options.Self, options.Service)}
+	switch p := options.Policy.(type) {
+	case Credits:
+		c.policy = p
+	case EvenShares:
+		c.even = true
+	case Random, RoundRobin, LeastOfTwo:
 		return nil
 	}
-	return &credits{self: options.Self, policy: p, borrower: daisycredit.NewBorrower(options.Self, options.Service)}
+	return c
 }
 
 // setVMs brings the live VMs, and begins or ends this VM's ownership of the slots.
@@ -56,6 +67,10 @@
 		return
 	}
 	c.changed = true
+	if c.even {
+		c.borrower.SetShare(len(vms))
+		return
+	}
 	c.borrower.SetVMs(now, vms)
 	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
 	if !ok || owner.Name != c.self.Name {
--- a/core/daisyroute/policy.go
+++ b/core/daisyroute/policy.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Policy decides which endpoint with a free slot, if any, a request may take. It
-// is one of Credits and, without coordination, Random, RoundRobin and LeastOfTwo,
-// by which each VM assumes that only its own attempts occupy slots.
+// is one of Credits, EvenShares and, without coordination, Random, RoundRobin and
+// LeastOfTwo, by which each VM assumes that only its own attempts occupy slots.
 type Policy interface{ policy() }
 
 // Random takes any endpoint with a free slot.
@@ -69,7 +69,7 @@
 	switch d.policy.(type) {
 	case Random, RoundRobin, LeastOfTwo:
 		return e.slots
-	case Credits:
+	case Credits, EvenShares:
 		return e.inFlight + d.credits.borrower.Idle(e.address)
 	}
 	return e.slots
@@ -93,7 +93,7 @@
 		c = candidate{endpoint: d.next(r), choice: InTurn}
 	case LeastOfTwo:
 		c = d.pickLeast(now, r, p)
-	case Credits:
+	case Credits, EvenShares:
 		c = d.pickLeast(now, r, LeastOfTwo{})
 	}
 	if c.endpoint != nil && len(d.free) == 1 {
