--- a/core/daisyroute/condition.go
+++ b/core/daisyroute/condition.go
@@ -70,7 +70,7 @@
 	c := e.condition(now)
 	if c != e.shown {
 		e.shown = c
-		d.credits.setBroken(now, e, c == EjectedSlow || c == EjectedFaulty)
+		d.credits.setBroken(now, e, c != InUse && c != Ramping)
 		d.emit(EndpointChanged{Endpoint: e.address, Condition: c})
 	}
 }
