Count useful work by the time of the answer

Bulk that is served in a flood arrived in the warm-up, and was in no count: the table gave 65% of the slot time as useful where all slots were busy.

--- a/core/daisymeasure/tally.go
+++ b/core/daisymeasure/tally.go
@@ -28,6 +28,8 @@
 	Doubled, Lost, MixedUp, RanNotRun int
 	// Broken counts the requests that a dead VM took with it.
 	Broken int
+	// useful is the slot time of the answers within their targets.
+	useful time.Duration
 	sends  []sendRecord
 }
 
@@ -41,9 +43,8 @@
 	Refused int
 	Expired int
 	// WorkOffered and WorkServed are the slot time of the offered and of the served requests.
-	// WorkUseful is that of the answers within the target.
-	WorkOffered, WorkServed, WorkUseful time.Duration
-	answers                             []answerRecord
+	WorkOffered, WorkServed time.Duration
+	answers                 []answerRecord
 }
 
 type answerRecord struct {
@@ -86,6 +87,7 @@
 }
 
 func (t *Tally) noteAnswerAt(w *World, c *call, at time.Time, answer daisyrequest.Answered) {
+	t.noteUseful(w, c, at, answer)
 	if !c.counted {
 		return
 	}
@@ -99,7 +101,6 @@
 	r.WorkServed += c.work[0]
 	if took <= c.service.Ranks[c.Rank].Target {
 		r.Useful++
-		r.WorkUseful += c.work[0]
 	}
 	r.answers = append(r.answers, answerRecord{arrived: c.Arrived.Sub(w.start), took: took})
 }
@@ -125,6 +126,14 @@
 	}
 }
 
+// noteUseful counts by the time of the answer, whenever the request arrived.
+func (t *Tally) noteUseful(w *World, c *call, at time.Time, answer daisyrequest.Answered) {
+	after := at.Sub(w.start)
+	if answer.Status == 200 && !at.After(c.Deadline) && after >= w.scenario.Warmup && after < w.scenario.For {
+		t.useful += c.work[0]
+	}
+}
+
 // close counts what must never be.
 func (t *Tally) close(w *World) {
 	for _, c := range w.calls {
@@ -178,13 +187,10 @@
 	return ratio(float64(t.Ranks[rank].WorkServed), float64(t.Ranks[rank].WorkOffered))
 }
 
-// UsefulWork gives the slot time of the answers within their targets as a share of all slot time.
+// UsefulWork gives the slot time of the answers within their targets, from the
+// warm-up to the last arrival, as a share of all slot time.
 func (t *Tally) UsefulWork(s Scenario) float64 {
-	var useful time.Duration
-	for _, r := range t.Ranks {
-		useful += r.WorkUseful
-	}
-	return ratio(float64(useful), float64(s.Fleet.slots())*float64(s.For-s.Warmup))
+	return ratio(float64(t.useful), float64(s.Fleet.slots())*float64(s.For-s.Warmup))
 }
 
 // SendShare gives the share of the sends of a service, from a time after the
--- a/examples/measure/main.go
+++ b/examples/measure/main.go
@@ -72,7 +72,8 @@
 - Portugal: 6 VMs, 45 endpoints with 3 slots in 4 services, 4 availability zones, 1 ms one way between them. Czechia: 5 VMs, 30 endpoints with 2 slots, 3 zones, 1.5 ms. Within a zone 0.1 ms.
 - Work is log-normal (sigma 0.6) with a mean of 20 ms for urgent, 60 ms for standard and 200 ms for bulk; where nothing else is said it is 50, 30 and 20% of the load. An endpoint holds 3 requests beyond its slots and sheds the rest.
 - The central queue knows every slot and the health of every endpoint at once, and sends ahead, so that no slot is idle while a request waits. It does not hedge, so hedging can go below it.
-- "Useful" is answered within the rank's target, "useful work" the slot time of such answers of all ranks, as a share of all slots. "Served" shares are of the slot time that the offered requests need; what waits at the end of a flood counts as not served.
+- "Useful" is answered within the rank's target, "useful work" the slot time of such answers of all ranks from the warm-up to the end, as a share of all slots. "Served" shares are of the slot time that the requests offered after the warm-up need; what still waits at the end counts as not served, so little of a bulk flood is: bulk of the warm-up comes first.
+- Sheds are requests that an endpoint refused; they are sent again within the budgets. Messages are those between VMs in the whole run.
 `
 
 const creditsHead = `# What sharing slots by credits costs
