--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -86,7 +86,8 @@
 		ForceQuery: in.URL.ForceQuery,
 	}
 	header := x.header
-	if a.send.Reason != daisyroute.First {
+	if len(x.attempts) > 0 {
+		// The library may still read the header of an attempt before.
 		header = maps.Clone(header)
 	}
 	header[daisyfilter.TimeoutHeader] = []string{formatTimeout(a.send.Deadline.Sub(a.started))}
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -221,7 +221,7 @@
 		}
 		x.ticket.Close()
 	}
-	x.returnSends()
+	x.carryOutRest()
 	for _, a := range x.attempts {
 		a.giveUp()
 		a.closeBody()
@@ -231,16 +231,25 @@
 	x.metrics.End(x.outcome, len(x.attempts) > 0, time.Since(x.call.Arrived))
 }
 
-// returnSends gives the slots of sends back that came too late.
-func (x *exchange) returnSends() {
+// carryOutRest takes the decisions that came too late: it gives the slots of
+// sends back and cancels what a delivered answer has left over.
+func (x *exchange) carryOutRest() {
 	for {
 		select {
 		case d := <-x.ticket.Decisions():
-			if s, ok := d.(daisyroute.Send); ok {
-				x.ticket.Resolve(daisycontroller.Resolution{Attempt: s.Attempt, Outcome: daisyrequest.NotSent{Cause: errGivenUp}})
-			}
+			x.carryOutLate(d)
 		default:
 			return
 		}
 	}
 }
+
+func (x *exchange) carryOutLate(decision daisyroute.Decision) {
+	switch d := decision.(type) {
+	case daisyroute.Send:
+		x.ticket.Resolve(daisycontroller.Resolution{Attempt: d.Attempt, Outcome: daisyrequest.NotSent{Cause: errGivenUp}})
+	case daisyroute.Cancel:
+		x.cancel(d)
+	case daisyroute.Deliver, daisyroute.Fail, daisyroute.Tell, daisyroute.Probe, daisyroute.EndpointChanged:
+	}
+}
