Measure what VMs spend at rest on real processes

Change: examples/rest starts a platform, one process that stands for every endpoint, and VMs, and reads their metrics twice; starting of processes is shared with the trial.

--- /dev/null
+++ b/examples/rest/main.go
@@ -0,0 +1,113 @@
+// Command rest measures what entry VMs spend while no caller sends anything:
+// processor time, memory, bytes between VMs and operations on the platform, by
+// the number of VMs and of services, on real processes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"daisyyoke/core/daisyerror"
+	"daisyyoke/io/daisytrial"
+)
+
+type options struct {
+	vms, services []int
+	settle        time.Duration
+	length        time.Duration
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	err := newCommand().ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	o := &options{}
+	c := &cobra.Command{
+		Use:           "rest",
+		Short:         "Measure what VMs spend at rest",
+		Example:       "  $ go run ./examples/rest --vms 2,4,8,16 --services 150",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE:          func(c *cobra.Command, _ []string) error { return restRun(c.Context(), o) },
+	}
+	flags := c.Flags()
+	flags.IntSliceVar(&o.vms, "vms", []int{6}, "numbers of VMs")
+	flags.IntSliceVar(&o.services, "services", []int{10, 50, 100, 150}, "numbers of services, of 12 endpoints each")
+	flags.DurationVar(&o.settle, "settle", 5*time.Second, "how long the VMs are left alone first")
+	flags.DurationVar(&o.length, "for", 10*time.Second, "how long they are watched")
+	return c
+}
+
+func restRun(ctx context.Context, o *options) error {
+	folder, err := os.MkdirTemp("", "daisyyoke-rest-")
+	if err != nil {
+		return daisyerror.Unavailable.Wrap(err, "making a folder")
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if err := daisytrial.Build(folder); err != nil {
+		return err
+	}
+	fmt.Println("| VMs | services | % of a core | MB resident | KB/s sent | KB/s received | platform operations a minute |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, v := range o.vms {
+		for _, s := range o.services {
+			if err := measure(ctx, folder, v, s, o); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func measure(ctx context.Context, folder string, vms, services int, o *options) error {
+	f, err := startFleet(ctx, folder, vms, services)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if !sleep(ctx, o.settle) {
+		return nil
+	}
+	before, err := f.sample()
+	if err != nil {
+		return err
+	}
+	if !sleep(ctx, o.length) {
+		return nil
+	}
+	after, err := f.sample()
+	if err != nil {
+		return err
+	}
+	spent := after.less(before).over(o.length.Seconds() * float64(vms))
+	fmt.Printf("| %d | %d | %.2f | %.0f | %.2f | %.2f | %.0f |\n", vms, services,
+		spent.cpu*100, after.resident/float64(vms)/megabyte, spent.sent/kilobyte, spent.received/kilobyte, spent.platform*60)
+	return nil
+}
+
+const (
+	kilobyte = 1e3
+	megabyte = 1e6
+)
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/examples/trial/fleet.go
+++ b/examples/trial/fleet.go
@@ -15,6 +15,7 @@
 
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyoperator"
+	"daisyyoke/io/daisytrial"
 )
 
 const (
@@ -30,7 +31,7 @@
 
 // vm is one daemon with its addresses.
 type vm struct {
-	process   *process
+	process   *daisytrial.Process
 	callers   netip.AddrPort
 	operators netip.AddrPort
 }
@@ -38,19 +39,19 @@
 // fleet is every process of a trial.
 type fleet struct {
 	folder    string
-	platform  *process
+	platform  *daisytrial.Process
 	store     netip.AddrPort
-	endpoints []*process
+	endpoints []*daisytrial.Process
 	addresses []netip.AddrPort
 	vms       []vm
 	client    *http.Client
-	ports     *ports
+	ports     *daisytrial.Ports
 }
 
 // startFleet starts the platform's stand-in, the endpoints and the daemons, and
 // confirms the configuration.
 func startFleet(ctx context.Context, folder string, o *options) (*fleet, error) {
-	f := &fleet{folder: folder, client: &http.Client{Timeout: time.Second}, ports: newPorts()}
+	f := &fleet{folder: folder, client: &http.Client{Timeout: time.Second}, ports: daisytrial.NewPorts()}
 	steps := []func() error{
 		f.startPlatform,
 		func() error { return f.startEndpoints(o) },
@@ -67,22 +68,22 @@
 }
 
 func (f *fleet) startPlatform() error {
-	address, err := f.ports.take()
+	address, err := f.ports.Take()
 	if err != nil {
 		return err
 	}
 	f.store = address
-	f.platform, err = startProcess("platform", f.program("daisystand"), f.folder, "platform", "--listen", address.String())
+	f.platform, err = daisytrial.StartProcess("platform", f.program("daisystand"), f.folder, "platform", "--listen", address.String())
 	return err
 }
 
 func (f *fleet) startEndpoints(o *options) error {
 	for i := range o.endpoints {
-		address, err := f.ports.take()
+		address, err := f.ports.Take()
 		if err != nil {
 			return err
 		}
-		p, err := startProcess(fmt.Sprintf("endpoint-%d", i), f.program("daisystand"), f.folder,
+		p, err := daisytrial.StartProcess(fmt.Sprintf("endpoint-%d", i), f.program("daisystand"), f.folder,
 			"endpoint", "--listen", address.String(), "--slots", fmt.Sprint(slots), "--service-time", o.serviceTime.String())
 		if err != nil {
 			return err
@@ -98,12 +99,12 @@
 		var addresses [3]netip.AddrPort
 		for j := range addresses {
 			var err error
-			if addresses[j], err = f.ports.take(); err != nil {
+			if addresses[j], err = f.ports.Take(); err != nil {
 				return err
 			}
 		}
 		name := fmt.Sprintf("vm-%d", i)
-		p, err := startProcess(name, f.program("daisyd"), f.folder,
+		p, err := daisytrial.StartProcess(name, f.program("daisyd"), f.folder,
 			"--vm", name, "--availability-zone", fleetName+"/"+zones[i%len(zones)],
 			"--callers", addresses[0].String(), "--operators", addresses[1].String(), "--peers", addresses[2].String(),
 			"--platform", "http://"+f.store.String())
@@ -208,21 +209,21 @@
 // close ends every process that the trial started.
 func (f *fleet) close() {
 	for _, v := range f.vms {
-		v.process.stop(syscall.SIGKILL)
+		v.process.Stop(syscall.SIGKILL)
 	}
 	for _, p := range f.endpoints {
-		p.stop(syscall.SIGKILL)
+		p.Stop(syscall.SIGKILL)
 	}
 	if f.platform != nil {
-		f.platform.stop(syscall.SIGKILL)
+		f.platform.Stop(syscall.SIGKILL)
 	}
 }
 
 // writeUsage prints what each daemon took, once it has ended.
 func (f *fleet) writeUsage(w io.Writer) {
 	for _, v := range f.vms {
-		fmt.Fprintf(w, "%s: %s of processor time, at most %d MB of memory\n",
-			v.process.name, v.process.spent.Round(time.Millisecond), v.process.peak>>20)
+		spent, peak := v.process.Usage()
+		fmt.Fprintf(w, "%s: %s of processor time, at most %d MB of memory\n", v.process.Name(), spent.Round(time.Millisecond), peak>>20)
 	}
 }
 
--- a/examples/trial/inject.go
+++ b/examples/trial/inject.go
@@ -64,9 +64,9 @@
 		s.restart(ctx, f.Index, syscall.SIGTERM, f.For)
 	case PauseVM:
 		p := s.vm(f.Index)
-		p.signal(syscall.SIGSTOP)
+		p.Signal(syscall.SIGSTOP)
 		sleep(ctx, f.For)
-		p.signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 	case EndpointFault:
 		address := s.fleet.addresses[f.Index%len(s.fleet.addresses)]
 		if f.Document == endpointDocuments["cut-endpoint"] {
@@ -80,15 +80,17 @@
 	}
 }
 
-func (s *injector) vm(index int) *process { return s.fleet.vms[index%len(s.fleet.vms)].process }
+func (s *injector) vm(index int) *daisytrial.Process {
+	return s.fleet.vms[index%len(s.fleet.vms)].process
+}
 
 func (s *injector) restart(ctx context.Context, index int, signal syscall.Signal, after time.Duration) {
 	p := s.vm(index)
-	p.stop(signal)
+	p.Stop(signal)
 	if !sleep(ctx, after) {
 		return
 	}
-	if err := p.start(); err != nil {
+	if err := p.Start(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
 }
--- a/examples/trial/main.go
+++ b/examples/trial/main.go
@@ -96,7 +96,7 @@
 	} else {
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
-	if err := build(folder); err != nil {
+	if err := daisytrial.Build(folder); err != nil {
 		return err
 	}
 	f, err := startFleet(ctx, folder, o)
--- a/examples/trial/process.go
+++ b/io/daisytrial/process.go
@@ -1,4 +1,4 @@
-package main
+package daisytrial
 
 import (
 	"math/rand/v2"
@@ -14,8 +14,8 @@
 	"daisyyoke/core/daisyerror"
 )
 
-// process is one started program.
-type process struct {
+// Process is one started program.
+type Process struct {
 	name string
 	path string
 	args []string
@@ -29,12 +29,15 @@
 	peak  int64
 }
 
-func startProcess(name, path, logs string, args ...string) (*process, error) {
-	p := &process{name: name, path: path, args: args, logs: logs}
-	return p, p.start()
+// StartProcess starts a program that writes its output to NAME.log in the folder
+// logs. It fails with daisyerror.Unavailable.
+func StartProcess(name, path, logs string, args ...string) (*Process, error) {
+	p := &Process{name: name, path: path, args: args, logs: logs}
+	return p, p.Start()
 }
 
-func (p *process) start() error {
+// Start starts the program again after its end. It fails with daisyerror.Unavailable.
+func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	file, err := os.OpenFile(filepath.Join(p.logs, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -58,10 +61,20 @@
 	return nil
 }
 
+// Name gives the name that the process was started with.
+func (p *Process) Name() string { return p.name }
+
+// Usage gives the processor time and the most memory, in bytes, of the runs that have ended.
+func (p *Process) Usage() (spent time.Duration, peak int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.spent, p.peak
+}
+
 // kilobyte is the unit in which Linux gives the most memory of a process.
 const kilobyte = 1024
 
-func (p *process) account(s *os.ProcessState) {
+func (p *Process) account(s *os.ProcessState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.spent += s.UserTime() + s.SystemTime()
@@ -70,15 +83,16 @@
 	}
 }
 
-func (p *process) signal(s syscall.Signal) {
+// Signal sends a signal.
+func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.cmd.Process.Signal(s)
 }
 
-// stop sends a signal and waits for the end.
-func (p *process) stop(s syscall.Signal) {
-	p.signal(s)
+// Stop sends a signal and waits for the end.
+func (p *Process) Stop(s syscall.Signal) {
+	p.Signal(s)
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
@@ -92,15 +106,16 @@
 	lastPort  = 30_000
 )
 
-// ports gives loopback addresses that nothing listens on.
-type ports struct{ next uint16 }
+// Ports gives loopback addresses that nothing listens on.
+type Ports struct{ next uint16 }
 
-func newPorts() *ports {
-	return &ports{next: uint16(firstPort + rand.IntN((lastPort-firstPort)/2))}
+// NewPorts starts at a random port.
+func NewPorts() *Ports {
+	return &Ports{next: uint16(firstPort + rand.IntN((lastPort-firstPort)/2))}
 }
 
-// take gives the next free address. It fails with daisyerror.Unavailable.
-func (p *ports) take() (netip.AddrPort, error) {
+// Take gives the next free address. It fails with daisyerror.Unavailable.
+func (p *Ports) Take() (netip.AddrPort, error) {
 	for p.next < lastPort {
 		p.next++
 		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p.next)
@@ -115,8 +130,8 @@
 	return netip.AddrPort{}, daisyerror.Unavailable.New("no free port below %d", lastPort)
 }
 
-// build compiles the programs of the trial into a folder.
-func build(folder string) error {
+// Build compiles daisyd and daisystand into a folder.
+func Build(folder string) error {
 	cmd := exec.Command("go", "build", "-o", folder+string(os.PathSeparator), "./cmd/daisyd", "./cmd/daisystand")
 	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
 	if err := cmd.Run(); err != nil {
