Let the borrowers of a VM look at the clock at the same moments

Cause: 150 services woke the process 375 times a second at rest, each for a few microseconds of work. Change: the moments are multiples of the interval.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -10,7 +10,9 @@
 )
 
 const (
-	// checkEvery is how often a borrower with idle credits looks at the clock, to notice a pause.
+	// checkEvery is how often a borrower with idle credits looks at the clock, to
+	// notice a pause. All borrowers of a VM look at the same moments, so that one
+	// wake of the process serves them all.
 	checkEvery = 400 * time.Millisecond
 	// growth is the factor by which waiting work has to grow before it is reported again at once.
 	growth = 1.25
@@ -399,7 +401,7 @@
 		wake = time.Time{}
 	}
 	if !b.guessing && !b.checked.IsZero() {
-		wake = earlier(wake, b.checked.Add(checkEvery))
+		wake = earlier(wake, b.checked.Truncate(checkEvery).Add(checkEvery))
 	}
 	return wake
 }
