--- a/core/daisyconfig/cluster_test.go
+++ b/core/daisyconfig/cluster_test.go
@@ -50,6 +50,8 @@
 	// atHead is when every VM had the newest revision in force; zero while one has not.
 	atHead time.Time
 	reads  int
+	// fetches counts the reads of snapshots, which are among the reads.
+	fetches int
 }
 
 type clusterVM struct {
@@ -203,6 +205,7 @@
 		c.tell(v, c.storeDelay(), c.readHead())
 	case daisyconfig.ReadSnapshot:
 		c.reads++
+		c.fetches++
 		var event daisyconfig.Event = daisyconfig.SnapshotFailed(d)
 		if s := c.objects[d.Hash]; s != nil && !c.faults[storeDown] {
 			event = daisyconfig.SnapshotRead{Snapshot: s}
--- a/core/daisyconfig/fetch.go
+++ b/core/daisyconfig/fetch.go
@@ -69,11 +69,12 @@
 	if t.reading && !now.Before(t.readUntil) {
 		f.failFetch(t.hash)
 	}
-	switch {
-	case now.Before(t.restUntil):
-		t.deadline = t.restUntil
-		return nil
-	case now.Before(t.askUntil):
+	if t.resting && !now.Before(t.restUntil) {
+		t.resting = false
+		t.storeFailed = false
+		t.tried = make(map[Peer]bool)
+	}
+	if now.Before(t.askUntil) {
 		t.deadline = t.askUntil
 		return nil
 	}
@@ -90,6 +91,9 @@
 	t := f.fetch
 	grace := f.started.Add(peerGrace)
 	switch {
+	case t.resting:
+		t.deadline = t.restUntil
+		return nil
 	case t.reading:
 		t.deadline = t.readUntil
 		return nil
@@ -97,9 +101,9 @@
 		t.deadline = grace
 		return nil
 	case t.storeFailed:
-		t.tried = make(map[Peer]bool)
-		t.storeFailed = false
-		t.restUntil = now.Add(f.jitter(fetchPause))
+		t.resting = true
+		t.restUntil = now.Add(f.jitter(min(fetchPause<<min(t.rounds, maxDoublings), maxRetry)))
+		t.rounds++
 		t.deadline = t.restUntil
 		return nil
 	}
--- a/core/daisyconfig/follower.go
+++ b/core/daisyconfig/follower.go
@@ -22,8 +22,11 @@
 	askTimeout = 300 * time.Millisecond
 	// readTimeout is when a read that was never answered is given up.
 	readTimeout = 30 * time.Second
-	// fetchPause is the wait after all sources of a snapshot have failed.
+	// fetchPause is the wait after all sources of a snapshot have failed for the
+	// first time; it doubles up to maxRetry.
 	fetchPause = 500 * time.Millisecond
+	// maxDoublings bounds how often a wait doubles.
+	maxDoublings = 10
 	// peerMemory is how long a silent peer counts as a source.
 	peerMemory = 10 * time.Second
 	// originFanout bounds the peers to which the confirming VM sends the snapshot.
@@ -72,8 +75,10 @@
 	reading     bool
 	readUntil   time.Time
 	storeFailed bool
-	// restUntil is when all sources are tried again.
+	// resting says that all sources have failed; they are tried again at restUntil.
+	resting   bool
 	restUntil time.Time
+	rounds    int
 	// deadline is when the next step is due if nothing happens before.
 	deadline time.Time
 }
@@ -206,7 +211,7 @@
 	if f.inForce == nil {
 		limit = maxRetryWaiting
 	}
-	wait := min(firstRetry<<min(f.failures, 10), limit)
+	wait := min(firstRetry<<min(f.failures, maxDoublings), limit)
 	f.failures++
 	f.nextRead = now.Add(f.jitter(wait))
 }
--- a/core/daisyconfig/follower_test.go
+++ b/core/daisyconfig/follower_test.go
@@ -116,6 +116,22 @@
 	assert.Assert(t, c.everywhere())
 }
 
+// TestMissingSnapshotIsAskedForSeldom counts what a VM asks of a store that names
+// a snapshot and does not have it.
+func TestMissingSnapshotIsAskedForSeldom(t *testing.T) {
+	c := newCluster(t, 1, clusterVMs)
+	c.at(time.Second, func() { c.confirm(c.vms[0]) })
+	c.run(time.Minute)
+	lost := &daisyconfig.Snapshot{Revision: 2, Hash: "lost"}
+	c.heads = append(c.heads, storedHead{head: lost.Head(), at: c.now})
+	c.run(time.Minute + time.Hour)
+	t.Logf("%d reads of the snapshot in an hour by %d VMs", c.fetches, clusterVMs)
+	assert.Assert(t, c.fetches < clusterVMs*3600/10, "%d reads", c.fetches)
+	c.objects[lost.Hash] = lost
+	c.run(time.Minute + time.Hour + 20*time.Second)
+	assert.Assert(t, c.everywhere())
+}
+
 func TestTheTableSettlesAConflict(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	f := daisyconfig.NewFollower(now, rand.New(rand.NewPCG(1, 1)))
