--- a/core/daisymeasure/bound_test.go
+++ b/core/daisymeasure/bound_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"daisyyoke/io/daisypeer"
 )
 
 // The bounds are those of the table, not what was measured.
@@ -125,6 +127,22 @@
 	assert.Check(t, share <= probeBound, "%d probes, %.4f of the slot time", x.Probes, share)
 }
 
+func TestCreditBytesAtRest(t *testing.T) {
+	checkBytes(t, 0.05)
+}
+
+// checkBytes holds what sharing the slots costs a VM at the two-year size to its budget.
+func checkBytes(t *testing.T, load float64) {
+	t.Helper()
+	fleet := Portugal(1)
+	fleet.VMs = 7
+	fleet.Endpoints = []int{12}
+	s := Scenario{Fleet: fleet, Load: [ranks]float64{load}, For: 10 * time.Second, Seed: 1, Size: daisypeer.FrameSize}
+	x := Run(s, ours)
+	got := twoYears * float64(x.Bytes) / s.For.Seconds() / float64(fleet.VMs)
+	assert.Check(t, got <= budget, "%.0f bytes a second a VM", got)
+}
+
 func TestNothingIsDoubledLostOrMixedUpUnderTwoFaults(t *testing.T) {
 	seeds := uint64(1000)
 	if testing.Short() {
--- /dev/null
+++ b/core/daisymeasure/example_test.go
@@ -0,0 +1,17 @@
+package daisymeasure_test
+
+import (
+	"fmt"
+	"time"
+
+	"daisyyoke/core/daisymeasure"
+	"daisyyoke/core/daisyroute"
+)
+
+// With urgent work below the capacity, every request is answered within its target.
+func ExampleRun() {
+	size := daisymeasure.Size{Services: 1, For: 3 * time.Second, Seed: 1}
+	tally := daisymeasure.Run(size.UrgentOnly(0.5).Scenario, daisymeasure.Routed{Policy: daisyroute.Credits{Overcommit: 1}})
+	fmt.Println(tally.UsefulShare(daisymeasure.Urgent), tally.Lost, tally.MixedUp)
+	// Output: 1 0 0
+}
