--- a/examples/rest/fleet.go
+++ b/examples/rest/fleet.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyoperator"
 	"daisyyoke/io/daisytrial"
 )
@@ -21,7 +20,6 @@
 	// them, under as many loopback addresses.
 	endpointPort = 14_999
 	settleTime   = time.Minute
-	askAgain     = 100 * time.Millisecond
 )
 
 type vm struct {
@@ -92,7 +90,7 @@
 func (f *fleet) confirm(ctx context.Context, services int) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	if err := f.waitFor(ctx, f.vms[0].operators, "/livez"); err != nil {
+	if err := daisytrial.WaitFor(ctx, f.client, f.vms[0].operators, "/livez"); err != nil {
 		return err
 	}
 	client := daisyoperator.NewClient(daisyoperator.ClientOptions{
@@ -106,28 +104,13 @@
 		return err
 	}
 	for _, v := range f.vms {
-		if err := f.waitFor(ctx, v.operators, "/readyz"); err != nil {
+		if err := daisytrial.WaitFor(ctx, f.client, v.operators, "/readyz"); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (f *fleet) waitFor(ctx context.Context, address netip.AddrPort, path string) error {
-	for {
-		response, err := f.client.Get("http://" + address.String() + path)
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		if !sleep(ctx, askAgain) {
-			return daisyerror.Unavailable.New("%s does not answer %s", address, path)
-		}
-	}
-}
-
 func intent(services int) []byte {
 	var b bytes.Buffer
 	b.WriteString(`fleets:
--- a/examples/trial/fleet.go
+++ b/examples/trial/fleet.go
@@ -23,8 +23,6 @@
 	slots     = 3
 	// settleTime bounds the start of the processes and of the configuration.
 	settleTime = 30 * time.Second
-	// askAgain is how long to wait between two questions for readiness.
-	askAgain = 50 * time.Millisecond
 )
 
 var zones = []string{"lisboa-1", "lisboa-2", "porto-1", "porto-2"}
@@ -122,7 +120,7 @@
 func (f *fleet) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	if err := f.waitFor(ctx, f.vms[0].operators, "/livez"); err != nil {
+	if err := daisytrial.WaitFor(ctx, f.client, f.vms[0].operators, "/livez"); err != nil {
 		return err
 	}
 	client := daisyoperator.NewClient(daisyoperator.ClientOptions{
@@ -138,30 +136,13 @@
 		return err
 	}
 	for _, v := range f.vms {
-		if err := f.waitFor(ctx, v.operators, "/readyz"); err != nil {
+		if err := daisytrial.WaitFor(ctx, f.client, v.operators, "/readyz"); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (f *fleet) waitFor(ctx context.Context, address netip.AddrPort, path string) error {
-	for {
-		response, err := f.client.Get("http://" + address.String() + path)
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return nil
-			}
-		}
-		select {
-		case <-time.After(askAgain):
-		case <-ctx.Done():
-			return daisyerror.Unavailable.New("%s does not answer %s; see the logs in %s", address, path, f.folder)
-		}
-	}
-}
-
 func (f *fleet) intent() []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "fleets:\n  - name: %s\n    availability-zones:\n", fleetName)
--- a/io/daisyctl/daisyconfigcmd/view.go
+++ b/io/daisyctl/daisyconfigcmd/view.go
@@ -15,9 +15,7 @@
 
 // ViewOptions are the options of config view.
 type ViewOptions struct {
-	Streams  *daisyterminal.Streams
-	Client   func() (*daisyoperator.Client, error)
-	JSON     daisyterminal.JSON
+	daisyfactory.ShowOptions
 	Revision uint64
 	History  bool
 	Intent   bool
@@ -25,7 +23,7 @@
 
 // NewCmdView gives the command config view; runF stands in for its work in tests.
 func NewCmdView(f *daisyfactory.Factory, runF func(context.Context, *ViewOptions) error) *cobra.Command {
-	o := &ViewOptions{Streams: f.Streams, Client: f.Client}
+	o := &ViewOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "view",
 		Short: "Show the confirmed intent, its revision and the VMs that have it in force",
@@ -37,12 +35,7 @@
   $ daisyctl config view --revision 3 --intent > intent.yaml
   $ daisyctl config view --json=revision,in-force`,
 		Args: daisyfactory.ExactArgs(),
-		RunE: func(c *cobra.Command, _ []string) error {
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return viewRun(c.Context(), o)
-		},
+		RunE: daisyfactory.Run(o, runF, viewRun),
 	}
 	c.Flags().Uint64Var(&o.Revision, "revision", 0, "an earlier `REVISION`")
 	c.Flags().BoolVar(&o.History, "history", false, "who confirmed what and when")
@@ -52,10 +45,7 @@
 }
 
 func viewRun(ctx context.Context, o *ViewOptions) error {
-	if err := o.JSON.Check(); err != nil {
-		return err
-	}
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
--- a/io/daisyctl/daisyendpointcmd/drain.go
+++ b/io/daisyctl/daisyendpointcmd/drain.go
@@ -10,14 +10,12 @@
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyctl/daisyfactory"
 	"daisyyoke/io/daisyctl/daisyplancmd"
-	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyoperator"
 )
 
 // DrainOptions are the options of endpoint drain and endpoint resume.
 type DrainOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
+	daisyfactory.Options
 	Address string
 	Fleet   string
 	Service string
@@ -52,15 +50,12 @@
 }
 
 func newCmdDraining(f *daisyfactory.Factory, runF func(context.Context, *DrainOptions) error, draining bool) *cobra.Command {
-	o := &DrainOptions{Streams: f.Streams, Client: f.Client, Draining: draining}
+	o := &DrainOptions{Options: f.Options(), Draining: draining}
 	c := &cobra.Command{
 		Args: daisyfactory.ExactArgs("IP:PORT"),
 		RunE: func(c *cobra.Command, args []string) error {
 			o.Address = args[0]
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return drainRun(c.Context(), o)
+			return daisyfactory.Run(o, runF, drainRun)(c, args)
 		},
 	}
 	c.Flags().StringVar(&o.Fleet, "fleet", "", "only in this `FLEET`")
--- a/io/daisyctl/daisyendpointcmd/list.go
+++ b/io/daisyctl/daisyendpointcmd/list.go
@@ -13,16 +13,14 @@
 
 // ListOptions are the options of endpoint list.
 type ListOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	JSON    daisyterminal.JSON
+	daisyfactory.ShowOptions
 	Fleet   string
 	Service string
 }
 
 // NewCmdList gives the command endpoint list; runF stands in for its work in tests.
 func NewCmdList(f *daisyfactory.Factory, runF func(context.Context, *ListOptions) error) *cobra.Command {
-	o := &ListOptions{Streams: f.Streams, Client: f.Client}
+	o := &ListOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "list",
 		Short: "List endpoints with their state on the asked VM",
@@ -30,12 +28,7 @@
   $ daisyctl endpoint list --fleet vigia-lar --service visit-lookups
   $ daisyctl endpoint list --json=address,state`,
 		Args: daisyfactory.ExactArgs(),
-		RunE: func(c *cobra.Command, _ []string) error {
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return listRun(c.Context(), o)
-		},
+		RunE: daisyfactory.Run(o, runF, listRun),
 	}
 	c.Flags().StringVar(&o.Fleet, "fleet", "", "only those of this `FLEET`")
 	c.Flags().StringVar(&o.Service, "service", "", "only those of this `SERVICE`")
@@ -44,10 +37,7 @@
 }
 
 func listRun(ctx context.Context, o *ListOptions) error {
-	if err := o.JSON.Check(); err != nil {
-		return err
-	}
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
--- a/io/daisyctl/daisyplancmd/confirm.go
+++ b/io/daisyctl/daisyplancmd/confirm.go
@@ -8,22 +8,19 @@
 
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyctl/daisyfactory"
-	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyoperator"
 )
 
 // ConfirmOptions are the options of plan confirm.
 type ConfirmOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	JSON    daisyterminal.JSON
-	ID      string
-	Yes     bool
+	daisyfactory.ShowOptions
+	ID  string
+	Yes bool
 }
 
 // NewCmdConfirm gives the command plan confirm; runF stands in for its work in tests.
 func NewCmdConfirm(f *daisyfactory.Factory, runF func(context.Context, *ConfirmOptions) error) *cobra.Command {
-	o := &ConfirmOptions{Streams: f.Streams, Client: f.Client}
+	o := &ConfirmOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "confirm ID",
 		Short: "Put a plan in force",
@@ -35,10 +32,7 @@
 		Args: daisyfactory.ExactArgs("ID"),
 		RunE: func(c *cobra.Command, args []string) error {
 			o.ID = args[0]
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return confirmRun(c.Context(), o)
+			return daisyfactory.Run(o, runF, confirmRun)(c, args)
 		},
 	}
 	c.Flags().BoolVarP(&o.Yes, "yes", "y", false, "do not ask")
--- a/io/daisyctl/daisyplancmd/create.go
+++ b/io/daisyctl/daisyplancmd/create.go
@@ -10,24 +10,21 @@
 
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyctl/daisyfactory"
-	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyintent"
 	"daisyyoke/io/daisyoperator"
 )
 
 // CreateOptions are the options of plan create.
 type CreateOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	JSON    daisyterminal.JSON
-	File    string
+	daisyfactory.ShowOptions
+	File string
 	// Restore is an earlier revision to go back to; 0 means that File holds the intent.
 	Restore uint64
 }
 
 // NewCmdCreate gives the command plan create; runF stands in for its work in tests.
 func NewCmdCreate(f *daisyfactory.Factory, runF func(context.Context, *CreateOptions) error) *cobra.Command {
-	o := &CreateOptions{Streams: f.Streams, Client: f.Client}
+	o := &CreateOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "create -f FILE",
 		Short: "Say what an intent would change",
@@ -37,12 +34,7 @@
   $ daisyctl plan create --restore 3
   $ daisyctl plan create -f intent.yaml --json=id`,
 		Args: daisyfactory.ExactArgs(),
-		RunE: func(c *cobra.Command, _ []string) error {
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return createRun(c.Context(), o)
-		},
+		RunE: daisyfactory.Run(o, runF, createRun),
 	}
 	c.Flags().StringVarP(&o.File, "file", "f", "", "`FILE` with the intent, - for standard input")
 	c.Flags().Uint64Var(&o.Restore, "restore", 0, "go back to the intent of this earlier `REVISION`")
@@ -51,9 +43,6 @@
 }
 
 func createRun(ctx context.Context, o *CreateOptions) error {
-	if err := o.JSON.Check(); err != nil {
-		return err
-	}
 	p, err := create(ctx, o)
 	if err != nil {
 		return err
@@ -67,7 +56,7 @@
 }
 
 func create(ctx context.Context, o *CreateOptions) (daisyoperator.Plan, error) {
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return daisyoperator.Plan{}, err
 	}
--- a/io/daisyctl/daisyplancmd/discard.go
+++ b/io/daisyctl/daisyplancmd/discard.go
@@ -7,20 +7,17 @@
 	"github.com/spf13/cobra"
 
 	"daisyyoke/io/daisyctl/daisyfactory"
-	"daisyyoke/io/daisyctl/daisyterminal"
-	"daisyyoke/io/daisyoperator"
 )
 
 // DiscardOptions are the options of plan discard.
 type DiscardOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	ID      string
+	daisyfactory.Options
+	ID string
 }
 
 // NewCmdDiscard gives the command plan discard; runF stands in for its work in tests.
 func NewCmdDiscard(f *daisyfactory.Factory, runF func(context.Context, *DiscardOptions) error) *cobra.Command {
-	o := &DiscardOptions{Streams: f.Streams, Client: f.Client}
+	o := &DiscardOptions{Options: f.Options()}
 	return &cobra.Command{
 		Use:     "discard ID",
 		Short:   "End a plan that is not confirmed",
@@ -28,10 +25,7 @@
 		Args:    daisyfactory.ExactArgs("ID"),
 		RunE: func(c *cobra.Command, args []string) error {
 			o.ID = args[0]
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return discardRun(c.Context(), o)
+			return daisyfactory.Run(o, runF, discardRun)(c, args)
 		},
 	}
 }
--- a/io/daisyctl/daisyplancmd/list.go
+++ b/io/daisyctl/daisyplancmd/list.go
@@ -7,42 +7,31 @@
 	"github.com/spf13/cobra"
 
 	"daisyyoke/io/daisyctl/daisyfactory"
-	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyoperator"
 )
 
 // ListOptions are the options of plan list.
 type ListOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	JSON    daisyterminal.JSON
+	daisyfactory.ShowOptions
 }
 
 // NewCmdList gives the command plan list; runF stands in for its work in tests.
 func NewCmdList(f *daisyfactory.Factory, runF func(context.Context, *ListOptions) error) *cobra.Command {
-	o := &ListOptions{Streams: f.Streams, Client: f.Client}
+	o := &ListOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "list",
 		Short: "List plans, the newest first",
 		Example: `  $ daisyctl plan list
   $ daisyctl plan list --json=id,state`,
 		Args: daisyfactory.ExactArgs(),
-		RunE: func(c *cobra.Command, _ []string) error {
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return listRun(c.Context(), o)
-		},
+		RunE: daisyfactory.Run(o, runF, listRun),
 	}
 	o.JSON.AddFlag(c, daisyoperator.PlanFields...)
 	return c
 }
 
 func listRun(ctx context.Context, o *ListOptions) error {
-	if err := o.JSON.Check(); err != nil {
-		return err
-	}
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
--- a/io/daisyctl/daisyplancmd/view.go
+++ b/io/daisyctl/daisyplancmd/view.go
@@ -6,21 +6,18 @@
 	"github.com/spf13/cobra"
 
 	"daisyyoke/io/daisyctl/daisyfactory"
-	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyoperator"
 )
 
 // ViewOptions are the options of plan view.
 type ViewOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	JSON    daisyterminal.JSON
-	ID      string
+	daisyfactory.ShowOptions
+	ID string
 }
 
 // NewCmdView gives the command plan view; runF stands in for its work in tests.
 func NewCmdView(f *daisyfactory.Factory, runF func(context.Context, *ViewOptions) error) *cobra.Command {
-	o := &ViewOptions{Streams: f.Streams, Client: f.Client}
+	o := &ViewOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:     "view ID",
 		Short:   "Show what a plan would change",
@@ -28,10 +25,7 @@
 		Args:    daisyfactory.ExactArgs("ID"),
 		RunE: func(c *cobra.Command, args []string) error {
 			o.ID = args[0]
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return viewRun(c.Context(), o)
+			return daisyfactory.Run(o, runF, viewRun)(c, args)
 		},
 	}
 	o.JSON.AddFlag(c, daisyoperator.PlanFields...)
@@ -39,10 +33,7 @@
 }
 
 func viewRun(ctx context.Context, o *ViewOptions) error {
-	if err := o.JSON.Check(); err != nil {
-		return err
-	}
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
--- a/io/daisyctl/daisyservicecmd/list.go
+++ b/io/daisyctl/daisyservicecmd/list.go
@@ -8,33 +8,25 @@
 	"github.com/spf13/cobra"
 
 	"daisyyoke/io/daisyctl/daisyfactory"
-	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyoperator"
 )
 
 // ListOptions are the options of service list.
 type ListOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	JSON    daisyterminal.JSON
-	Fleet   string
+	daisyfactory.ShowOptions
+	Fleet string
 }
 
 // NewCmdList gives the command service list; runF stands in for its work in tests.
 func NewCmdList(f *daisyfactory.Factory, runF func(context.Context, *ListOptions) error) *cobra.Command {
-	o := &ListOptions{Streams: f.Streams, Client: f.Client}
+	o := &ListOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "list",
 		Short: "List services with their slots and their work on the asked VM",
 		Example: `  $ daisyctl service list
   $ daisyctl service list --fleet vigia-lar --json=fleet,service,slots`,
 		Args: daisyfactory.ExactArgs(),
-		RunE: func(c *cobra.Command, _ []string) error {
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return listRun(c.Context(), o)
-		},
+		RunE: daisyfactory.Run(o, runF, listRun),
 	}
 	c.Flags().StringVar(&o.Fleet, "fleet", "", "only those of this `FLEET`")
 	o.JSON.AddFlag(c, daisyoperator.ServiceFields...)
@@ -42,10 +34,7 @@
 }
 
 func listRun(ctx context.Context, o *ListOptions) error {
-	if err := o.JSON.Check(); err != nil {
-		return err
-	}
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
--- a/io/daisyctl/daisyvmcmd/drain.go
+++ b/io/daisyctl/daisyvmcmd/drain.go
@@ -7,21 +7,18 @@
 	"github.com/spf13/cobra"
 
 	"daisyyoke/io/daisyctl/daisyfactory"
-	"daisyyoke/io/daisyctl/daisyterminal"
-	"daisyyoke/io/daisyoperator"
 )
 
 // DrainOptions are the options of vm drain.
 type DrainOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	Name    string
-	Yes     bool
+	daisyfactory.Options
+	Name string
+	Yes  bool
 }
 
 // NewCmdDrain gives the command vm drain; runF stands in for its work in tests.
 func NewCmdDrain(f *daisyfactory.Factory, runF func(context.Context, *DrainOptions) error) *cobra.Command {
-	o := &DrainOptions{Streams: f.Streams, Client: f.Client}
+	o := &DrainOptions{Options: f.Options()}
 	c := &cobra.Command{
 		Use:   "drain NAME",
 		Short: "Stop a VM without cutting a request",
@@ -31,10 +28,7 @@
 		Args:    daisyfactory.ExactArgs("NAME"),
 		RunE: func(c *cobra.Command, args []string) error {
 			o.Name = args[0]
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return drainRun(c.Context(), o)
+			return daisyfactory.Run(o, runF, drainRun)(c, args)
 		},
 	}
 	c.Flags().BoolVarP(&o.Yes, "yes", "y", false, "do not ask")
--- a/io/daisyctl/daisyvmcmd/list.go
+++ b/io/daisyctl/daisyvmcmd/list.go
@@ -13,36 +13,26 @@
 
 // ListOptions are the options of vm list.
 type ListOptions struct {
-	Streams *daisyterminal.Streams
-	Client  func() (*daisyoperator.Client, error)
-	JSON    daisyterminal.JSON
+	daisyfactory.ShowOptions
 }
 
 // NewCmdList gives the command vm list; runF stands in for its work in tests.
 func NewCmdList(f *daisyfactory.Factory, runF func(context.Context, *ListOptions) error) *cobra.Command {
-	o := &ListOptions{Streams: f.Streams, Client: f.Client}
+	o := &ListOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "list",
 		Short: "List the entry VMs as the asked VM sees them",
 		Example: `  $ daisyctl vm list
   $ daisyctl vm list --json=name,state,revision`,
 		Args: daisyfactory.ExactArgs(),
-		RunE: func(c *cobra.Command, _ []string) error {
-			if runF != nil {
-				return runF(c.Context(), o)
-			}
-			return listRun(c.Context(), o)
-		},
+		RunE: daisyfactory.Run(o, runF, listRun),
 	}
 	o.JSON.AddFlag(c, daisyoperator.VMFields...)
 	return c
 }
 
 func listRun(ctx context.Context, o *ListOptions) error {
-	if err := o.JSON.Check(); err != nil {
-		return err
-	}
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/io/daisytrial/wait.go
@@ -0,0 +1,32 @@
+package daisytrial
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisyerror"
+)
+
+// askAgain is the time between two questions for readiness.
+const askAgain = 50 * time.Millisecond
+
+// WaitFor waits until an address answers a path with 200. It fails with
+// daisyerror.Unavailable when the context ends first.
+func WaitFor(ctx context.Context, client *http.Client, address netip.AddrPort, path string) error {
+	for {
+		response, err := client.Get("http://" + address.String() + path)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(askAgain):
+		case <-ctx.Done():
+			return daisyerror.Unavailable.New("%s does not answer %s", address, path)
+		}
+	}
+}
