--- a/io/daisyctl/root_test.go
+++ b/io/daisyctl/root_test.go
@@ -79,6 +79,7 @@
 		{name: "bad endpoint address", script: script{args: []string{"endpoint", "drain", "here"}}, code: ExitUsage, err: "IP:PORT"},
 		{name: "bad intent", script: script{args: []string{"plan", "create", "-f", file}, status: 422, answer: problem("invalid-intent")}, code: ExitUsage, err: "why it failed"},
 		{name: "stale", script: script{args: []string{"plan", "confirm", "p1", "--yes"}, status: 409, answer: problem("stale")}, code: ExitStale, err: "make a new plan"},
+		{name: "ended", script: script{args: []string{"plan", "confirm", "p1", "--yes"}, status: 409, answer: problem("ended")}, code: ExitFailed, err: "Nothing has changed"},
 		{name: "not found", script: script{args: []string{"plan", "view", "p9"}, status: 404, answer: problem("not-found")}, code: ExitFailed, err: "why it failed"},
 		{name: "unknown result", script: script{args: []string{"plan", "confirm", "p1", "--yes"}, status: 504, answer: problem("unknown")}, code: ExitFailed, err: "confirming twice does no harm"},
 		{name: "store down", script: script{args: []string{"plan", "list"}, status: 503, answer: problem("unavailable")}, code: ExitFailed, err: "try again"},
