--- a/io/daisycontroller/member_test.go
+++ b/io/daisycontroller/member_test.go
@@ -25,6 +25,7 @@
 	members  map[daisyvm.Name]*daisycontroller.Member
 	vms      map[daisyvm.Name]daisyvm.VM
 	stoppers map[daisyvm.Name]daisycontroller.Stopper
+	states   map[daisyvm.Name]*stateVM
 }
 
 func newSwitchboard() *switchboard {
@@ -32,6 +33,7 @@
 		members:  make(map[daisyvm.Name]*daisycontroller.Member),
 		vms:      make(map[daisyvm.Name]daisyvm.VM),
 		stoppers: make(map[daisyvm.Name]daisycontroller.Stopper),
+		states:   make(map[daisyvm.Name]*stateVM),
 	}
 }
 
@@ -55,6 +57,12 @@
 	if m := p.board.find(to); m != nil {
 		m.Receive(p.self, message)
 	}
+	p.board.mu.Lock()
+	state := p.board.states[to]
+	p.board.mu.Unlock()
+	if state != nil {
+		time.AfterFunc(time.Millisecond, func() { state.config.Receive(p.self, message) })
+	}
 }
 
 func (p port) Connect(vm daisyvm.VM) {
--- /dev/null
+++ b/io/daisycontroller/start_test.go
@@ -0,0 +1,71 @@
+package daisycontroller_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisycontroller"
+	"daisyyoke/io/daisyplatform"
+)
+
+// startBound is how long a new VM may take to be ready when a peer is up.
+const startBound = time.Second
+
+// firstInForce tells when the first configuration is in force on a VM.
+type firstInForce struct {
+	member *daisycontroller.Member
+	at     time.Time
+}
+
+func (f *firstInForce) Apply(s *daisyconfig.Snapshot) {
+	if f.at.IsZero() {
+		f.at = time.Now()
+	}
+	f.member.Apply(s)
+	f.member.SetReady(true)
+}
+
+func (s *switchboard) startState(i int, platform daisyplatform.Platform) (*stateVM, *firstInForce) {
+	vm := memberVM(i)
+	link := port{board: s, self: vm.Name}
+	first := &firstInForce{member: s.start(vm)}
+	first.member.SetReady(false)
+	config := daisycontroller.NewConfig(daisycontroller.ConfigOptions{
+		Self: vm, Platform: platform, Sender: link, Seed: uint64(i), Appliers: []daisycontroller.Applier{first},
+	})
+	plans := daisycontroller.NewPlan(daisycontroller.PlanOptions{Self: vm, Platform: platform, Config: config, Seed: uint64(i)})
+	v := &stateVM{config: config, plans: plans}
+	s.mu.Lock()
+	s.states[vm.Name] = v
+	s.mu.Unlock()
+	return v, first
+}
+
+func TestNewVMStartsFromAPeerWhileThePlatformIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := newSwitchboard()
+		faulty := daisyplatform.NewFaulty(daisyplatform.NewEmbedded(), 1)
+		old, _ := board.startState(1, faulty)
+		assert.NilError(t, old.plans.ConfirmFirst(t.Context(), testIntent(45), "ana"))
+		time.Sleep(time.Minute)
+		faulty.SetFaults(daisyplatform.Down{})
+		begin := time.Now()
+		fresh, first := board.startState(2, faulty)
+		// The link to a seed.
+		first.member.LinkOpened(memberVM(1))
+		board.find("vm-1").LinkOpened(memberVM(2))
+		time.Sleep(startBound)
+		assert.Assert(t, !first.at.IsZero() && first.at.Sub(begin) <= startBound)
+		assert.Equal(t, fresh.config.InForce().Hash, old.config.InForce().Hash)
+		assert.DeepEqual(t, names(board.find("vm-1")), []daisyvm.Name{"vm-1", "vm-2"})
+		fresh.Close()
+		old.Close()
+		board.stop("vm-1")
+		board.stop("vm-2")
+	})
+}
