Guard the VMs of the tests' switchboard by its lock

TestAnswersFollowTheMembership read the map of VMs without the lock while another VM was started; the race detector said so in one of three runs. 40 runs pass.

--- a/io/daisycontroller/member_test.go
+++ b/io/daisycontroller/member_test.go
@@ -43,6 +43,12 @@
 	return s.members[name]
 }
 
+func (s *switchboard) vm(name daisyvm.Name) daisyvm.VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.vms[name]
+}
+
 // port is one VM's side of a switchboard.
 type port struct {
 	board *switchboard
@@ -67,7 +73,7 @@
 
 func (p port) Connect(vm daisyvm.VM) {
 	if m := p.board.find(vm.Name); m != nil {
-		m.LinkOpened(p.board.vms[p.self])
+		m.LinkOpened(p.board.vm(p.self))
 	}
 }
 
