--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -40,7 +40,7 @@
 }
 
 func run(ctx context.Context) error {
-	s, err := newScene(ctx)
+	s, err := newSetup(ctx)
 	if err != nil {
 		return err
 	}
@@ -67,7 +67,7 @@
 }
 
 // load is work of three ranks for the service "lookups" of both fleets.
-func (s *scene) load() daisytrial.Options {
+func (s *setup) load() daisytrial.Options {
 	var streams []daisytrial.Stream
 	for _, f := range fleets {
 		service := daisyservice.ID{Fleet: f, Name: serviceName}
--- a/examples/quickstart/operator.go
+++ b/examples/quickstart/operator.go
@@ -15,7 +15,7 @@
 // operator confirms a plan and drains an endpoint while the load runs.
 type operator struct{ group *errgroup.Group }
 
-func newOperator(ctx context.Context, s *scene) *operator {
+func newOperator(ctx context.Context, s *setup) *operator {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := sleep(ctx, planAfter); err != nil {
@@ -43,7 +43,7 @@
 	})
 }
 
-func changeTarget(ctx context.Context, s *scene) error {
+func changeTarget(ctx context.Context, s *setup) error {
 	client := newClient(s.vms[1].Operators())
 	p, err := client.CreatePlan(ctx, s.intent("200ms"))
 	if err != nil {
@@ -52,7 +52,7 @@
 	return confirm(ctx, s, client, p)
 }
 
-func drain(ctx context.Context, s *scene) error {
+func drain(ctx context.Context, s *setup) error {
 	client := newClient(s.vms[0].Operators())
 	p, err := client.PlanEndpoint(ctx, daisyoperator.EndpointRequest{Address: s.addresses[0], Draining: true})
 	if err != nil {
@@ -61,7 +61,7 @@
 	return confirm(ctx, s, client, p)
 }
 
-func confirm(ctx context.Context, s *scene, client *daisyoperator.Client, p daisyoperator.Plan) error {
+func confirm(ctx context.Context, s *setup, client *daisyoperator.Client, p daisyoperator.Plan) error {
 	fmt.Printf("plan %s:\n", p.ID)
 	for _, l := range append(p.Changes, p.Effects...) {
 		fmt.Printf("  %s\n", l)
--- a/examples/quickstart/scene.go
+++ b/examples/quickstart/setup.go
@@ -34,17 +34,17 @@
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
-// scene is everything that the quickstart starts.
-type scene struct {
+// setup is everything that the quickstart starts.
+type setup struct {
 	vms       []*daisydaemon.Daemon
 	endpoints []*daisystand.Endpoint
 	servers   []*daisystand.EndpointServer
 	addresses []netip.AddrPort
 }
 
-// newScene starts endpoints and VMs, and waits until the first intent can be stated.
-func newScene(ctx context.Context) (*scene, error) {
-	s := &scene{}
+// newSetup starts endpoints and VMs, and waits until the first intent can be stated.
+func newSetup(ctx context.Context) (*setup, error) {
+	s := &setup{}
 	if err := s.startEndpoints(); err != nil {
 		s.Close()
 		return nil, err
@@ -61,7 +61,7 @@
 }
 
 // Close stops everything and waits.
-func (s *scene) Close() {
+func (s *setup) Close() {
 	for _, v := range s.vms {
 		v.Close()
 	}
@@ -70,7 +70,7 @@
 	}
 }
 
-func (s *scene) startEndpoints() error {
+func (s *setup) startEndpoints() error {
 	for range endpointsPerFleet * len(fleets) {
 		listener, err := net.Listen("tcp", anyPort.String())
 		if err != nil {
@@ -85,7 +85,7 @@
 	return nil
 }
 
-func (s *scene) startVMs(ctx context.Context) error {
+func (s *setup) startVMs(ctx context.Context) error {
 	platform := daisyplatform.NewEmbedded()
 	for i := range 2 {
 		settings := daisysetting.Settings{
@@ -108,7 +108,7 @@
 }
 
 // confirm states the first intent at one VM and waits until both have it in force.
-func (s *scene) confirm(ctx context.Context) error {
+func (s *setup) confirm(ctx context.Context) error {
 	client := newClient(s.vms[0].Operators())
 	p, err := client.CreatePlan(ctx, s.intent("250ms"))
 	if err != nil {
@@ -120,7 +120,7 @@
 	return s.waitInForce(ctx, 1)
 }
 
-func (s *scene) waitInForce(ctx context.Context, revision uint64) error {
+func (s *setup) waitInForce(ctx context.Context, revision uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	for !s.inForce(revision) {
@@ -133,7 +133,7 @@
 	return nil
 }
 
-func (s *scene) inForce(revision uint64) bool {
+func (s *setup) inForce(revision uint64) bool {
 	for _, v := range s.vms {
 		c := v.InForce()
 		if c == nil || uint64(c.Revision) < revision {
@@ -144,7 +144,7 @@
 }
 
 // intent gives both fleets an availability zone and a service of the same name.
-func (s *scene) intent(urgentTarget string) []byte {
+func (s *setup) intent(urgentTarget string) []byte {
 	var b bytes.Buffer
 	b.WriteString("fleets:\n")
 	for i, f := range fleets {
@@ -161,7 +161,7 @@
 }
 
 // ran adds up how often the endpoints ran each request.
-func (s *scene) ran() map[string]int {
+func (s *setup) ran() map[string]int {
 	sum := make(map[string]int)
 	for _, e := range s.endpoints {
 		for k, n := range e.Ran().Keys {
@@ -172,7 +172,7 @@
 }
 
 // extraSends counts the runs beyond the first of each request.
-func (s *scene) extraSends() int {
+func (s *setup) extraSends() int {
 	extra := 0
 	for _, n := range s.ran() {
 		extra += n - 1
--- a/io/daisydaemon/operator.go
+++ b/io/daisydaemon/operator.go
@@ -42,8 +42,8 @@
 }
 
 func (d *Daemon) startOperators() error {
-	desk := &daisyoperator.Desk{Plans: d.plans, Configs: d.config, Work: d.routes, Members: operatorMembers{d}}
-	handler := daisyoperator.NewHandler(desk, health{d}, d.logger, d.access.operatorFilters()...)
+	operations := &daisyoperator.Operations{Plans: d.plans, Configs: d.config, Work: d.routes, Members: operatorMembers{d}}
+	handler := daisyoperator.NewHandler(operations, health{d}, d.logger, d.access.operatorFilters()...)
 	d.operators = newOperatorServer(d.access.listenOperators(d.listeners.operators), handler)
 	d.onClose(d.operators.Close)
 	return nil
--- a/io/daisyoperator/handler.go
+++ b/io/daisyoperator/handler.go
@@ -39,15 +39,15 @@
 // Handler is the operators' HTTP interface.
 type Handler struct {
 	filters []Filter
-	desk    *Desk
+	operations    *Operations
 	health  Health
 	log     hclog.Logger
 	mux     *http.ServeMux
 }
 
 // NewHandler gives the handler. /livez and /readyz are open; all else goes through the filters.
-func NewHandler(desk *Desk, health Health, log hclog.Logger, filters ...Filter) *Handler {
-	h := &Handler{filters: filters, desk: desk, health: health, log: log, mux: http.NewServeMux()}
+func NewHandler(operations *Operations, health Health, log hclog.Logger, filters ...Filter) *Handler {
+	h := &Handler{filters: filters, operations: operations, health: health, log: log, mux: http.NewServeMux()}
 	h.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, struct{}{}) })
 	h.mux.HandleFunc("GET /readyz", h.serveReadiness)
 	h.mux.HandleFunc("GET /metrics", h.serveMetrics)
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return h.desk.Handle(r.Context(), operatorOf(r), command)
+	return h.operations.Handle(r.Context(), operatorOf(r), command)
 }
 
 func (h *Handler) judge(w http.ResponseWriter, r *http.Request) error {
--- a/io/daisyoperator/handler_test.go
+++ b/io/daisyoperator/handler_test.go
@@ -64,8 +64,8 @@
 	t.Cleanup(config.Close)
 	plans := daisycontroller.NewPlan(daisycontroller.PlanOptions{Self: self, Platform: platform, Config: config})
 	t.Cleanup(plans.Close)
-	desk := &daisyoperator.Desk{Plans: plans, Configs: config, Work: f, Members: f}
-	handler := daisyoperator.NewHandler(desk, f, hclog.NewNullLogger(), daisyoperator.Authorize{Tokens: f}, daisyoperator.LimitBody{})
+	operations := &daisyoperator.Operations{Plans: plans, Configs: config, Work: f, Members: f}
+	handler := daisyoperator.NewHandler(operations, f, hclog.NewNullLogger(), daisyoperator.Authorize{Tokens: f}, daisyoperator.LimitBody{})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	return server
--- a/io/daisyoperator/desk.go
+++ b/io/daisyoperator/operations.go
@@ -46,8 +46,8 @@
 // maxHistory bounds the audit trail that one answer shows.
 const maxHistory = 100
 
-// Desk carries out operators' commands.
-type Desk struct {
+// Operations carries out operators' commands.
+type Operations struct {
 	Plans   Plans
 	Configs Configs
 	Work    Work
@@ -58,32 +58,32 @@
 type Answer any
 
 // Handle carries out a command of an operator. It fails with the types of daisyerror.
-func (d *Desk) Handle(ctx context.Context, operator string, command Command) (Answer, error) {
+func (o *Operations) Handle(ctx context.Context, operator string, command Command) (Answer, error) {
 	switch c := command.(type) {
 	case CreatePlan:
-		return answerPlan(d.Plans.Create(ctx, c.Intent, operator))
+		return answerPlan(o.Plans.Create(ctx, c.Intent, operator))
 	case ListPlans:
-		return d.listPlans(ctx)
+		return o.listPlans(ctx)
 	case ViewPlan:
-		return answerPlan(d.Plans.View(ctx, c.ID))
+		return answerPlan(o.Plans.View(ctx, c.ID))
 	case ConfirmPlan:
-		return answerPlan(d.Plans.Confirm(ctx, c.ID, operator))
+		return answerPlan(o.Plans.Confirm(ctx, c.ID, operator))
 	case DiscardPlan:
-		return d.discardPlan(ctx, c.ID, operator)
+		return o.discardPlan(ctx, c.ID, operator)
 	case RestorePlan:
-		return answerPlan(d.Plans.Restore(ctx, c.Revision, operator))
+		return answerPlan(o.Plans.Restore(ctx, c.Revision, operator))
 	case ViewConfig:
-		return d.viewConfig(ctx, c.Revision)
+		return o.viewConfig(ctx, c.Revision)
 	case ListServices:
-		return d.listServices(), nil
+		return o.listServices(), nil
 	case ListEndpoints:
-		return d.listEndpoints(), nil
+		return o.listEndpoints(), nil
 	case PlanEndpoint:
-		return d.planEndpoint(ctx, c.Request, operator)
+		return o.planEndpoint(ctx, c.Request, operator)
 	case ListVMs:
-		return d.Members.ListVMs(), nil
+		return o.Members.ListVMs(), nil
 	case DrainVM:
-		return d.drainVM(ctx, c.Name)
+		return o.drainVM(ctx, c.Name)
 	}
 	return nil, daisyerror.Internal.New("no answer to a command of type %T", command)
 }
@@ -95,8 +95,8 @@
 	return encodePlan(p), nil
 }
 
-func (d *Desk) listPlans(ctx context.Context) (Answer, error) {
-	records, err := d.Plans.List(ctx)
+func (o *Operations) listPlans(ctx context.Context) (Answer, error) {
+	records, err := o.Plans.List(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -107,15 +107,15 @@
 	return plans, nil
 }
 
-func (d *Desk) discardPlan(ctx context.Context, id daisyplan.ID, operator string) (Answer, error) {
-	if err := d.Plans.Discard(ctx, id, operator); err != nil {
+func (o *Operations) discardPlan(ctx context.Context, id daisyplan.ID, operator string) (Answer, error) {
+	if err := o.Plans.Discard(ctx, id, operator); err != nil {
 		return nil, err
 	}
-	return answerPlan(d.Plans.View(ctx, id))
+	return answerPlan(o.Plans.View(ctx, id))
 }
 
-func (d *Desk) viewConfig(ctx context.Context, revision daisyconfig.Revision) (Answer, error) {
-	s, err := d.snapshot(ctx, revision)
+func (o *Operations) viewConfig(ctx context.Context, revision daisyconfig.Revision) (Answer, error) {
+	s, err := o.snapshot(ctx, revision)
 	if err != nil {
 		return nil, err
 	}
@@ -123,30 +123,30 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, v := range d.Members.ListVMs() {
+	for _, v := range o.Members.ListVMs() {
 		c.InForce = append(c.InForce, InForce{VM: v.Name, Revision: v.Revision})
 	}
 	// The trail is as long as the object store lets it be read just now.
-	history, _ := d.Configs.History(ctx, maxHistory)
+	history, _ := o.Configs.History(ctx, maxHistory)
 	for _, h := range history {
 		c.History = append(c.History, encodeRevision(h))
 	}
 	return c, nil
 }
 
-func (d *Desk) snapshot(ctx context.Context, revision daisyconfig.Revision) (*daisyconfig.Snapshot, error) {
+func (o *Operations) snapshot(ctx context.Context, revision daisyconfig.Revision) (*daisyconfig.Snapshot, error) {
 	if revision != 0 {
-		return d.Configs.View(ctx, revision)
+		return o.Configs.View(ctx, revision)
 	}
-	s := d.Configs.InForce()
+	s := o.Configs.InForce()
 	if s == nil {
 		return nil, daisyerror.NotFound.New("no configuration is in force yet; make a plan and confirm it")
 	}
 	return s, nil
 }
 
-func (d *Desk) services() []daisyservice.Service {
-	s := d.Configs.InForce()
+func (o *Operations) services() []daisyservice.Service {
+	s := o.Configs.InForce()
 	if s == nil {
 		return nil
 	}
@@ -157,10 +157,10 @@
 	return services
 }
 
-func (d *Desk) listServices() []Service {
+func (o *Operations) listServices() []Service {
 	list := []Service{}
-	for _, s := range d.services() {
-		inFlight, waiting := d.Work.ServiceWork(s.ID)
+	for _, s := range o.services() {
+		inFlight, waiting := o.Work.ServiceWork(s.ID)
 		v := Service{
 			Fleet:     string(s.ID.Fleet),
 			Service:   s.ID.Name,
@@ -182,11 +182,11 @@
 	return list
 }
 
-func (d *Desk) listEndpoints() []Endpoint {
+func (o *Operations) listEndpoints() []Endpoint {
 	list := []Endpoint{}
-	for _, s := range d.services() {
+	for _, s := range o.services() {
 		for _, e := range s.Endpoints {
-			inFlight, state := d.Work.EndpointWork(daisyconfig.EndpointID{Service: s.ID, Address: e.Address})
+			inFlight, state := o.Work.EndpointWork(daisyconfig.EndpointID{Service: s.ID, Address: e.Address})
 			list = append(list, Endpoint{
 				Fleet:       string(s.ID.Fleet),
 				Service:     s.ID.Name,
@@ -202,20 +202,20 @@
 	return list
 }
 
-func (d *Desk) planEndpoint(ctx context.Context, request EndpointRequest, operator string) (Answer, error) {
-	id, err := d.findEndpoint(request)
+func (o *Operations) planEndpoint(ctx context.Context, request EndpointRequest, operator string) (Answer, error) {
+	id, err := o.findEndpoint(request)
 	if err != nil {
 		return nil, err
 	}
 	if request.Draining {
-		return answerPlan(d.Plans.DrainEndpoint(ctx, id, operator))
+		return answerPlan(o.Plans.DrainEndpoint(ctx, id, operator))
 	}
-	return answerPlan(d.Plans.ResumeEndpoint(ctx, id, operator))
+	return answerPlan(o.Plans.ResumeEndpoint(ctx, id, operator))
 }
 
-func (d *Desk) findEndpoint(request EndpointRequest) (daisyconfig.EndpointID, error) {
+func (o *Operations) findEndpoint(request EndpointRequest) (daisyconfig.EndpointID, error) {
 	var found []daisyconfig.EndpointID
-	for _, s := range d.services() {
+	for _, s := range o.services() {
 		if !request.matches(s.ID) {
 			continue
 		}
@@ -240,11 +240,11 @@
 	return (r.Fleet == "" || r.Fleet == string(id.Fleet)) && (r.Service == "" || r.Service == id.Name)
 }
 
-func (d *Desk) drainVM(ctx context.Context, name daisyvm.Name) (Answer, error) {
-	if err := d.Members.Drain(ctx, name); err != nil {
+func (o *Operations) drainVM(ctx context.Context, name daisyvm.Name) (Answer, error) {
+	if err := o.Members.Drain(ctx, name); err != nil {
 		return nil, err
 	}
-	for _, v := range d.Members.ListVMs() {
+	for _, v := range o.Members.ListVMs() {
 		if v.Name == string(name) {
 			return v, nil
 		}
