--- a/io/daisyoperator/handler.go
+++ b/io/daisyoperator/handler.go
@@ -38,11 +38,11 @@
 
 // Handler is the operators' HTTP interface.
 type Handler struct {
-	filters []Filter
-	operations    *Operations
-	health  Health
-	log     hclog.Logger
-	mux     *http.ServeMux
+	filters    []Filter
+	operations *Operations
+	health     Health
+	log        hclog.Logger
+	mux        *http.ServeMux
 }
 
 // NewHandler gives the handler. /livez and /readyz are open; all else goes through the filters.
