Hand the start's moment over a channel in the test of a new VM

After this change: go test -race -count=40 -run 'NewVM|Answers|Stops|Drain' ./io/daisycontroller passes.

--- a/io/daisycontroller/start_test.go
+++ b/io/daisycontroller/start_test.go
@@ -19,12 +19,14 @@
 // firstInForce tells when the first configuration is in force on a VM.
 type firstInForce struct {
 	member *daisycontroller.Member
-	at     time.Time
+	// at holds one moment.
+	at chan time.Time
 }
 
 func (f *firstInForce) Apply(s *daisyconfig.Snapshot) {
-	if f.at.IsZero() {
-		f.at = time.Now()
+	select {
+	case f.at <- time.Now():
+	default:
 	}
 	f.member.Apply(s)
 	f.member.SetReady(true)
@@ -33,7 +35,7 @@
 func (s *switchboard) startState(i int, platform daisyplatform.Platform) (*stateVM, *firstInForce) {
 	vm := memberVM(i)
 	link := port{board: s, self: vm.Name}
-	first := &firstInForce{member: s.start(vm)}
+	first := &firstInForce{member: s.start(vm), at: make(chan time.Time, 1)}
 	first.member.SetReady(false)
 	config := daisycontroller.NewConfig(daisycontroller.ConfigOptions{
 		Self: vm, Platform: platform, Sender: link, Seed: uint64(i), Appliers: []daisycontroller.Applier{first},
@@ -60,7 +62,8 @@
 		first.member.LinkOpened(memberVM(1))
 		board.find("vm-1").LinkOpened(memberVM(2))
 		time.Sleep(startBound)
-		assert.Assert(t, !first.at.IsZero() && first.at.Sub(begin) <= startBound)
+		took := (<-first.at).Sub(begin)
+		assert.Assert(t, took <= startBound, "%s", took)
 		assert.Equal(t, fresh.config.InForce().Hash, old.config.InForce().Hash)
 		assert.DeepEqual(t, names(board.find("vm-1")), []daisyvm.Name{"vm-1", "vm-2"})
 		fresh.Close()
