Keep the sums of a borrower's credits instead of counting them each time

A VM without an owner brought all endpoints up to date at every event; now only while its share is nearly spent. The property test compares the sums with the lines.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -36,6 +36,9 @@
 	asking   time.Time
 	guessing bool
 	lines    map[netip.AddrPort]*line
+	// total is the sum of what the lines hold, running that of their attempts,
+	// slots that of the declared slots, and widest the most slots of one endpoint.
+	total, running, slots, widest int
 	// order has the endpoints with a line, for a stable order of reports.
 	order    []netip.AddrPort
 	target   int
@@ -87,12 +90,14 @@
 
 func (b *Borrower) setService(service daisyservice.Service) {
 	b.service = service
+	b.slots, b.widest = service.Slots(), 0
 	for _, l := range b.lines {
 		l.draining, l.slots = true, 0
 	}
 	for _, e := range service.Endpoints {
 		l := b.line(e.Address)
 		l.draining, l.slots = e.Draining, e.Slots
+		b.widest = max(b.widest, e.Slots)
 	}
 }
 
@@ -146,6 +151,7 @@
 	for _, l := range b.lines {
 		*l = line{claimed: l.inFlight, inFlight: l.inFlight, broken: l.broken, slots: l.slots, draining: l.draining}
 	}
+	b.recount()
 }
 
 // Guessing reports whether the borrower starts attempts without credits, for want of an owner.
@@ -160,26 +166,29 @@
 	if !b.guessing {
 		return l.idle()
 	}
-	share := (b.service.Slots() + b.vms - 1) / b.vms
-	return max(0, min(l.slots-int(l.inFlight), share-b.inFlight()))
+	return max(0, min(l.slots-int(l.inFlight), b.room()))
 }
 
-func (b *Borrower) inFlight() int {
-	sum := 0
-	for _, l := range b.lines {
-		sum += int(l.inFlight)
-	}
-	return sum
-}
+func (b *Borrower) inFlight() int { return b.running }
 
-func (b *Borrower) held() int {
-	sum := 0
+func (b *Borrower) held() int { return b.total }
+
+// recount sums up after a change of many lines.
+func (b *Borrower) recount() {
+	b.total, b.running = 0, 0
 	for _, l := range b.lines {
-		sum += l.held()
+		b.total += l.held()
+		b.running += int(l.inFlight)
 	}
-	return sum
 }
 
+// room gives how many attempts a borrower without an owner may still start.
+func (b *Borrower) room() int { return (b.slots+b.vms-1)/b.vms - b.running }
+
+// Tight reports whether, for want of an owner, an attempt at one endpoint may
+// change how many may start at another.
+func (b *Borrower) Tight() bool { return b.guessing && b.room() <= b.widest }
+
 // Held gives the credits that the borrower has at an endpoint, those of attempts under way among them.
 func (b *Borrower) Held(endpoint netip.AddrPort) int {
 	if l := b.lines[endpoint]; l != nil {
@@ -192,8 +201,10 @@
 func (b *Borrower) Take(endpoint netip.AddrPort) {
 	l := b.line(endpoint)
 	l.inFlight++
+	b.running++
 	if b.guessing {
 		l.claimed++
+		b.total++
 	}
 }
 
@@ -202,8 +213,10 @@
 	l := b.line(endpoint)
 	if l.inFlight > 0 {
 		l.inFlight--
+		b.running--
 	}
 	if b.guessing {
+		b.total -= l.held() - int(l.inFlight)
 		l.claimed = l.inFlight
 		return
 	}
@@ -257,6 +270,7 @@
 	}
 	if n := min(idle, surplus); n > 0 {
 		l.returned += uint64(n)
+		b.total -= n
 		l.changed = b.pace.next()
 		b.pace.urge(now)
 	}
@@ -316,7 +330,9 @@
 	b.pace.acknowledge(now, grant.Acknowledged)
 	for _, g := range grant.Granted {
 		l := b.line(g.Endpoint)
+		b.total -= l.held()
 		l.granted = max(l.granted, g.Granted)
+		b.total += l.held()
 		l.recalled = max(l.recalled, g.Recalled)
 	}
 	if grant.Sequence > 0 {
@@ -339,6 +355,7 @@
 			l.changed = b.pace.next()
 		}
 	}
+	b.recount()
 	b.term = term
 	b.latest[term.Owner] = term
 	b.received = 0
--- a/core/daisycredit/credit_test.go
+++ b/core/daisycredit/credit_test.go
@@ -176,6 +176,11 @@
 
 // check asserts that no slot is lent twice and, in a quiet state, that none is lost.
 func (c *cluster) check(t assert.TestingT, quiet bool) {
+	for i, b := range c.borrowers {
+		total, running := b.total, b.running
+		b.recount()
+		assert.Assert(t, total == b.total && running == b.running, "vm %d: sums %d and %d, lines %d and %d", i, total, running, b.total, b.running)
+	}
 	o := c.owner()
 	for _, p := range o.pools {
 		held := c.held(p.Address)
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -44,6 +44,8 @@
 	urgent time.Time
 	// changed says that credits came or went since the free list was last brought up to date.
 	changed bool
+	// tight says that the borrower was Tight then.
+	tight bool
 }
 
 // newCredits gives nil for a policy without credits or shares.
@@ -126,10 +128,11 @@
 			break
 		}
 	}
-	if !c.changed && !c.borrower.Guessing() {
+	tight := c.borrower.Tight()
+	if !c.changed && !c.tight && !tight {
 		return
 	}
-	c.changed = false
+	c.changed, c.tight = false, tight
 	for _, e := range d.endpoints {
 		d.refresh(now, e)
 	}
