Send an unsent request to the only endpoint again

Ruled out: a shed request, whose endpoint has spoken; it still goes elsewhere or is refused. Change: after NotSent the only usable endpoint may be tried again, within the three sends of a request.

--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -142,6 +142,11 @@
 	if r.failed.usable {
 		others--
 	}
+	if _, unsent := event.Outcome.(daisyrequest.NotSent); unsent && others == 0 && r.failed.usable {
+		// Its connection may have been an old one; the next is new.
+		r.failed = nil
+		others++
+	}
 	switch {
 	case !now.Before(r.Deadline):
 		return Expired, false
--- a/core/daisyroute/retry_test.go
+++ b/core/daisyroute/retry_test.go
@@ -68,6 +68,23 @@
 	}
 }
 
+func TestUnsentRequestGoesBackToTheOnlyEndpoint(t *testing.T) {
+	h := newHolder(t, newService(1, 3), nil)
+	s := h.send(h.request(0))
+	again := one[daisyroute.Send](t, h.handle(daisyroute.AttemptResolved{Attempt: s.Attempt, Outcome: daisyrequest.NotSent{}, Resendable: true}))
+	assert.Equal(t, again.Endpoint, s.Endpoint)
+	assert.Equal(t, again.Reason, daisyroute.Retry)
+	for range 5 {
+		all := h.handle(daisyroute.AttemptResolved{Attempt: again.Attempt, Outcome: daisyrequest.NotSent{}, Resendable: true})
+		if f := of[daisyroute.Fail](all); len(f) > 0 {
+			assert.Equal(t, f[0].Failure, daisyrequest.Failure(daisyrequest.NoEndpoint{RetryAfter: time.Second}))
+			return
+		}
+		again = one[daisyroute.Send](t, all)
+	}
+	t.Fatal("an endpoint that takes no connection was tried without end")
+}
+
 func TestRetryNeverGoesBackToTheOnlyEndpoint(t *testing.T) {
 	h := newHolder(t, newService(1, 3), nil)
 	s := h.send(h.request(0))
