Say errors to people without the names of their types

Change: daisyerror.Text joins the messages of the chain; daisyctl, daisyd, daisystand and problem documents use it. Conclusion: what people read says what failed and why, and nothing of the code.

--- a/io/daisyctl/root.go
+++ b/io/daisyctl/root.go
@@ -83,11 +83,7 @@
 
 // explain prints an error and what to do next.
 func explain(w io.Writer, err error) {
-	message := err.Error()
-	if x := errorx.Cast(err); x != nil && x.Cause() == nil {
-		message = x.Message()
-	}
-	fmt.Fprintln(w, message)
+	fmt.Fprintln(w, daisyerror.Text(err))
 	if hint := nextStep(err); hint != "" {
 		fmt.Fprintln(w, hint)
 	}
--- a/io/daisydaemon/command.go
+++ b/io/daisydaemon/command.go
@@ -32,20 +32,13 @@
 	if err == nil {
 		return ExitDone
 	}
-	fmt.Fprintln(log, messageOf(err))
+	fmt.Fprintln(log, daisyerror.Text(err))
 	if errorx.IsOfType(err, daisyerror.InvalidSetting) {
 		return ExitUsage
 	}
 	return ExitFailed
 }
 
-func messageOf(err error) string {
-	if x := errorx.Cast(err); x != nil && x.Cause() == nil {
-		return x.Message()
-	}
-	return err.Error()
-}
-
 // NewCmdDaemon gives the daemon's command; a nil run stands for the daemon itself.
 func NewCmdDaemon(log io.Writer, run func(context.Context, Options) error) *cobra.Command {
 	if run == nil {
--- a/io/daisyoperator/kind.go
+++ b/io/daisyoperator/kind.go
@@ -55,14 +55,14 @@
 func problemOf(err error) problem {
 	for _, k := range failureKinds {
 		if errorx.IsOfType(err, k.fault) {
-			return problem{Type: "about:blank", Title: k.title, Status: k.status, Detail: messageOf(err), Kind: k.kind}
+			return problem{Type: "about:blank", Title: k.title, Status: k.status, Detail: daisyerror.Text(err), Kind: k.kind}
 		}
 	}
 	return problem{
 		Type:   "about:blank",
 		Title:  "daisyyoke is at fault",
 		Status: http.StatusInternalServerError,
-		Detail: err.Error(),
+		Detail: daisyerror.Text(err),
 		Kind:   KindInternal,
 	}
 }
@@ -75,11 +75,3 @@
 	}
 	return daisyerror.Unavailable.New("the server answered %d %s", p.Status, p.Title)
 }
-
-// messageOf gives an error's own text without the name of its type.
-func messageOf(err error) string {
-	if x := errorx.Cast(err); x != nil && x.Cause() == nil {
-		return x.Message()
-	}
-	return err.Error()
-}
--- a/io/daisystand/command.go
+++ b/io/daisystand/command.go
@@ -43,7 +43,7 @@
 	if err == nil {
 		return exitDone
 	}
-	fmt.Fprintf(stderr, "daisystand: %v\n", err)
+	fmt.Fprintf(stderr, "daisystand: %s\n", daisyerror.Text(err))
 	if errorx.IsOfType(err, daisyerror.InvalidSetting) {
 		return exitWrongUsage
 	}
