Refuse plan create with both a file and a revision

Change: both together are wrong usage, exit code 2. Figures: the new case of TestExitCodes failed before the change (a request went to the server) and passes with it. Conclusion: a plan never comes from another source than the operator named.

--- a/io/daisyctl/daisyplancmd/create.go
+++ b/io/daisyctl/daisyplancmd/create.go
@@ -43,6 +43,9 @@
 }
 
 func createRun(ctx context.Context, o *CreateOptions) error {
+	if o.Restore > 0 && o.File != "" {
+		return daisyerror.InvalidSetting.New("--restore: goes without --file; choose one of them")
+	}
 	p, err := create(ctx, o)
 	if err != nil {
 		return err
--- a/io/daisyctl/root_test.go
+++ b/io/daisyctl/root_test.go
@@ -69,7 +69,8 @@
 	}{
 		{name: "done", script: script{args: []string{"plan", "create", "-f", file}, status: 200, answer: planAnswer}, code: ExitDone, err: "daisyctl plan confirm p1"},
 		{name: "no file", script: script{args: []string{"plan", "create"}}, code: ExitUsage, err: "--file"},
-		{name: "missing file", script: script{args: []string{"plan", "create", "-f", "missing"}}, code: ExitUsage, err: "--file"},
+		{name: "missing file", script: script{args: []string{"plan", "create", "-f", "missing"}}, code: ExitUsage, err: "--file: open missing"},
+		{name: "file and revision", script: script{args: []string{"plan", "create", "-f", file, "--restore", "1"}}, code: ExitUsage, err: "--restore"},
 		{name: "unknown command", script: script{args: []string{"plans"}}, code: ExitUsage, err: `no command "plans"`},
 		{name: "unknown verb", script: script{args: []string{"plan", "make"}}, code: ExitUsage, err: `no command "make"`},
 		{name: "unknown flag", script: script{args: []string{"plan", "list", "--loud"}}, code: ExitUsage, err: "--loud"},
