Keep the last working endpoint of a service in use

Cause: an endpoint that drains counted as a healthy sibling. With one of two drained, the other was ejected after two answers of 500, and requests then waited and were refused with 429 for seconds. When the healthy sibling was removed, the ejected rest stayed out as well. Change: a draining endpoint rests out of the comparison; whoever stays is compared anew when one rests or leaves. Conclusion: the rule that verdicts are ignored when nearly all look bad now counts the endpoints that can get work.

--- a/core/daisyhealth/endpoint.go
+++ b/core/daisyhealth/endpoint.go
@@ -76,6 +76,8 @@
 	// tried is when the last trial was made, or when the endpoint was ejected.
 	tried time.Time
 	place int
+	// resting says that it is out of the group's list for a while.
+	resting bool
 	// observed is when an attempt last taught something.
 	observed time.Time
 }
--- a/core/daisyhealth/group.go
+++ b/core/daisyhealth/group.go
@@ -74,9 +74,33 @@
 	return e
 }
 
-// Leave takes an endpoint out; it must be in the group.
-func (g *Group) Leave(e *Endpoint) {
+// Leave takes an endpoint out. Those that stay are compared anew, so that the last
+// of them are not kept ejected.
+func (g *Group) Leave(now time.Time, e *Endpoint) {
+	if e.resting {
+		return
+	}
 	g.release(e)
+	g.remove(e)
+	g.compare(now)
+}
+
+// Rest says whether an endpoint gets no new work for a reason of its own. While it
+// rests, it is no sibling of the others.
+func (g *Group) Rest(now time.Time, e *Endpoint, rests bool) {
+	switch {
+	case rests == e.resting:
+	case rests:
+		g.Leave(now, e)
+		e.resting = true
+	default:
+		e.resting = false
+		e.place = len(g.endpoints)
+		g.endpoints = append(g.endpoints, e)
+	}
+}
+
+func (g *Group) remove(e *Endpoint) {
 	last := g.endpoints[len(g.endpoints)-1]
 	g.endpoints[e.place] = last
 	last.place = e.place
@@ -167,7 +191,7 @@
 }
 
 func (g *Group) judge(now time.Time, e *Endpoint) {
-	if _, out := e.state.(Ejected); out || g.ignored {
+	if _, out := e.state.(Ejected); out || g.ignored || e.resting {
 		return
 	}
 	switch {
--- a/core/daisyhealth/group_test.go
+++ b/core/daisyhealth/group_test.go
@@ -199,7 +199,7 @@
 				o.group.Sent(o.now, e)
 			case 5:
 				if len(o.endpoints) > 1 && rapid.Bool().Draw(t, "leave") {
-					o.group.Leave(e)
+					o.group.Leave(o.now, e)
 					o.endpoints = append(o.endpoints[:i:i], o.endpoints[i+1:]...)
 					continue
 				}
--- a/core/daisyroute/condition.go
+++ b/core/daisyroute/condition.go
@@ -70,11 +70,21 @@
 	c := e.condition(now)
 	if c != e.shown {
 		e.shown = c
+		d.rest(now, e, c)
 		d.credits.setBroken(now, e, c != InUse && c != Ramping)
 		d.emit(EndpointChanged{Endpoint: e.address, Condition: c})
 	}
 }
 
+// rest keeps an endpoint that drains out of the comparison with its siblings.
+func (d *Dispatcher) rest(now time.Time, e *endpoint, c Condition) {
+	if c == Removed {
+		return
+	}
+	d.health.Rest(now, e.health, c == Draining)
+	d.followHealth(now)
+}
+
 // EndpointStatus is what a VM makes of an endpoint.
 type EndpointStatus struct {
 	Address   netip.AddrPort
--- a/core/daisyroute/endpoint_test.go
+++ b/core/daisyroute/endpoint_test.go
@@ -1,6 +1,7 @@
 package daisyroute_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -214,3 +215,52 @@
 	assert.Equal(t, h.dispatcher.Demand(2).InFlight, uint32(5))
 	assert.Equal(t, h.dispatcher.Spare(), 0)
 }
+
+// failOne keeps endpoint 0 at work while endpoint 1, unless ejected, fails a request.
+func failOne(h *holder) {
+	if h.dispatcher.Endpoints(h.now)[1].Condition == daisyroute.EjectedFaulty {
+		return
+	}
+	sends := []daisyroute.Send{h.send(h.request(1)), h.send(h.request(1)), h.send(h.request(1))}
+	h.now = h.now.Add(time.Millisecond)
+	for _, s := range sends {
+		status := 200
+		if s.Endpoint == address(1) {
+			status = 500
+		}
+		h.serve(s.Attempt, status, time.Millisecond)
+	}
+}
+
+func TestLastEndpointIsNotEjected(t *testing.T) {
+	operator := newService(2, 2)
+	operator.Endpoints[0].Draining = true
+	alone := newService(2, 2)
+	alone.Endpoints = alone.Endpoints[1:]
+	cases := []struct {
+		name string
+		// event leaves endpoint 1 alone.
+		event func(h *holder) daisyroute.Event
+	}{
+		{"its sibling drains by an operator", func(*holder) daisyroute.Event { return daisyroute.ServiceChanged{Service: operator} }},
+		{"its sibling reports that it drains", func(h *holder) daisyroute.Event { return report(h, 0, true) }},
+		{"its sibling is removed", func(*holder) daisyroute.Event { return daisyroute.ServiceChanged{Service: alone} }},
+	}
+	for _, c := range cases {
+		for _, failures := range []int{0, 10} {
+			t.Run(fmt.Sprintf("%s after %d failures", c.name, failures), func(t *testing.T) {
+				h := newHolder(t, newService(2, 2), nil)
+				for range failures {
+					failOne(h)
+				}
+				h.handle(c.event(h))
+				for range 20 {
+					s := h.send(h.request(1))
+					assert.Equal(t, s.Endpoint, address(1))
+					h.now = h.now.Add(time.Millisecond)
+					h.serve(s.Attempt, 500, time.Millisecond)
+				}
+			})
+		}
+	}
+}
--- a/core/daisyroute/learn.go
+++ b/core/daisyroute/learn.go
@@ -66,6 +66,11 @@
 		return
 	}
 	d.health.Observe(now, a.endpoint.health, a.sent, observation)
+	d.followHealth(now)
+}
+
+// followHealth brings all endpoints up to date when the health of some has changed.
+func (d *Dispatcher) followHealth(now time.Time) {
 	if d.health.Changes() == d.changes {
 		return
 	}
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -69,10 +69,11 @@
 // remove takes an endpoint out of use; the attempts it has go on.
 func (d *Dispatcher) remove(now time.Time, e *endpoint) {
 	e.removed = true
-	d.health.Leave(e.health)
+	d.health.Leave(now, e.health)
 	d.probes.Leave(e.target)
 	e.health, e.target = nil, nil
 	d.refresh(now, e)
+	d.followHealth(now)
 	if e.inFlight == 0 {
 		delete(d.byAddress, e.address)
 	}
