Take the first token of a file, and check the server's address, in daisyctl

Cause: daisyctl sent the whole token file, so the file that VMs read (comments, several tokens while one is replaced) failed with 'invalid header field value'. Conclusion: one token file serves daisyd and daisyctl.

--- a/io/daisyctl/daisyfactory/factory.go
+++ b/io/daisyctl/daisyfactory/factory.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/user"
 	"strings"
@@ -62,6 +63,9 @@
 }
 
 func (s *server) client() (*daisyoperator.Client, error) {
+	if _, err := netip.ParseAddrPort(s.address); err != nil {
+		return nil, daisyerror.InvalidSetting.New("--server: %q: want IP:PORT, for instance 127.0.0.1:8081", s.address)
+	}
 	options := daisyoperator.ClientOptions{Operator: s.operator, Server: "http://" + s.address}
 	transport := &http.Transport{}
 	if s.authority != "" {
@@ -73,16 +77,30 @@
 		options.Server = "https://" + s.address
 	}
 	if s.tokenFile != "" {
-		text, err := os.ReadFile(s.tokenFile)
+		token, err := readToken(s.tokenFile)
 		if err != nil {
-			return nil, daisyerror.InvalidSetting.Wrap(err, "--operator-token-file")
+			return nil, err
 		}
-		options.Token = strings.TrimSpace(string(text))
+		options.Token = token
 	}
 	options.HTTP = &http.Client{Transport: transport, Timeout: timeout}
 	return daisyoperator.NewClient(options), nil
 }
 
+// readToken gives the first token of a file in the format that VMs read.
+func readToken(name string) (string, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return "", daisyerror.InvalidSetting.Wrap(err, "--operator-token-file")
+	}
+	for line := range strings.Lines(string(text)) {
+		if token := strings.TrimSpace(line); token != "" && token[0] != '#' {
+			return token, nil
+		}
+	}
+	return "", daisyerror.InvalidSetting.New("--operator-token-file: no token in %s", name)
+}
+
 func readAuthority(name string) (*x509.CertPool, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
