Say in readiness that a VM leaves and which services it can serve

Cause: /readyz stayed ready during a planned stop, and every service counted as ready. Change: not ready from the moment of leaving; a service is ready while one of its endpoints may get new work.

--- a/io/daisycontroller/route_test.go
+++ b/io/daisycontroller/route_test.go
@@ -91,3 +91,19 @@
 	assert.Assert(t, strings.Contains(output.String(), `"@message":"endpoint changed"`), output.String())
 	assert.Assert(t, strings.Contains(output.String(), `"condition":"draining"`), output.String())
 }
+
+func TestServiceIsUsableWhileAnEndpointMayGetWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Sender: &outbox{sent: make(map[daisyvm.Name]int)}})
+		defer routes.Close()
+		id := daisyservice.ID{Fleet: "vigia-lar", Name: "a"}
+		assert.Assert(t, !routes.Usable(id), "before it is declared")
+		s := snapshotOf("a")
+		routes.Apply(s)
+		assert.Assert(t, routes.Usable(id))
+		drained := snapshotOf("a")
+		drained.Intent.Fleets[0].Services[0].Endpoints[0].Draining = true
+		routes.Apply(drained)
+		assert.Assert(t, !routes.Usable(id), "with its only endpoint draining")
+	})
+}
--- a/io/daisycontroller/route_work.go
+++ b/io/daisycontroller/route_work.go
@@ -23,6 +23,22 @@
 	return inFlight, waiting
 }
 
+// Usable says whether a service has an endpoint that may get new work.
+func (c *Route) Usable(id daisyservice.ID) bool {
+	s := c.shard(id)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.dispatcher.Endpoints(now()) {
+		if e.Condition != daisyroute.Draining && e.Condition != daisyroute.Removed {
+			return true
+		}
+	}
+	return false
+}
+
 // EndpointWork counts the attempts under way at an endpoint and names its condition on this VM.
 func (c *Route) EndpointWork(id daisyconfig.EndpointID) (inFlight int, condition string) {
 	s := c.shard(id.Service)
--- a/io/daisydaemon/operator.go
+++ b/io/daisydaemon/operator.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisystop"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisyoperator"
 )
@@ -107,8 +108,15 @@
 		return daisyoperator.Readiness{Reason: daisyconfig.WaitingText(waiting)}
 	}
 	r := daisyoperator.Readiness{Ready: true}
+	if h.daemon.stop.Phase() >= daisystop.Leaving {
+		r = daisyoperator.Readiness{Reason: "a planned stop is under way"}
+	}
 	for _, s := range h.daemon.routes.Services() {
-		r.Services = append(r.Services, daisyoperator.ServiceReady{Fleet: string(s.ID.Fleet), Service: s.ID.Name, Ready: true})
+		r.Services = append(r.Services, daisyoperator.ServiceReady{
+			Fleet:   string(s.ID.Fleet),
+			Service: s.ID.Name,
+			Ready:   h.daemon.routes.Usable(s.ID),
+		})
 	}
 	return r
 }
