--- a/io/daisycontroller/member_list.go
+++ b/io/daisycontroller/member_list.go
@@ -41,7 +41,11 @@
 	return daisyplatform.ListedVM{Name: v.Name, Zone: v.Zone, Peers: v.Peers, Leaving: c.currentStatus().Leaving}
 }
 
+// announce leaves out a VM without an address for others, who could not use the entry.
 func (c *Member) announce(vm daisyplatform.ListedVM) {
+	if !vm.Peers.IsValid() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, platformTimeout)
 	defer cancel()
 	answer := c.options.List.AnnounceVM(ctx, vm)
--- a/io/daisycontroller/member_list_test.go
+++ b/io/daisycontroller/member_list_test.go
@@ -33,3 +33,13 @@
 		assert.Equal(t, len(platform.ListVMs(t.Context()).(daisyplatform.VMsListed).VMs), 0)
 	})
 }
+
+func TestAVMWithoutAPeersAddressIsNotAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := daisyplatform.NewEmbedded()
+		members := daisycontroller.NewMember(daisycontroller.MemberOptions{Self: daisyvm.VM{Name: "vm-1", Incarnation: 1}, Linker: noLinks{}, List: platform})
+		defer members.Close()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(platform.ListVMs(t.Context()).(daisyplatform.VMsListed).VMs), 0, "nobody could reach it")
+	})
+}
