--- a/core/daisymeasure/bound_test.go
+++ b/core/daisymeasure/bound_test.go
@@ -57,6 +57,18 @@
 	checkRatio(t, largeSize().Steady("Czechia, 70%", Czechia(largeSize().Services), 0.7), steadyBound)
 }
 
+func TestSteadyLoadAt95InPortugal(t *testing.T) {
+	checkRatio(t, testSize().Steady("Portugal, 95%", Portugal(testSize().Services), 0.95), steadyBound)
+}
+
+func TestSteadyLoadAt85InCzechia(t *testing.T) {
+	checkRatio(t, largeSize().Steady("Czechia, 85%", Czechia(largeSize().Services), 0.85), steadyBound)
+}
+
+func TestSteadyLoadAt95InCzechia(t *testing.T) {
+	checkRatio(t, largeSize().Steady("Czechia, 95%", Czechia(largeSize().Services), 0.95), steadyBound)
+}
+
 func TestSteadyUrgentLoadAt95(t *testing.T) {
 	checkRatio(t, testSize().UrgentOnly(0.95), steadyBound)
 }
@@ -131,6 +143,10 @@
 	checkBytes(t, 0.05)
 }
 
+func TestCreditBytesAtTheTwoYearSize(t *testing.T) {
+	checkBytes(t, 0.67)
+}
+
 // checkBytes holds what sharing the slots costs a VM at the two-year size to its budget.
 func checkBytes(t *testing.T, load float64) {
 	t.Helper()
