--- a/io/daisyctl/daisyvmcmd/list.go
+++ b/io/daisyctl/daisyvmcmd/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 
 	"github.com/spf13/cobra"
@@ -45,12 +46,20 @@
 	}
 	t := o.Streams.NewTable("NAME", "AVAILABILITY ZONE", "CALLERS", "STATE", "READY", "REVISION", "SPARE")
 	for _, v := range vms {
-		t.Row(v.Name, v.Zone, v.Callers.String(), paintState(o.Streams, v.State), strconv.FormatBool(v.Ready),
+		t.Row(v.Name, v.Zone, callersText(v.Callers), paintState(o.Streams, v.State), strconv.FormatBool(v.Ready),
 			strconv.FormatUint(v.Revision, 10), strconv.Itoa(v.Spare))
 	}
 	return t.Close()
 }
 
+// callersText stands for an address that is not known yet too.
+func callersText(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return "-"
+	}
+	return address.String()
+}
+
 func paintState(s *daisyterminal.Streams, state string) string {
 	if state == "live" {
 		return s.Paint(daisyterminal.Good, state)
--- a/io/daisyctl/root_test.go
+++ b/io/daisyctl/root_test.go
@@ -86,6 +86,7 @@
 		{name: "store down", script: script{args: []string{"plan", "list"}, status: 503, answer: problem("unavailable")}, code: ExitFailed, err: "try again"},
 		{name: "no token", script: script{args: []string{"vm", "list"}, status: 401, answer: problem("unauthorized")}, code: ExitFailed, err: "--operator-token-file"},
 		{name: "not a problem document", script: script{args: []string{"vm", "list"}, status: 500, answer: "oops"}, code: ExitFailed, err: "500"},
+		{name: "TLS is missing", script: script{args: []string{"vm", "list"}, status: 400, answer: "Client sent an HTTP request to an HTTPS server."}, code: ExitFailed, err: "--tls-authority"},
 		{name: "answer cut", script: script{args: []string{"vm", "list"}, status: 200, answer: "[{"}, code: ExitFailed, err: "reading the answer"},
 	}
 	for _, c := range cases {
@@ -125,6 +126,8 @@
 	assert.Equal(t, table.out, ""+
 		"vm-1          f/a  127.0.0.1:1  live     true   3  9\n"+
 		"vm-long-name  f/b  127.0.0.1:2  leaving  false  0  0\n")
+	unheard := runScript(t, script{args: []string{"vm", "list"}, status: 200, answer: `[{"name":"vm-1","availability-zone":"f/a","callers":"","state":"unheard"}]`})
+	assert.Equal(t, unheard.out, "vm-1  f/a  -  unheard  false  0  0\n")
 	heading := runScript(t, script{args: []string{"vm", "list"}, interactive: true, status: 200, answer: vms})
 	assert.Check(t, strings.HasPrefix(heading.out, "NAME "))
 	picked := runScript(t, script{args: []string{"vm", "list", "--json=name,ready"}, status: 200, answer: vms})
--- a/io/daisyoperator/kind.go
+++ b/io/daisyoperator/kind.go
@@ -73,5 +73,7 @@
 			return k.fault.New("%s", p.Detail)
 		}
 	}
-	return daisyerror.Unavailable.New("the server answered %d %s", p.Status, p.Title)
+	return daisyerror.Unavailable.New(
+		"the server answered %d %s, unlike a VM's operators' address; check --server, and give --tls-authority if it has TLS",
+		p.Status, p.Title)
 }
