--- a/io/daisyoperator/document.go
+++ b/io/daisyoperator/document.go
@@ -53,7 +53,6 @@
 type InForce struct {
 	VM       string `json:"vm"`
 	Revision uint64 `json:"revision"`
-	Hash     string `json:"hash"`
 }
 
 // Revision is one entry of the audit trail.
