--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -125,6 +125,10 @@
 			fmt.Printf("listed as red but passes: %s; take it off KNOWN-RED.txt\n", k)
 		}
 	}
+	if len(v.passed) == 0 {
+		code = 1
+		fmt.Println("FAILED: no test passed")
+	}
 	fmt.Printf("%d passed, %d failed\n", len(v.passed), len(v.failed))
 	return code
 }
