--- a/examples/addedlatency/bench.go
+++ b/examples/addedlatency/bench.go
@@ -166,7 +166,7 @@
 }
 
 func (t *tally) microseconds(percentile float64) float64 {
-	return float64(t.times.ValueAtQuantile(percentile)) / float64(time.Microsecond)
+	return microseconds(t.times, percentile)
 }
 
 func (t *tally) busyPerCall() float64 {
--- a/examples/addedlatency/main.go
+++ b/examples/addedlatency/main.go
@@ -60,6 +60,7 @@
 		}
 	}
 	report(o, &straight, &through)
+	reportIdle()
 	if o.metrics {
 		b.metrics.WritePrometheus(os.Stderr)
 	}
