--- a/io/daisyctl/daisyendpointcmd/drain.go
+++ b/io/daisyctl/daisyendpointcmd/drain.go
@@ -15,7 +15,7 @@
 
 // DrainOptions are the options of endpoint drain and endpoint resume.
 type DrainOptions struct {
-	daisyfactory.Options
+	daisyfactory.ShowOptions
 	Address string
 	Fleet   string
 	Service string
@@ -50,7 +50,7 @@
 }
 
 func newCmdDraining(f *daisyfactory.Factory, runF func(context.Context, *DrainOptions) error, draining bool) *cobra.Command {
-	o := &DrainOptions{Options: f.Options(), Draining: draining}
+	o := &DrainOptions{ShowOptions: f.ShowOptions(), Draining: draining}
 	c := &cobra.Command{
 		Args: daisyfactory.ExactArgs("IP:PORT"),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -61,6 +61,7 @@
 	c.Flags().StringVar(&o.Fleet, "fleet", "", "only in this `FLEET`")
 	c.Flags().StringVar(&o.Service, "service", "", "only in this `SERVICE`")
 	c.Flags().BoolVarP(&o.Yes, "yes", "y", false, "do not ask")
+	o.JSON.AddFlag(c, daisyoperator.PlanFields...)
 	return c
 }
 
@@ -69,7 +70,7 @@
 	if err != nil {
 		return daisyerror.InvalidSetting.New("%q: want the IP:PORT of an endpoint; see daisyctl endpoint list", o.Address)
 	}
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
@@ -78,7 +79,12 @@
 	if err != nil {
 		return err
 	}
-	daisyplancmd.Show(o.Streams, p)
+	if len(p.Changes) == 0 {
+		return leave(ctx, client, o, p)
+	}
+	if !o.JSON.Wanted() {
+		daisyplancmd.Show(o.Streams, p)
+	}
 	if o.Streams.Interactive && !o.Yes {
 		agreed, err := o.Streams.Confirm("\nPut this in force?")
 		if err != nil || !agreed {
@@ -89,6 +95,26 @@
 	if err != nil {
 		return err
 	}
+	if o.JSON.Wanted() {
+		return o.JSON.Print(o.Streams, p)
+	}
 	fmt.Fprintf(o.Streams.Out, "plan %s confirmed: revision %d\n", p.ID, p.Revision)
 	return nil
 }
+
+// leave ends a plan that would change nothing, so that no revision is made of it.
+func leave(ctx context.Context, client *daisyoperator.Client, o *DrainOptions, p daisyoperator.Plan) error {
+	p, err := client.DiscardPlan(ctx, p.ID)
+	if err != nil {
+		return err
+	}
+	if o.JSON.Wanted() {
+		return o.JSON.Print(o.Streams, p)
+	}
+	state := "gets work already"
+	if o.Draining {
+		state = "is drained already"
+	}
+	fmt.Fprintf(o.Streams.Out, "%s %s; nothing to do\n", o.Address, state)
+	return nil
+}
--- a/io/daisyctl/daisyplancmd/discard.go
+++ b/io/daisyctl/daisyplancmd/discard.go
@@ -7,18 +7,19 @@
 	"github.com/spf13/cobra"
 
 	"daisyyoke/io/daisyctl/daisyfactory"
+	"daisyyoke/io/daisyoperator"
 )
 
 // DiscardOptions are the options of plan discard.
 type DiscardOptions struct {
-	daisyfactory.Options
+	daisyfactory.ShowOptions
 	ID string
 }
 
 // NewCmdDiscard gives the command plan discard; runF stands in for its work in tests.
 func NewCmdDiscard(f *daisyfactory.Factory, runF func(context.Context, *DiscardOptions) error) *cobra.Command {
-	o := &DiscardOptions{Options: f.Options()}
-	return &cobra.Command{
+	o := &DiscardOptions{ShowOptions: f.ShowOptions()}
+	c := &cobra.Command{
 		Use:     "discard ID",
 		Short:   "End a plan that is not confirmed",
 		Example: `  $ daisyctl plan discard 7f3a90c1`,
@@ -28,10 +29,12 @@
 			return daisyfactory.Run(o, runF, discardRun)(c, args)
 		},
 	}
+	o.JSON.AddFlag(c, daisyoperator.PlanFields...)
+	return c
 }
 
 func discardRun(ctx context.Context, o *DiscardOptions) error {
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
@@ -39,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	if o.JSON.Wanted() {
+		return o.JSON.Print(o.Streams, p)
+	}
 	fmt.Fprintf(o.Streams.Out, "plan %s discarded\n", p.ID)
 	return nil
 }
--- a/io/daisyctl/daisyvmcmd/drain.go
+++ b/io/daisyctl/daisyvmcmd/drain.go
@@ -7,18 +7,19 @@
 	"github.com/spf13/cobra"
 
 	"daisyyoke/io/daisyctl/daisyfactory"
+	"daisyyoke/io/daisyoperator"
 )
 
 // DrainOptions are the options of vm drain.
 type DrainOptions struct {
-	daisyfactory.Options
+	daisyfactory.ShowOptions
 	Name string
 	Yes  bool
 }
 
 // NewCmdDrain gives the command vm drain; runF stands in for its work in tests.
 func NewCmdDrain(f *daisyfactory.Factory, runF func(context.Context, *DrainOptions) error) *cobra.Command {
-	o := &DrainOptions{Options: f.Options()}
+	o := &DrainOptions{ShowOptions: f.ShowOptions()}
 	c := &cobra.Command{
 		Use:   "drain NAME",
 		Short: "Stop a VM without cutting a request",
@@ -32,11 +33,12 @@
 		},
 	}
 	c.Flags().BoolVarP(&o.Yes, "yes", "y", false, "do not ask")
+	o.JSON.AddFlag(c, daisyoperator.VMFields...)
 	return c
 }
 
 func drainRun(ctx context.Context, o *DrainOptions) error {
-	client, err := o.Client()
+	client, err := o.Open()
 	if err != nil {
 		return err
 	}
@@ -50,6 +52,9 @@
 	if err != nil {
 		return err
 	}
+	if o.JSON.Wanted() {
+		return o.JSON.Print(o.Streams, v)
+	}
 	fmt.Fprintf(o.Streams.Out, "%s: %s; follow it with daisyctl vm list\n", v.Name, v.State)
 	return nil
 }
--- a/io/daisyctl/root_test.go
+++ b/io/daisyctl/root_test.go
@@ -119,6 +119,24 @@
 	}
 }
 
+func TestDrainOfADrainedEndpointMakesNoRevision(t *testing.T) {
+	const empty = `{"id":"p1","state":"open","changes":[]}`
+	cases := []struct {
+		verb, answer, out string
+		asked             []string
+	}{
+		{"drain", empty, "127.0.0.1:1 is drained already; nothing to do", []string{"POST /v1/endpoints/plans", "POST /v1/plans/p1/discard"}},
+		{"resume", empty, "127.0.0.1:1 gets work already; nothing to do", []string{"POST /v1/endpoints/plans", "POST /v1/plans/p1/discard"}},
+		{"drain", planAnswer, "confirmed: revision 5", []string{"POST /v1/endpoints/plans", "POST /v1/plans/p1/confirm"}},
+	}
+	for _, c := range cases {
+		r := runScript(t, script{args: []string{"endpoint", c.verb, "127.0.0.1:1"}, status: 200, answer: c.answer})
+		assert.Equal(t, r.code, ExitDone, "%s", r.err)
+		assert.DeepEqual(t, r.asked, c.asked)
+		assert.Check(t, is.Contains(r.out, c.out))
+	}
+}
+
 func TestListsAreAlignedTablesOrJSON(t *testing.T) {
 	const vms = `[{"name":"vm-1","availability-zone":"f/a","callers":"127.0.0.1:1","state":"live","ready":true,"revision":3,"spare":9,"self":true},` +
 		`{"name":"vm-long-name","availability-zone":"f/b","callers":"127.0.0.1:2","state":"leaving"}]`
