Let a leaving VM hold credits until its last request has ended

Cause: a VM that announced its leaving was taken off the list of VMs that share the services, so its owner lent its slots to others at once, while it still served callers with an old answer for 7 s. Endpoints shed what came over their slots, and a request shed three times in a millisecond was refused. Change: the list names leaving VMs apart: they own nothing any more and go on borrowing.

--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -1,6 +1,7 @@
 package daisyroute
 
 import (
+	"slices"
 	"time"
 
 	"daisyyoke/core/daisycredit"
@@ -63,7 +64,8 @@
 }
 
 // setVMs brings the live VMs, and begins or ends this VM's ownership of the slots.
-func (d *Dispatcher) setVMs(now time.Time, vms []daisyvm.VM) {
+func (d *Dispatcher) setVMs(now time.Time, event PeersChanged) {
+	vms := event.VMs
 	c := d.credits
 	if c == nil {
 		return
@@ -87,7 +89,7 @@
 			Overcommit: c.policy.Overcommit,
 		})
 	}
-	c.owner.SetVMs(now, vms)
+	c.owner.SetVMs(now, slices.Concat(vms, event.Leaving))
 }
 
 func (c *credits) endOwner() {
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -144,7 +144,7 @@
 		d.changeService(now, e.Service)
 		d.credits.changeService(now, e.Service)
 	case PeersChanged:
-		d.changePeers(now, e.VMs)
+		d.changePeers(now, e)
 	case TimePassed:
 		d.pass(now)
 	}
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -67,7 +67,12 @@
 type ServiceChanged struct{ Service daisyservice.Service }
 
 // PeersChanged brings the live VMs that share the service, this VM among them.
-type PeersChanged struct{ VMs []daisyvm.VM }
+type PeersChanged struct {
+	VMs []daisyvm.VM
+	// Leaving are the VMs in a planned stop, maybe this one: none of them owns the
+	// service, and they hold credits until their last request has ended.
+	Leaving []daisyvm.VM
+}
 
 // TimePassed says that the time of NextWake has come.
 type TimePassed struct{}
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -7,7 +7,6 @@
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisyservice"
-	"daisyyoke/core/daisyvm"
 )
 
 // begin starts the schedule of probes at the first event, which brings the time.
@@ -79,7 +78,8 @@
 	}
 }
 
-func (d *Dispatcher) changePeers(now time.Time, vms []daisyvm.VM) {
+func (d *Dispatcher) changePeers(now time.Time, event PeersChanged) {
+	vms := event.VMs
 	d.peers = d.peers[:0]
 	for _, v := range vms {
 		if v.Name != d.self {
@@ -87,7 +87,7 @@
 		}
 	}
 	d.queue.SetEvenShare(d.evenShare())
-	d.setVMs(now, vms)
+	d.setVMs(now, event)
 	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
 	d.owner = !ok || owner.Name == d.self
 	for _, e := range d.endpoints {
--- a/core/daisyvm/beat.go
+++ b/core/daisyvm/beat.go
@@ -105,7 +105,10 @@
 // shares with itself, also when it leaves.
 func (s *Members) share(now time.Time) []MemberDecision {
 	vms := make([]VM, 0, len(s.order)+1)
-	if !s.status.Leaving {
+	var leaving []VM
+	if s.status.Leaving {
+		leaving = append(leaving, s.self)
+	} else {
 		vms = append(vms, s.self)
 	}
 	turns := (len(s.order) + FanOut - 1) / FanOut
@@ -113,17 +116,22 @@
 	for _, m := range s.order {
 		direct := m.directSequence > 0 && now.Sub(m.DirectAt) < reach
 		configured := m.Status.Revision > 0 || s.status.Revision == 0
-		if direct && !m.silent() && !m.Status.Leaving && configured {
+		switch {
+		case !direct || m.silent() || !configured:
+		case m.Status.Leaving:
+			leaving = append(leaving, m.VM)
+		default:
 			vms = append(vms, m.VM)
 		}
 	}
 	slices.SortFunc(vms, CompareNames)
+	slices.SortFunc(leaving, CompareNames)
 	if len(vms) == 0 {
 		vms = []VM{s.self}
 	}
-	if slices.Equal(vms, s.sharing) {
+	if slices.Equal(vms, s.sharing) && slices.Equal(leaving, s.leaving) {
 		return nil
 	}
-	s.sharing = vms
-	return []MemberDecision{PeersChanged{VMs: vms}}
+	s.sharing, s.leaving = vms, leaving
+	return []MemberDecision{PeersChanged{VMs: vms, Leaving: leaving}}
 }
--- a/core/daisyvm/member.go
+++ b/core/daisyvm/member.go
@@ -147,7 +147,12 @@
 
 // PeersChanged brings the VMs that share the services, this one among them
 // unless it leaves and others stay, in the order of their names.
-type PeersChanged struct{ VMs []VM }
+type PeersChanged struct {
+	VMs []VM
+	// Leaving are those in a planned stop, maybe this one too: they own nothing any
+	// more, and hold credits as long as they finish requests.
+	Leaving []VM
+}
 
 // StateChanged says that a VM is seen in another state.
 type StateChanged struct {
--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -53,6 +53,7 @@
 	changes  uint64
 	roundAt  time.Time
 	sharing  []VM
+	leaving  []VM
 	// unsettled says that a heartbeat may have changed who shares the services.
 	unsettled bool
 }
--- a/examples/addedlatency/bench.go
+++ b/examples/addedlatency/bench.go
@@ -81,7 +81,7 @@
 	routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: self, Sender: nowhere{}})
 	pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
 	routes.Apply(snapshot)
-	routes.SetPeers([]daisyvm.VM{self})
+	routes.SetPeers([]daisyvm.VM{self}, nil)
 	pool.Apply(snapshot)
 	forwarder := daisyforward.New(daisyforward.Options{
 		Self: "vm-1", Routes: routes, Pool: pool, Limits: daisyforward.DefaultLimits(), Log: log, Metrics: b.metrics,
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -24,7 +24,7 @@
 
 // PeerApplier puts the VMs that share the services to use.
 type PeerApplier interface {
-	SetPeers(vms []daisyvm.VM)
+	SetPeers(vms, leaving []daisyvm.VM)
 }
 
 // SpareSource says how many further requests this VM could start at once.
@@ -284,9 +284,9 @@
 	case daisyvm.Forget:
 		c.options.Linker.Forget(d.Name)
 	case daisyvm.PeersChanged:
-		c.options.Logger.Info("VMs that share the services", "count", len(d.VMs), "vms", namesOf(d.VMs))
+		c.options.Logger.Info("VMs that share the services", "count", len(d.VMs), "vms", namesOf(d.VMs), "leaving", namesOf(d.Leaving))
 		for _, p := range c.options.Peers {
-			p.SetPeers(d.VMs)
+			p.SetPeers(d.VMs, d.Leaving)
 		}
 	case daisyvm.StateChanged:
 		c.options.Logger.Info("VM seen", "vm", string(d.Member.VM.Name), "state", d.Member.State.String(), "was", d.Was.String())
--- a/io/daisycontroller/member_test.go
+++ b/io/daisycontroller/member_test.go
@@ -142,7 +142,7 @@
 // peersSeen tells of each change of the VMs that share the services.
 type peersSeen struct{ changes chan []daisyvm.VM }
 
-func (p peersSeen) SetPeers(vms []daisyvm.VM) { p.changes <- vms }
+func (p peersSeen) SetPeers(vms, _ []daisyvm.VM) { p.changes <- vms }
 
 func (p peersSeen) wait(count int) {
 	for vms := range p.changes {
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -53,7 +53,7 @@
 	// changing serializes the changes of the shard map and of peers; requests never take it.
 	changing sync.Mutex
 	// peers are the VMs that share the services, for shards to come.
-	peers    []daisyvm.VM
+	peers    daisyroute.PeersChanged
 	requests atomic.Uint64
 	// held counts the requests in the hands of routing.
 	held atomic.Int64
@@ -118,7 +118,7 @@
 		Random:  random,
 	})
 	s := newRouteShard(c, service, dispatcher)
-	s.handle(daisyroute.PeersChanged{VMs: c.peers})
+	s.handle(c.peers)
 	shards[service.ID] = s
 }
 
@@ -175,13 +175,13 @@
 	return spare
 }
 
-// SetPeers tells every shard which VMs share its service.
-func (c *Route) SetPeers(vms []daisyvm.VM) {
+// SetPeers tells every shard which VMs share its service, and which do so while they leave.
+func (c *Route) SetPeers(vms, leaving []daisyvm.VM) {
 	c.changing.Lock()
 	defer c.changing.Unlock()
-	c.peers = vms
+	c.peers = daisyroute.PeersChanged{VMs: vms, Leaving: leaving}
 	for _, s := range *c.shards.Load() {
-		s.handle(daisyroute.PeersChanged{VMs: vms})
+		s.handle(c.peers)
 	}
 }
 
--- a/io/daisycontroller/route_test.go
+++ b/io/daisycontroller/route_test.go
@@ -51,7 +51,7 @@
 		self := daisyvm.VM{Name: "vm-1"}
 		routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: self, Sender: o})
 		defer routes.Close()
-		routes.SetPeers([]daisyvm.VM{self, {Name: "vm-2"}})
+		routes.SetPeers([]daisyvm.VM{self, {Name: "vm-2"}}, nil)
 		routes.Apply(snapshotOf("a", "b", "c", "d"))
 		time.Sleep(time.Second)
 		synctest.Wait()
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -174,7 +174,7 @@
 type poolPeers struct{ pool *daisyconnection.Pool }
 
 // SetPeers counts the VMs, this one among them.
-func (p poolPeers) SetPeers(vms []daisyvm.VM) { p.pool.SetVMs(len(vms)) }
+func (p poolPeers) SetPeers(vms, leaving []daisyvm.VM) { p.pool.SetVMs(len(vms) + len(leaving)) }
 
 // readiness says that the VM can serve once a configuration is in force.
 type readiness struct{ members *daisycontroller.Member }
