--- a/io/daisycontroller/route_test.go
+++ b/io/daisycontroller/route_test.go
@@ -107,3 +107,24 @@
 		assert.Assert(t, !routes.Usable(id), "with its only endpoint draining")
 	})
 }
+
+func TestSpareIsWhatTheVMsOwnRequestsLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		self := daisyvm.VM{Name: "vm-1"}
+		routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: self, Sender: &outbox{sent: make(map[daisyvm.Name]int)}})
+		defer routes.Close()
+		routes.Apply(snapshotOf("a"))
+		// Credits of its own or none: another VM that shares the slots changes nothing.
+		routes.SetPeers([]daisyvm.VM{self, {Name: "vm-2"}}, nil)
+		request := daisyrequest.Request{
+			Service:  daisyservice.ID{Fleet: "vigia-lar", Name: "a"},
+			Deadline: time.Now().Add(time.Minute),
+		}
+		for _, want := range []int{3, 2, 1, 0, 0} {
+			assert.Equal(t, routes.Spare(), want)
+			ticket, err := routes.Begin(request)
+			assert.NilError(t, err)
+			defer ticket.Close()
+		}
+	})
+}
