Check that slots come back by the attempts, not by a VM's spare capacity

Cause: since spare capacity is the slots less a VM's own requests, six checks of io/daisyforward that wait for it saw the request end and no longer the slot. Change: they count the attempts that hold a slot, as they did before; the check after two faults now wants every attempt ended, not one slot. Conclusion: as strict as before, one of them stricter.

--- a/io/daisyforward/contract_test.go
+++ b/io/daisyforward/contract_test.go
@@ -161,7 +161,7 @@
 		r.Header.Set("Daisy-Timeout", "30s")
 		first <- ask(t, v.client(t, daisyservice.HTTP1), r)
 	}()
-	waitFor(t, func() bool { return v.routes.Spare() == 0 })
+	waitFor(t, func() bool { return v.inFlight() == 1 })
 	r := newCall(t, http.MethodPost, nil)
 	r.Header.Set("Daisy-Timeout", "50ms")
 	got := ask(t, v.client(t, daisyservice.HTTP1), r)
--- a/io/daisyforward/faults_test.go
+++ b/io/daisyforward/faults_test.go
@@ -102,7 +102,7 @@
 		changeFaults(random, endpoints, done)
 		close(answers)
 		checkAnswers(t, endpoints, answers)
-		waitFor(t, func() bool { return v.routes.Spare() > 0 })
+		waitFor(t, func() bool { return v.inFlight() == 0 })
 	})
 }
 
--- a/io/daisyforward/malformed_test.go
+++ b/io/daisyforward/malformed_test.go
@@ -262,7 +262,7 @@
 		got := ask(t, v.client(t, caller), newCall(t, http.MethodPost, reader))
 		assert.Equal(t, got, answer{status: 408, run: "unknown", problem: true})
 		<-cut
-		waitFor(t, func() bool { return v.routes.Spare() == 2 })
+		waitFor(t, func() bool { return v.inFlight() == 0 })
 	})
 }
 
@@ -280,7 +280,7 @@
 		v := startVM(t, s)
 		assert.Equal(t, ask(t, v.client(t, caller), newCall(t, http.MethodPost, nil)), answer{status: 200, cut: true})
 		<-canceled
-		waitFor(t, func() bool { return v.routes.Spare() == 2 })
+		waitFor(t, func() bool { return v.inFlight() == 0 })
 	})
 }
 
@@ -292,7 +292,7 @@
 		v := startVM(t, s)
 		response, err := v.client(t, caller).RoundTrip(newCall(t, http.MethodPost, nil))
 		assert.NilError(t, err)
-		waitFor(t, func() bool { return v.routes.Spare() == 2 })
+		waitFor(t, func() bool { return v.inFlight() == 0 })
 		_, err = io.ReadAll(response.Body)
 		assert.Assert(t, err != nil)
 	})
--- a/io/daisyforward/stream_test.go
+++ b/io/daisyforward/stream_test.go
@@ -342,10 +342,10 @@
 			done <- err
 		}()
 		<-arrived
-		assert.Equal(t, v.routes.Spare(), 1)
+		assert.Equal(t, v.inFlight(), 1)
 		cancel()
 		assert.Assert(t, <-done != nil)
 		<-canceled
-		waitFor(t, func() bool { return v.routes.Spare() == 2 })
+		waitFor(t, func() bool { return v.inFlight() == 0 })
 	})
 }
--- a/io/daisyforward/vm_test.go
+++ b/io/daisyforward/vm_test.go
@@ -31,6 +31,12 @@
 	routes *daisycontroller.Route
 }
 
+// inFlight counts the attempts that hold a slot.
+func (v *vm) inFlight() int {
+	n, _ := v.routes.ServiceWork(daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"})
+	return n
+}
+
 type settings struct {
 	protocol  daisyservice.Protocol
 	endpoints []netip.AddrPort
