--- a/examples/rest/main.go
+++ b/examples/rest/main.go
@@ -78,14 +78,14 @@
 		return err
 	}
 	defer f.close()
-	if !sleep(ctx, o.settle) {
+	if !daisytrial.Sleep(ctx, o.settle) {
 		return nil
 	}
 	before, err := f.sample()
 	if err != nil {
 		return err
 	}
-	if !sleep(ctx, o.length) {
+	if !daisytrial.Sleep(ctx, o.length) {
 		return nil
 	}
 	after, err := f.sample()
@@ -102,12 +102,3 @@
 	kilobyte = 1e3
 	megabyte = 1e6
 )
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/examples/trial/inject.go
+++ b/examples/trial/inject.go
@@ -30,7 +30,7 @@
 	s := &injector{fleet: f, options: o, ledger: ledger}
 	for i, t := range o.faults {
 		s.ended.Go(func() {
-			if !sleep(ctx, t.at) {
+			if !daisytrial.Sleep(ctx, t.at) {
 				return
 			}
 			fmt.Fprintf(os.Stderr, "%6s  %s\n", t.at, t.text)
@@ -65,7 +65,7 @@
 	case PauseVM:
 		p := s.vm(f.Index)
 		p.Signal(syscall.SIGSTOP)
-		sleep(ctx, f.For)
+		daisytrial.Sleep(ctx, f.For)
 		p.Signal(syscall.SIGCONT)
 	case EndpointFault:
 		address := s.fleet.addresses[f.Index%len(s.fleet.addresses)]
@@ -87,7 +87,7 @@
 func (s *injector) restart(ctx context.Context, index int, signal syscall.Signal, after time.Duration) {
 	p := s.vm(index)
 	p.Stop(signal)
-	if !sleep(ctx, after) {
+	if !daisytrial.Sleep(ctx, after) {
 		return
 	}
 	if err := p.Start(); err != nil {
@@ -98,7 +98,7 @@
 // put sets a fault of a stand-in, and takes it away after a time.
 func (s *injector) put(ctx context.Context, address netip.AddrPort, path, document string, length time.Duration) {
 	s.post(address, path, document)
-	sleep(ctx, length)
+	daisytrial.Sleep(ctx, length)
 	s.post(address, path, "{}")
 }
 
@@ -124,13 +124,3 @@
 	}
 	daisytrial.Run(ctx, s.options.load(s.fleet, streams, fmt.Sprintf("flood%d", number), f.For), s.ledger)
 }
-
-// sleep waits and says whether the time passed before the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/daisytrial/load.go
+++ b/io/daisytrial/load.go
@@ -80,12 +80,5 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return Sleep(ctx, d)
 }
--- a/io/daisytrial/wait.go
+++ b/io/daisytrial/wait.go
@@ -23,10 +23,20 @@
 				return nil
 			}
 		}
-		select {
-		case <-time.After(askAgain):
-		case <-ctx.Done():
+		if !Sleep(ctx, askAgain) {
 			return daisyerror.Unavailable.New("%s does not answer %s", address, path)
 		}
 	}
 }
+
+// Sleep waits, and says whether the time passed before the context ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
