--- a/io/daisydaemon/daemon.go
+++ b/io/daisydaemon/daemon.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -57,13 +58,17 @@
 	operators *operatorServer
 	stop      *daisycontroller.Stop
 	closers   []func()
+
+	// applied is closed once the first configuration is in force.
+	applied chan struct{}
+	apply   sync.Once
 }
 
 // New starts a daemon. It fails with daisyerror.InvalidSetting when a setting
 // cannot be used and daisyerror.Unavailable when an address cannot be listened
 // on; nothing is left running then.
 func New(ctx context.Context, options Options) (*Daemon, error) {
-	d := &Daemon{settings: options.Settings, platform: options.Platform}
+	d := &Daemon{settings: options.Settings, platform: options.Platform, applied: make(chan struct{})}
 	steps := []func() error{
 		func() error { return d.startLog(options.Log) },
 		d.loadAccess,
@@ -132,7 +137,7 @@
 	return netip.AddrPortFrom(address.Addr(), listening.Port())
 }
 
-// confirmFirst confirms the intent that the settings name.
+// confirmFirst confirms the intent that the settings name, and waits until it is in force.
 func (d *Daemon) confirmFirst(ctx context.Context) error {
 	embedded, ok := d.settings.Platform.(daisysetting.EmbeddedPlatform)
 	if !ok || embedded.IntentFile == "" {
@@ -142,7 +147,15 @@
 	if err != nil {
 		return err
 	}
-	return d.plans.ConfirmFirst(ctx, intent, "start")
+	if err := d.plans.ConfirmFirst(ctx, intent, "start"); err != nil {
+		return err
+	}
+	select {
+	case <-d.applied:
+		return nil
+	case <-ctx.Done():
+		return daisyerror.Unavailable.Wrap(ctx.Err(), "putting the intent in force")
+	}
 }
 
 // Callers gives the callers' address that is listened on.
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -77,7 +77,7 @@
 		Self:     d.self,
 		Platform: d.platform,
 		Sender:   d.linker(),
-		Appliers: []daisycontroller.Applier{d.routes, d.pool, d.members, readiness{d.members}},
+		Appliers: []daisycontroller.Applier{d.routes, d.pool, d.members, readiness{daemon: d}},
 		Logger:   d.logger,
 		Seed:     seed,
 	})
@@ -176,11 +176,15 @@
 // SetPeers counts the VMs, this one among them.
 func (p poolPeers) SetPeers(vms, leaving []daisyvm.VM) { p.pool.SetVMs(len(vms) + len(leaving)) }
 
-// readiness says that the VM can serve once a configuration is in force.
-type readiness struct{ members *daisycontroller.Member }
+// readiness says that the VM can serve once a configuration is in force. It is the
+// last of the appliers, so all others have the configuration by then.
+type readiness struct{ daemon *Daemon }
 
 // Apply says that every service of the configuration has its shard.
-func (r readiness) Apply(*daisyconfig.Snapshot) { r.members.SetReady(true) }
+func (r readiness) Apply(*daisyconfig.Snapshot) {
+	r.daemon.members.SetReady(true)
+	r.daemon.apply.Do(func() { close(r.daemon.applied) })
+}
 
 // routeSpare is the spare capacity of all services together.
 type routeSpare struct{ routes *daisycontroller.Route }
