--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -118,6 +118,7 @@
 		if !v.anyFailed(p) {
 			code = 1
 			fmt.Printf("FAILED without a failing test: %s\n", p)
+			v.printUnfinished(p)
 		}
 	}
 	for k := range v.known {
@@ -151,6 +152,16 @@
 	return subtests > 0
 }
 
+// printUnfinished prints what tests wrote that neither passed nor failed, which is
+// where a crash of the package is.
+func (v *verdict) printUnfinished(pkg string) {
+	for k, o := range v.output {
+		if strings.HasPrefix(k, pkg+".") && !v.passed[k] && !v.failed[k] {
+			fmt.Print(o)
+		}
+	}
+}
+
 func (v *verdict) anyFailed(pkg string) bool {
 	for k := range v.failed {
 		if strings.HasPrefix(k, pkg+".") {
