--- a/core/daisycredit/credit_test.go
+++ b/core/daisycredit/credit_test.go
@@ -41,8 +41,10 @@
 	borrowers []*Borrower
 	owners    []*Owner
 	waiting   []int
-	transit   []transit
-	dead      map[daisyvm.Name]bool
+	// guessed has the attempts of each VM that were begun for want of an owner.
+	guessed []map[netip.AddrPort]int
+	transit []transit
+	dead    map[daisyvm.Name]bool
 }
 
 type transit struct {
@@ -61,6 +63,7 @@
 		c.borrowers = append(c.borrowers, NewBorrower(v, c.service, AtHand{}))
 		c.owners = append(c.owners, nil)
 		c.waiting = append(c.waiting, 0)
+		c.guessed = append(c.guessed, make(map[netip.AddrPort]int))
 	}
 	c.tellVMs()
 	return c
@@ -148,6 +151,9 @@
 	for i, b := range c.borrowers {
 		for _, e := range c.service.Endpoints {
 			for c.waiting[i] > 0 && b.Idle(e.Address) > 0 {
+				if b.Guessing() {
+					c.guessed[i][e.Address]++
+				}
 				b.Take(e.Address)
 				c.waiting[i]--
 			}
@@ -174,17 +180,51 @@
 	return nil
 }
 
+// release ends an attempt, one of those begun with a credit first.
+func (c *cluster) release(i int, endpoint netip.AddrPort) {
+	b := c.borrowers[i]
+	b.Release(c.now, endpoint)
+	c.guessed[i][endpoint] = min(c.guessed[i][endpoint], int(b.lines[endpoint].inFlight))
+}
+
+// guesses gives the attempts at an endpoint that were begun for want of an owner.
+func (c *cluster) guesses(endpoint netip.AddrPort) int {
+	sum := 0
+	for i := range c.guessed {
+		if !c.dead[c.vms[i].Name] {
+			sum += c.guessed[i][endpoint]
+		}
+	}
+	return sum
+}
+
+// checkGuesses asserts that each VM has begun no more than its even share for want of an owner.
+func (c *cluster) checkGuesses(t assert.TestingT) {
+	share := (c.service.Slots() + len(c.vms) - 1) / len(c.vms)
+	for i, endpoints := range c.guessed {
+		sum := 0
+		for _, n := range endpoints {
+			sum += n
+		}
+		assert.Assert(t, sum <= share, "vm %d: %d attempts begun without an owner, even share %d", i, sum, share)
+	}
+}
+
 // check asserts that no slot is lent twice and, in a quiet state, that none is lost.
+// A VM that cannot hear its owner knows nothing of the others' attempts, so those that
+// it begins meanwhile count apart.
 func (c *cluster) check(t assert.TestingT, quiet bool) {
 	for i, b := range c.borrowers {
 		total, running := b.total, b.running
 		b.recount()
 		assert.Assert(t, total == b.total && running == b.running, "vm %d: sums %d and %d, lines %d and %d", i, total, running, b.total, b.running)
 	}
+	c.checkGuesses(t)
 	o := c.owner()
 	for _, p := range o.pools {
 		held := c.held(p.Address)
-		assert.Assert(t, held <= p.Slots, "%s: %d held of %d", p.Address, held, p.Slots)
+		guessed := c.guesses(p.Address)
+		assert.Assert(t, held-guessed <= p.Slots, "%s: %d held of %d, and %d begun without an owner", p.Address, held-guessed, p.Slots, guessed)
 		if quiet {
 			o.recount()
 			assert.Equal(t, held, p.out, "%s: the book differs from what is held", p.Address)
@@ -205,6 +245,45 @@
 	})
 }
 
+// A VM that has lost its owner for silentAfter begins work within its even share, although all slots are lent.
+func TestAttemptsBegunWithoutAnOwnerStayWithinTheEvenShare(t *testing.T) {
+	c := newCluster(3, 1)
+	c.run(200 * time.Millisecond)
+	owner := c.index(c.owner().options.Self.Name)
+	busy, cut := (owner+1)%3, (owner+2)%3
+	c.waiting[busy] = 9
+	c.run(100 * time.Millisecond)
+	assert.Equal(t, c.borrowers[busy].inFlight(), testSlots)
+
+	c.waiting[cut] = 9
+	c.runCut(silentAfter+100*time.Millisecond, cut)
+	assert.Assert(t, c.borrowers[cut].Guessing())
+	assert.Equal(t, c.borrowers[cut].inFlight(), 1, "even share of %d slots", testSlots)
+	c.check(t, false)
+
+	c.run(repeatAtMost)
+	assert.Assert(t, !c.borrowers[cut].Guessing())
+	c.release(busy, c.service.Endpoints[0].Address)
+	c.run(100 * time.Millisecond)
+	assert.Equal(t, c.held(c.service.Endpoints[0].Address), testSlots, "the claimed attempt has a slot again")
+	c.check(t, true)
+}
+
+// runCut lets time pass while one VM loses all its messages.
+func (c *cluster) runCut(d time.Duration, cut int) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(time.Millisecond) {
+		c.flush()
+		for len(c.transit) > 0 {
+			if m := c.transit[0]; m.from == cut || m.to == cut {
+				c.transit = c.transit[1:]
+				continue
+			}
+			c.deliver(0, false)
+		}
+		c.work()
+	}
+}
+
 func (c *cluster) step(t *rapid.T) {
 	c.now = c.now.Add(time.Duration(rapid.IntRange(0, 7).Draw(t, "milliseconds")) * time.Millisecond)
 	i := rapid.IntRange(0, len(c.vms)-1).Draw(t, "vm")
@@ -216,7 +295,7 @@
 		c.work()
 	case 2, 3:
 		if b.lines[e].inFlight > 0 {
-			b.Release(c.now, e)
+			c.release(i, e)
 			c.work()
 		}
 	case 4:
