--- a/examples/addedlatency/main.go
+++ b/examples/addedlatency/main.go
@@ -62,7 +62,9 @@
 	report(o, &straight, &through)
 	reportIdle()
 	if o.metrics {
-		b.metrics.WritePrometheus(os.Stderr)
+		if err := b.metrics.WritePrometheus(os.Stderr); err != nil {
+			return err
+		}
 	}
 	if straight.failed+through.failed > 0 {
 		return daisyerror.Unavailable.New("%d calls failed", straight.failed+through.failed)
--- a/examples/capacity/measures.go
+++ b/examples/capacity/measures.go
@@ -238,13 +238,14 @@
 
 func metricsSize(count int) float64 {
 	c := &counter{}
-	newMetrics(count).WritePrometheus(c)
+	// A counter takes every write.
+	_ = newMetrics(count).WritePrometheus(c)
 	return float64(c.bytes) / kilobyte
 }
 
 func metricsTime(count int) float64 {
 	m := newMetrics(count)
-	return milliseconds(median(func() { m.WritePrometheus(io.Discard) }))
+	return milliseconds(median(func() { _ = m.WritePrometheus(io.Discard) }))
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/io/daisydaemon/access.go
+++ b/io/daisydaemon/access.go
@@ -38,7 +38,7 @@
 	}
 	d.access.certificates = certificates
 	d.access.mutual = s.TLSAuthority != ""
-	d.metrics.AddGauge("daisyyoke_certificate_expires_seconds", func() float64 {
+	d.metrics.AddGauge("daisyyoke_certificate_expires_seconds", "Time until the certificate expires.", func() float64 {
 		return time.Until(certificates.NotAfter()).Seconds()
 	})
 	return nil
--- a/io/daisydaemon/caller_metric.go
+++ b/io/daisydaemon/caller_metric.go
@@ -6,15 +6,21 @@
 	"daisyyoke/io/daisymetric"
 )
 
+// Help of metrics that both kinds of daemon have.
+const (
+	connectionsHelp = "Open connections to endpoints."
+	revisionHelp    = "Revision of the configuration in force, 0 for none."
+)
+
 // addCallerMetrics shows what callers and endpoints hold of the VM.
 func (d *Daemon) addCallerMetrics(admit *daisyfilter.Admit) {
-	d.metrics.AddGauge("daisyyoke_requests_in_hand", func() float64 { return float64(admit.Running()) })
-	d.metrics.AddGauge("daisyyoke_endpoint_connections", func() float64 { return float64(d.pool.Connections()) })
+	d.metrics.AddGauge("daisyyoke_requests_in_hand", "Requests of all services now.", func() float64 { return float64(admit.Running()) })
+	d.metrics.AddGauge("daisyyoke_endpoint_connections", connectionsHelp, func() float64 { return float64(d.pool.Connections()) })
 	addLogMetrics(d.metrics, d.log)
 }
 
 // addLogMetrics shows what the log leaves out.
 func addLogMetrics(metrics *daisymetric.Metrics, log *daisylog.Log) {
-	metrics.AddGauge("daisyyoke_log_lines_dropped_total", func() float64 { return float64(log.Dropped()) })
-	metrics.AddGauge("daisyyoke_log_requests_kept_ratio", log.Kept)
+	metrics.AddGauge("daisyyoke_log_lines_dropped_total", "Log lines dropped because the buffer was full.", func() float64 { return float64(log.Dropped()) })
+	metrics.AddGauge("daisyyoke_log_requests_kept_ratio", "Share of the requests that is logged, from 0 to 1.", log.Kept)
 }
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -359,13 +359,15 @@
 func (d *Managed) addMetrics() {
 	addLogMetrics(d.metrics, d.log)
 	addLinkMetrics(d.metrics, d.links)
-	d.metrics.AddGauge("daisyyoke_endpoint_connections", func() float64 { return float64(d.pool.Connections()) })
-	d.metrics.AddGauge("daisyyoke_configuration_revision", func() float64 { return float64(d.revision.Load()) })
+	d.metrics.AddGauge("daisyyoke_endpoint_connections", connectionsHelp, func() float64 { return float64(d.pool.Connections()) })
+	d.metrics.AddGauge("daisyyoke_configuration_revision", revisionHelp, func() float64 { return float64(d.revision.Load()) })
 }
 
 func (d *Managed) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	d.metrics.WritePrometheus(w)
+	if err := d.metrics.WritePrometheus(w); err != nil {
+		d.logger.Info("metrics not delivered", "cause", err)
+	}
 }
 
 // Reload reads the settings anew, and links the VMs that they name. Addresses that
--- a/io/daisydaemon/operator.go
+++ b/io/daisydaemon/operator.go
@@ -124,5 +124,7 @@
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (h health) WriteMetrics(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	h.daemon.metrics.WritePrometheus(w)
+	if err := h.daemon.metrics.WritePrometheus(w); err != nil {
+		h.daemon.logger.Info("metrics not delivered", "cause", err)
+	}
 }
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -82,7 +82,7 @@
 		Seed:     seed,
 	})
 	d.onClose(d.config.Close)
-	d.metrics.AddGauge("daisyyoke_configuration_revision", func() float64 { return float64(d.config.Revision()) })
+	d.metrics.AddGauge("daisyyoke_configuration_revision", revisionHelp, func() float64 { return float64(d.config.Revision()) })
 	d.plans = daisycontroller.NewPlan(daisycontroller.PlanOptions{
 		Self:     d.self,
 		Platform: d.platform,
--- a/io/daisylog/log.go
+++ b/io/daisylog/log.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,15 +20,27 @@
 	"daisyyoke/core/daisyerror"
 )
 
+// module names the program on every line.
+const module = "daisyd"
+
 const (
 	// DefaultBuffer is the number of lines that wait to be written before further ones are dropped.
 	DefaultBuffer = 8192
 	// DefaultRate is the number of lines a second up to which every request is logged.
 	DefaultRate = 2000
+	// gatherTime is how long a line waits for others to share a write, and what a killed
+	// process may lose; at DefaultRate, 200 lines come in that time.
+	gatherTime = 100 * time.Millisecond
 	// closeTime is how long Close waits for an output that takes no bytes.
 	closeTime = time.Second
 )
 
+// entry is a line with the time of its Write.
+type entry struct {
+	at   time.Time
+	line Line
+}
+
 // Options are what a Log depends on.
 type Options struct {
 	Output io.Writer
@@ -41,11 +54,12 @@
 
 // Log writes lines in the order of their Write. It is safe for concurrent use.
 type Log struct {
-	encoder hclog.Logger
-	output  *bufio.Writer
-	lines   chan Line
-	sampler *sampler
-	dropped atomic.Uint64
+	messages  hclog.Logger
+	decisions encoder
+	output    *bufio.Writer
+	lines     chan entry
+	sampler   *sampler
+	dropped   atomic.Uint64
 	// closing keeps Write and Close apart.
 	closing sync.RWMutex
 	closed  bool
@@ -66,21 +80,24 @@
 	}
 	output := bufio.NewWriter(options.Output)
 	l := &Log{
-		encoder: newEncoder(level, output),
-		output:  output,
-		lines:   make(chan Line, options.Buffer),
-		sampler: newSampler(options.Rate),
-		ended:   make(chan struct{}),
+		messages:  newMessageLogger(level, output),
+		decisions: newEncoder(output),
+		output:    output,
+		lines:     make(chan entry, options.Buffer),
+		sampler:   newSampler(options.Rate),
+		ended:     make(chan struct{}),
 	}
 	go func() {
 		defer close(l.ended)
 		told := uint64(0)
-		for n := range l.lines {
-			l.print(n)
-			if len(l.lines) > 0 {
-				continue
+		for e := range l.lines {
+			l.print(e)
+			time.Sleep(gatherTime)
+			for range len(l.lines) {
+				l.print(<-l.lines)
 			}
 			told = l.tellDropped(told)
+			// A log has nowhere to report that its own output fails.
 			_ = output.Flush()
 		}
 		l.tellDropped(told)
@@ -89,28 +106,31 @@
 	return l, nil
 }
 
-func newEncoder(level hclog.Level, output io.Writer) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{Name: "daisyd", Level: level, Output: output, JSONFormat: true})
+func newMessageLogger(level hclog.Level, output io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: module, Level: level, Output: output, JSONFormat: true})
 }
 
 // tellDropped writes how many lines were dropped since it last did.
 func (l *Log) tellDropped(told uint64) uint64 {
 	dropped := l.dropped.Load()
 	if dropped > told {
-		l.encoder.Warn("log lines dropped", "lines", dropped-told)
+		l.messages.Warn("log lines dropped", "lines", dropped-told)
 	}
 	return dropped
 }
 
 // Write hands a line over without waiting.
 func (l *Log) Write(line Line) {
-	if l == nil || !l.encoder.IsInfo() || !l.sampler.keeps(time.Now(), line) {
+	if l == nil || !l.messages.IsInfo() {
 		return
 	}
-	l.put(line)
+	now := time.Now()
+	if l.sampler.keeps(now, line) {
+		l.put(entry{at: now, line: line})
+	}
 }
 
-func (l *Log) put(line Line) {
+func (l *Log) put(e entry) {
 	l.closing.RLock()
 	defer l.closing.RUnlock()
 	if l.closed {
@@ -118,7 +138,7 @@
 		return
 	}
 	select {
-	case l.lines <- line:
+	case l.lines <- e:
 	default:
 		l.dropped.Add(1)
 	}
@@ -131,13 +151,13 @@
 func (l *Log) Kept() float64 { return l.sampler.share() }
 
 // Logger gives a logger for messages that are not decisions.
-func (l *Log) Logger() hclog.Logger { return newEncoder(l.encoder.GetLevel(), messageWriter{l}) }
+func (l *Log) Logger() hclog.Logger { return newMessageLogger(l.messages.GetLevel(), messageWriter{l}) }
 
 // messageWriter queues what a logger has encoded, one line for each Write.
 type messageWriter struct{ log *Log }
 
 func (w messageWriter) Write(p []byte) (int, error) {
-	w.log.put(message{text: append([]byte(nil), p...)})
+	w.log.put(entry{line: message{text: slices.Clone(p)}})
 	return len(p), nil
 }
 
--- a/io/daisylog/log_test.go
+++ b/io/daisylog/log_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
@@ -101,8 +102,8 @@
 					log.Write(daisylog.Answered{Subject: s, Whole: true})
 				}
 				log.Write(daisylog.Refused{Subject: daisylog.Subject{Name: "failed"}})
-				synctest.Wait()
 				time.Sleep(time.Second)
+				synctest.Wait()
 			}
 			log.Close()
 			kept[vm] = make(map[string]int)
@@ -151,6 +152,38 @@
 	})
 }
 
+// counter counts writes.
+type counter struct {
+	writes int
+	bytes.Buffer
+}
+
+func (c *counter) Write(p []byte) (int, error) {
+	c.writes++
+	return c.Buffer.Write(p)
+}
+
+func TestLinesShareAWriteAndKeepTheirTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output counter
+		log, err := daisylog.New(daisylog.Options{Output: &output, Level: "info"})
+		assert.NilError(t, err)
+		var want []string
+		for range 5 {
+			want = append(want, time.Now().Format(hclog.TimeFormatJSON))
+			log.Write(daisylog.Refused{})
+			time.Sleep(time.Millisecond)
+		}
+		log.Close()
+		assert.Equal(t, output.writes, 1)
+		var got []string
+		for _, line := range parse(t, &output.Buffer) {
+			got = append(got, line["@timestamp"].(string))
+		}
+		assert.DeepEqual(t, got, want)
+	})
+}
+
 func TestLevels(t *testing.T) {
 	_, err := daisylog.New(daisylog.Options{Output: &bytes.Buffer{}, Level: "loud"})
 	assert.Assert(t, errorx.IsOfType(err, daisyerror.InvalidSetting))
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -5,67 +5,75 @@
 	"strings"
 )
 
-func (l *Log) print(line Line) {
-	switch n := line.(type) {
+func (l *Log) print(e entry) {
+	switch n := e.line.(type) {
 	case Sent:
-		l.printSent(n)
+		l.write(e, "request sent", n.record())
 	case AttemptFailed:
-		l.info("attempt failed", n.fields("endpoint", n.Endpoint.String(), "attempt", n.Attempt,
-			"outcome", n.Outcome, "cause", n.Cause, "took", n.Took.String()))
+		l.write(e, "attempt failed", &attemptFailedRecord{subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
+			Attempt: uint64(n.Attempt), Outcome: n.Outcome, Cause: n.Cause, Took: n.Took.String()})
 	case Answered:
-		l.info("request answered", n.fields("endpoint", n.Endpoint.String(), "attempt", n.Attempt,
-			"status", n.Status, "whole", n.Whole, "attempts", n.Attempts, "took", n.Took.String()))
+		l.write(e, "request answered", &answeredRecord{subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
+			Attempt: uint64(n.Attempt), Status: n.Status, Whole: n.Whole, Attempts: n.Attempts, Took: n.Took.String()})
 	case Refused:
-		l.info("request refused", n.fields("why", n.Why, "status", n.Status, "attempts", n.Attempts,
-			"waited", n.Waited.String(), "retry-after", n.RetryAfter.String()))
+		l.write(e, "request refused", &refusedRecord{subjectFields: n.fields(), Why: n.Why, Status: n.Status,
+			Attempts: n.Attempts, Waited: n.Waited.String(), RetryAfter: n.RetryAfter.String()})
 	case Rejected:
-		l.info("request rejected", []any{"name", n.Name, "host", n.Host, "path", n.Path, "status", n.Status, "why", n.Why})
+		l.write(e, "request rejected", &rejectedRecord{Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Why: n.Why})
 	case Abandoned:
-		l.info("request abandoned", n.fields("attempts", n.Attempts, "took", n.Took.String()))
+		l.write(e, "request abandoned", &abandonedRecord{subjectFields: n.fields(), Attempts: n.Attempts, Took: n.Took.String()})
 	case Canceled:
-		l.info("attempt canceled", n.fields("endpoint", n.Endpoint.String(), "attempt", n.Attempt))
+		l.write(e, "attempt canceled", &canceledRecord{subjectFields: n.fields(), Endpoint: n.Endpoint.String(), Attempt: uint64(n.Attempt)})
 	case Changed:
-		l.info("endpoint changed", []any{"fleet", n.Service.Fleet, "service", n.Service.Name,
-			"endpoint", n.Endpoint.String(), "condition", n.Condition})
+		l.write(e, "endpoint changed", &changedRecord{Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+			Endpoint: n.Endpoint.String(), Condition: n.Condition})
 	case Lending:
-		l.info("lending changed", []any{"fleet", n.Service.Fleet, "service", n.Service.Name,
-			"owner", n.Owner, "guessing", n.Guessing})
+		l.write(e, "lending changed", &lendingRecord{Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+			Owner: string(n.Owner), Guessing: n.Guessing})
 	case message:
+		// A log has nowhere to report that its own output fails.
 		_, _ = l.output.Write(n.text)
 	}
 }
 
-func (l *Log) printSent(n Sent) {
-	fields := n.fields("endpoint", n.Endpoint.String(), "why", n.Why, "choice", n.Choice, "considered", addresses(n.Considered),
-		"free", n.Free, "waited", n.Waited.String(), "left", n.Left.String(), "attempt", n.Attempt)
-	if n.Instance != "" {
-		fields = append(fields, "instance", n.Instance)
-	}
-	if !n.Report.At.IsZero() {
-		fields = append(fields, "report-in-flight", n.Report.InFlight, "report-waiting", n.Report.Waiting,
-			"report-slowdown", n.Report.Slowdown, "report-age", n.ReportAge.String())
-	}
-	l.info("request sent", fields)
+func (l *Log) write(e entry, text string, r record) {
+	l.decisions.write(e.at, text, l.sampler.share(), r)
 }
 
-// info writes a line, with the share of the requests that are logged unless that is all.
-func (l *Log) info(text string, fields []any) {
-	if share := l.sampler.share(); share < 1 {
-		fields = append(fields, "kept-share", share)
+func (n Sent) record() *sentRecord {
+	r := &sentRecord{
+		subjectFields: n.fields(),
+		Endpoint:      n.Endpoint.String(),
+		Why:           n.Why,
+		Choice:        n.Choice,
+		Considered:    addresses(n.Considered),
+		Free:          n.Free,
+		Waited:        n.Waited.String(),
+		Left:          n.Left.String(),
+		Attempt:       uint64(n.Attempt),
+		Instance:      string(n.Instance),
 	}
-	l.encoder.Info(text, fields...)
+	if !n.Report.At.IsZero() {
+		r.reportFields = &reportFields{
+			InFlight: n.Report.InFlight,
+			Waiting:  n.Report.Waiting,
+			Slowdown: n.Report.Slowdown,
+			Age:      n.ReportAge.String(),
+		}
+	}
+	return r
 }
 
-// fields gives those of a request before others.
-func (s Subject) fields(others ...any) []any {
-	fields := []any{"fleet", s.Service.Fleet, "service", s.Service.Name, "rank", s.Rank, "request", s.Request}
-	if s.Name != "" {
-		fields = append(fields, "name", s.Name)
-	}
-	if s.Route != "" {
-		fields = append(fields, "route", s.Route, "revision", s.Revision)
+func (s Subject) fields() subjectFields {
+	return subjectFields{
+		Fleet:    string(s.Service.Fleet),
+		Service:  s.Service.Name,
+		Rank:     string(s.Rank),
+		Request:  uint64(s.Request),
+		Name:     string(s.Name),
+		Route:    s.Route,
+		Revision: s.Revision,
 	}
-	return append(fields, others...)
 }
 
 func addresses(a []netip.AddrPort) string {
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -4,6 +4,7 @@
 package daisymetric
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -19,6 +20,7 @@
 // and all of them are safe for concurrent use.
 type Metrics struct {
 	set      *metrics.Set
+	helps    helps
 	ranks    cache[rankKey, *Rank]
 	counters cache[string, *metrics.Counter]
 	probes   cache[probeKey, *metrics.Counter]
@@ -38,14 +40,19 @@
 func New() *Metrics { return &Metrics{set: metrics.NewSet()} }
 
 // WritePrometheus writes all metrics and those of the process in the Prometheus text format.
-func (m *Metrics) WritePrometheus(w io.Writer) {
-	m.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+// It fails when w does.
+func (m *Metrics) WritePrometheus(w io.Writer) error {
+	var text bytes.Buffer
+	m.set.WritePrometheus(&text)
+	metrics.WriteProcessMetrics(&text)
+	return m.helps.write(w, &text)
 }
 
-// AddGauge adds a value that is read whenever the metrics are written. The name may carry labels.
-func (m *Metrics) AddGauge(name string, read func() float64) {
+// AddGauge adds a value that is read whenever the metrics are written, with a line of
+// help. The name may carry labels.
+func (m *Metrics) AddGauge(name, help string, read func() float64) {
 	if m != nil {
+		m.helps.add(name, help)
 		m.set.GetOrCreateGauge(name, read)
 	}
 }
--- a/io/daisymetric/metrics_test.go
+++ b/io/daisymetric/metrics_test.go
@@ -29,11 +29,13 @@
 	m.MessageReceived(daisymessage.CreditGrant{})
 	m.MessageReceived(daisymessage.Heartbeat{})
 	m.PlatformOperation("read-rows", "read")
-	m.AddGauge(`daisyyoke_ready`, func() float64 { return 1 })
+	m.AddGauge(`daisyyoke_ready`, "Whether it is.", func() float64 { return 1 })
 	var b strings.Builder
-	m.WritePrometheus(&b)
+	assert.NilError(t, m.WritePrometheus(&b))
 	labels := `fleet="vigia-lar",service="lookups"`
 	for _, want := range []string{
+		`# HELP daisyyoke_request_waited_seconds Time that a request waited for a slot before its first attempt.`,
+		`# HELP daisyyoke_ready Whether it is.`,
 		`daisyyoke_requests_total{` + labels + `,rank="urgent",outcome="served"} 1`,
 		`daisyyoke_attempts_total{` + labels + `,rank="urgent",reason="first"} 1`,
 		`daisyyoke_attempts_total{` + labels + `,rank="urgent",reason="hedge"} 1`,
