--- a/io/daisypeer/link.go
+++ b/io/daisypeer/link.go
@@ -33,6 +33,7 @@
 	peer    hello
 	dialer  daisyvm.Name
 	session *yamux.Session
+	streams *streams
 	urgent  *lane
 	bulk    *lane
 	// replaced says that a better link to the peer took its place.
@@ -67,6 +68,7 @@
 		peer:    peer,
 		dialer:  dialer,
 		session: session,
+		streams: newStreams(),
 		urgent:  newLane(urgentLimit),
 		bulk:    newLane(bulkLimit),
 		done:    make(chan struct{}),
@@ -79,6 +81,7 @@
 // end closes the session; the first error is the cause.
 func (l *link) end(err error) {
 	l.links.linkEnded(l, err)
+	l.streams.end()
 	_ = l.session.Close()
 }
 
@@ -103,8 +106,8 @@
 	if err != nil {
 		return Broken.Wrap(err, "bulk stream")
 	}
-	l.ended.Go(func() { l.end(newWriter(l, bulk, l.bulk, maxBulkFrame).run()) })
-	return newWriter(l, urgent, l.urgent, maxUrgentFrame).run()
+	l.ended.Go(func() { l.end(l.write(bulk, l.bulk, maxBulkFrame)) })
+	return l.write(urgent, l.urgent, maxUrgentFrame)
 }
 
 // receive accepts the two streams of the other direction and reads until the session ends.
@@ -125,9 +128,23 @@
 	return l.read(bulk, maxBulkFrame)
 }
 
+func (l *link) write(stream *yamux.Stream, queue *lane, limit int) error {
+	u, err := l.streams.use(stream)
+	if err != nil {
+		return err
+	}
+	defer u.release()
+	return newWriter(l, u, queue, limit).run()
+}
+
 func (l *link) read(stream *yamux.Stream, limit int) error {
+	u, err := l.streams.use(stream)
+	if err != nil {
+		return err
+	}
+	defer u.release()
 	d := &decoder{epoch: l.links.epoch, peerEpoch: l.peer.epoch, vm: l.peer.vm}
-	f := &frameReader{reader: bufio.NewReader(&idleReader{stream: stream, idle: limit == maxUrgentFrame}), limit: limit}
+	f := &frameReader{reader: bufio.NewReader(&idleReader{user: u, idle: limit == maxUrgentFrame}), limit: limit}
 	for {
 		frame, err := f.next()
 		if err == io.EOF {
@@ -154,32 +171,35 @@
 
 // idleReader gives up on a stream that stays silent for idleTimeout.
 type idleReader struct {
-	stream *yamux.Stream
-	idle   bool
+	user *streamUser
+	idle bool
 }
 
 func (r *idleReader) Read(p []byte) (int, error) {
 	if r.idle {
-		if err := r.stream.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		if err := r.user.stream.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 			return 0, Broken.Wrap(err, "deadline")
 		}
 	}
-	return r.stream.Read(p)
+	if r.user.stopped() {
+		return 0, Broken.New("session closed")
+	}
+	return r.user.stream.Read(p)
 }
 
 // writer sends the messages of one lane over one stream.
 type writer struct {
 	link    *link
-	stream  *yamux.Stream
+	user    *streamUser
 	lane    *lane
 	limit   int
 	encoder *encoder
 	buffer  []byte
 }
 
-func newWriter(l *link, stream *yamux.Stream, queue *lane, limit int) *writer {
+func newWriter(l *link, user *streamUser, queue *lane, limit int) *writer {
 	e := &encoder{epoch: l.links.epoch, peerEpoch: l.peer.epoch, vm: l.links.options.Self}
-	return &writer{link: l, stream: stream, lane: queue, limit: limit, encoder: e}
+	return &writer{link: l, user: user, lane: queue, limit: limit, encoder: e}
 }
 
 func (w *writer) run() error {
@@ -187,6 +207,8 @@
 	for {
 		select {
 		case <-w.lane.wake:
+		case <-w.link.streams.stop:
+			return Broken.New("session closed")
 		case <-w.link.session.CloseChan():
 			return Broken.New("session closed")
 		}
@@ -215,10 +237,13 @@
 	counts.batches.Add(1)
 	for rest := w.buffer; len(rest) > 0; {
 		n := min(chunk, len(rest))
-		if err := w.stream.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+		if err := w.user.stream.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
 			return Broken.Wrap(err, "deadline")
 		}
-		if _, err := w.stream.Write(rest[:n]); err != nil {
+		if w.user.stopped() {
+			return Broken.New("session closed")
+		}
+		if _, err := w.user.stream.Write(rest[:n]); err != nil {
 			return Broken.Wrap(err, "write")
 		}
 		rest = rest[n:]
--- /dev/null
+++ b/io/daisypeer/spin_test.go
@@ -0,0 +1,68 @@
+package daisypeer
+
+import (
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyvm"
+)
+
+// lingeringConn lets its reader go some time after it was closed.
+type lingeringConn struct {
+	net.Conn
+	linger time.Duration
+}
+
+func (c *lingeringConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		time.Sleep(c.linger)
+	}
+	return n, err
+}
+
+type ignoringReceiver struct{}
+
+func (ignoringReceiver) Receive(daisyvm.Name, daisymessage.Message) {}
+func (ignoringReceiver) LinkOpened(daisyvm.VM)                      {}
+
+// A session that is closed lets its streams go only once its reader has ended, and until
+// then a read of a stream asks again and again, which keeps a processor busy.
+func TestReadersDoNotSpinWhileASessionCloses(t *testing.T) {
+	const linger = 300 * time.Millisecond
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	near, far := net.Pipe()
+	server, err := newSession(far, false)
+	assert.NilError(t, err)
+	defer func() { _ = server.Close() }()
+	session, err := newSession(&lingeringConn{Conn: near, linger: linger}, true)
+	assert.NilError(t, err)
+	links := &Links{options: Options{Receiver: ignoringReceiver{}, Logger: hclog.NewNullLogger()}}
+	l := newLink(links, session, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0")
+	for range 2 {
+		stream, err := server.OpenStream()
+		assert.NilError(t, err)
+		_, err = stream.Write(nil)
+		assert.NilError(t, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	before := processorTime(t)
+	l.end(Outdated.New("replaced"))
+	l.wait()
+	spent := processorTime(t) - before
+	assert.Assert(t, spent < linger/5, "%v of processor time in %v without work", spent, linger)
+}
+
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	assert.NilError(t, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/io/daisypeer/stream.go
@@ -0,0 +1,73 @@
+package daisypeer
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// streams ends the use of a session's streams before the session is closed. A call that
+// waits at a stream when its session closes returns only once the session's own reader
+// has ended, and asks again and again until then.
+type streams struct {
+	mu     sync.Mutex
+	closed bool
+	// stop is closed before the users are waited for.
+	stop  chan struct{}
+	users []*streamUser
+}
+
+// streamUser is a goroutine that reads or writes a stream.
+type streamUser struct {
+	all    *streams
+	stream *yamux.Stream
+	done   chan struct{}
+}
+
+func newStreams() *streams { return &streams{stop: make(chan struct{})} }
+
+// use registers a goroutine as the user of a stream, until it calls release.
+func (s *streams) use(stream *yamux.Stream) (*streamUser, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil, Broken.New("session closed")
+	}
+	u := &streamUser{all: s, stream: stream, done: make(chan struct{})}
+	s.users = append(s.users, u)
+	return u, nil
+}
+
+func (u *streamUser) release() { close(u.done) }
+
+// stopped reports whether the stream must not be used any more. A user asks after it
+// has set a deadline and before it waits, so that the deadline of end is the later one.
+func (u *streamUser) stopped() bool {
+	select {
+	case <-u.all.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// end makes all users leave their streams and waits until they have.
+func (s *streams) end() {
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.stop)
+	}
+	users := slices.Clone(s.users)
+	s.mu.Unlock()
+	past := time.Now().Add(-time.Second)
+	for _, u := range users {
+		// It never fails; a stream without the deadline would end with the session.
+		_ = u.stream.SetDeadline(past)
+	}
+	for _, u := range users {
+		<-u.done
+	}
+}
