--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -17,7 +17,7 @@
 	checkEvery = 400 * time.Millisecond
 	// growth is the factor by which waiting work has to grow before it is reported again at once.
 	growth = 1.25
-	// reportEvery is the time between two reports while work waits for a credit on demand.
+	// reportEvery is the time between two reports of changes that are not urgent while work waits for a credit on demand.
 	reportEvery = 30 * time.Millisecond
 	// impatience is how long waiting work trusts an owner that says nothing, when
 	// credits are lent on demand: several round trips between availability zones.
@@ -275,7 +275,7 @@
 
 // settle gives back everything that must not be kept.
 func (b *Borrower) settle(now time.Time) {
-	if b.guessing {
+	if b.guessing || b.held() <= b.running {
 		return
 	}
 	for _, a := range b.order {
@@ -320,8 +320,7 @@
 		if b.held()-b.running > b.waiting() {
 			b.settle(now)
 		}
-		if b.waiting() > 0 {
-			// The report, and its acknowledgement, show whether the owner lives.
+		if b.waiting() > 0 && !slices.Equal(b.demand, b.reported) {
 			b.pace.within(now, reportEvery)
 		}
 	}
--- a/core/daisycredit/demand_test.go
+++ b/core/daisycredit/demand_test.go
@@ -20,6 +20,8 @@
 	// silent endpoints do not answer.
 	silent    map[int]bool
 	inspected int
+	// messages counts those that were sent.
+	messages int
 	// less counts the less urgent requests that wait at each VM.
 	less map[int]int
 	// foreign is the work of VMs that the owner does not know of, by endpoint.
@@ -66,6 +68,7 @@
 		}
 		b.SetDemand(c.now, []Demand{{Waiting: uint32(c.waiting[i]), InFlight: uint32(b.inFlight())}, {Waiting: uint32(c.less[i])}, {}})
 		if r, ok := b.Flush(c.now); ok {
+			c.messages++
 			c.transit = append(c.transit, transit{from: i, to: c.index(b.Owner().Name), report: &r})
 		}
 	}
@@ -73,6 +76,7 @@
 		return
 	}
 	for _, l := range c.owner.Flush(c.now) {
+		c.messages++
 		c.transit = append(c.transit, transit{from: c.index(c.owner.options.Self.Name), to: c.index(l.To), grant: &l.Grant})
 	}
 }
@@ -213,6 +217,28 @@
 	assert.Assert(t, waited <= impatience+20*time.Millisecond, "%v", waited)
 }
 
+// While work waits for slots that are all in use, a VM needs the word of its owner, and
+// the owner has all VMs to talk to.
+func TestOnDemandWaitingWorkCostsFewMessages(t *testing.T) {
+	c := newDemandCluster(5, 1)
+	c.settle()
+	for v := range c.borrowers {
+		c.waiting[v] = 4
+	}
+	for range 300 {
+		c.step()
+	}
+	c.messages = 0
+	for range 1000 {
+		c.step()
+		for v, b := range c.borrowers {
+			assert.Assert(t, !b.Guessing(), "vm %d waits for an owner that lives", v)
+		}
+	}
+	most := len(c.borrowers) * int(time.Second/wordEvery+2*time.Second/repeatAtMost)
+	assert.Assert(t, c.messages <= most, "%d messages a second, at most %d", c.messages, most)
+}
+
 // An endpoint that holds credits much longer than the others is taken to be slow,
 // whatever it says.
 func TestOnDemandLongHoldsTellASlowEndpoint(t *testing.T) {
--- a/core/daisycredit/hold.go
+++ b/core/daisycredit/hold.go
@@ -83,7 +83,7 @@
 // fullHelps reports whether endpoints get clearly more done when all their slots
 // are in use, as far as that is known. Many slow down when they are nearly full.
 func (o *Owner) fullHelps() bool {
-	slots := float64(o.service.Slots()) / float64(max(len(o.pools), 1))
+	slots := float64(o.slots) / float64(max(len(o.pools), 1))
 	if o.fullHolds.samples < fewestHolds || o.freeHolds.samples < fewestHolds || slots <= 1 {
 		return true
 	}
--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -179,21 +179,24 @@
 	bestScore := math.Inf(1)
 	for _, p := range o.pools {
 		free := o.capacity(now, p) - p.out
-		l := a.lines[p.Address]
-		if free <= 0 || l != nil && l.broken {
+		if free <= 0 {
 			continue
 		}
 		var score float64
+		var l *loan
 		switch o.options.Lending.(type) {
 		case AtHand:
+			l = a.lines[p.Address]
 			score = preference(a, p, l, free)
 		case OnDemand:
-			if !o.offers(now, p) {
+			common := o.commonStrain(now, a, p)
+			if common-mostRelief > bestScore || !o.offers(now, p) {
 				continue
 			}
-			score = o.strain(now, a, p, l)
+			l = a.lines[p.Address]
+			score = common + o.ownStrain(now, p, l)
 		}
-		if rather(score, p, bestScore, best) {
+		if (l == nil || !l.broken) && rather(score, p, bestScore, best) {
 			best, bestScore = p, score
 		}
 	}
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -56,6 +56,8 @@
 	settled  bool
 	accounts []*account
 	pools    []*pool
+	// slots is the number of slots of all pools.
+	slots int
 	// byAddress has the pools too.
 	byAddress map[netip.AddrPort]*pool
 	// recounted says that the counts of credits are up to date, but for changes that keep them so.
@@ -189,6 +191,7 @@
 	old := o.byAddress
 	o.byAddress = make(map[netip.AddrPort]*pool, len(service.Endpoints))
 	o.service = service
+	o.slots = service.Slots()
 	o.recounted = false
 	o.pools = nil
 	for _, e := range service.Endpoints {
@@ -281,17 +284,17 @@
 
 // answerDelay is short for a borrower whose requests wait for the answer.
 func (o *Owner) answerDelay(report Report) time.Duration {
-	if _, ok := o.options.Lending.(OnDemand); !ok {
-		return answerDelay
-	}
-	for _, d := range report.Demand {
-		if d.Waiting > 0 {
-			return promptDelay
-		}
+	if _, ok := o.options.Lending.(OnDemand); ok && waits(report.Demand) {
+		return promptDelay
 	}
 	return answerDelay
 }
 
+// waits reports whether some request waits.
+func waits(demand []Demand) bool {
+	return slices.ContainsFunc(demand, func(d Demand) bool { return d.Waiting > 0 })
+}
+
 // misaddressed answers a report of another term. A borrower without one gets a new one.
 func (o *Owner) misaddressed(now time.Time, a *account, report Report) {
 	if report.Term == (Term{}) {
@@ -374,11 +377,23 @@
 			a.pace.answered(now)
 			answer := Grant{Service: o.service.ID, Term: a.term, Acknowledged: a.sequence}
 			letters = append(letters, Letter{To: a.vm.Name, Grant: answer})
+		default:
+			continue
 		}
+		o.keepInTouch(now, a)
 	}
 	return letters
 }
 
+// keepInTouch has the next message to a borrower whose requests wait on demand sent in
+// time, so that it knows that its owner lives. All such messages are due at the same
+// moments, so that one wake serves them.
+func (o *Owner) keepInTouch(now time.Time, a *account) {
+	if _, ok := o.options.Lending.(OnDemand); ok && waits(a.demand) {
+		a.pace.answer(now, now.Truncate(wordEvery).Add(wordEvery).Sub(now))
+	}
+}
+
 func (o *Owner) grant(now time.Time, a *account) Grant {
 	g := Grant{
 		Service:      o.service.ID,
--- a/core/daisycredit/strain.go
+++ b/core/daisycredit/strain.go
@@ -19,14 +19,27 @@
 	// idleAfter, so that each is used, and none is only taken to be sound.
 	idleStrain = 0.08
 	idleAfter  = 3 * time.Second
+	// mostRelief is the most that ownStrain takes off.
+	mostRelief = knownStrain + idleStrain
 )
 
 // strain orders endpoints: the least loaded first, slow ones as if they were as much fuller.
 func (o *Owner) strain(now time.Time, a *account, p *pool, l *loan) float64 {
+	return o.commonStrain(now, a, p) + o.ownStrain(now, p, l)
+}
+
+// commonStrain is the part that is the same for all borrowers of an availability zone.
+func (o *Owner) commonStrain(now time.Time, a *account, p *pool) float64 {
 	s := float64(p.load(now)+1) / float64(p.Slots) * o.pace(now, p)
 	if p.Zone != a.vm.Zone {
 		s += farStrain
 	}
+	return s
+}
+
+// ownStrain is what comes from the credits that a borrower has and had at an endpoint.
+func (o *Owner) ownStrain(now time.Time, p *pool, l *loan) float64 {
+	s := 0.0
 	if l != nil && l.held() > 0 {
 		s += twiceStrain
 	}
