--- a/io/daisycontroller/route_probe.go
+++ b/io/daisycontroller/route_probe.go
@@ -13,8 +13,10 @@
 const (
 	// probeTimeout is when a probe counts as failed.
 	probeTimeout = time.Second
-	// probeWorkers is the number of probes under way at a time.
-	probeWorkers = 8
+	// probeWorkers is the number of probes under way at a time. An endpoint that hangs
+	// holds one for probeTimeout, and an owner of slots asks it every 2 s, so that 128
+	// such endpoints leave none for the others.
+	probeWorkers = 64
 )
 
 // probe asks one endpoint for its load.
--- a/io/daisycontroller/route_probe_test.go
+++ b/io/daisycontroller/route_probe_test.go
@@ -67,6 +67,43 @@
 	return shards[service.ID]
 }
 
+// halfHungProber answers for the first endpoint only.
+type halfHungProber struct {
+	slowProber
+	answered chan struct{}
+}
+
+func (p *halfHungProber) Probe(ctx context.Context, s daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, error) {
+	if endpoint != s.Endpoints[0].Address {
+		return p.slowProber.Probe(ctx, s, endpoint)
+	}
+	close(p.answered)
+	return daisyendpoint.Report{}, nil
+}
+
+// A lender of slots asks endpoints just before it sends work there. Of 100 endpoints that
+// hang, 50 may be asked within the time that a probe of them takes.
+func TestEndpointsThatHangHoldNoOtherProbeUp(t *testing.T) {
+	const hung = 50
+	synctest.Test(t, func(t *testing.T) {
+		prober := &halfHungProber{answered: make(chan struct{})}
+		c := NewRoute(RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Sender: mute{}, Prober: prober})
+		defer c.Close()
+		s := newProbeShard(c)
+		s.mu.Lock()
+		for i := hung; i >= 0; i-- {
+			s.probe(s.service.Load().Endpoints[i].Address)
+		}
+		s.mu.Unlock()
+		synctest.Wait()
+		select {
+		case <-prober.answered:
+		default:
+			t.Error("the endpoint that answers is not asked yet")
+		}
+	})
+}
+
 func TestProbesAreBoundedAndEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		prober := &slowProber{}
