--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -104,7 +104,7 @@
 	case RowsRead:
 		f.reading = false
 		f.answered(now, false)
-		f.takeWhole(now, e.Rows, e.AsOf)
+		f.takeWhole(now, e.Rows, e.AsOf, f.inGrace(now))
 		f.asOf = e.AsOf
 	case RowsChanged:
 		f.reading = false
@@ -181,7 +181,7 @@
 // takeRead takes changes from the store and passes them on.
 func (f *Follower) takeRead(now time.Time, e RowsChanged) {
 	after := f.asOf
-	news := f.takeChanges(now, e.Rows)
+	news := f.takeChanges(now, e.Rows, f.inGrace(now))
 	f.asOf = max(f.asOf, e.AsOf)
 	if !news || !f.reader {
 		return
@@ -275,7 +275,11 @@
 	f.emit(GivePeer{To: e.From, Changes: c})
 }
 
+// inGrace reports whether a row that vanishes from the store may come back.
+func (f *Follower) inGrace(now time.Time) bool { return now.Before(f.graceUntil) }
+
 // takeGiven takes changes that continue what is known; after a gap it asks for more.
+// Whether a row that vanished may come back is what the giver knows, whose store answers.
 func (f *Follower) takeGiven(now time.Time, e PeerGave) {
 	c := e.Changes
 	if c.Grace > 0 {
@@ -283,9 +287,9 @@
 	}
 	switch {
 	case c.Whole:
-		f.takeWhole(now, c.Rows, c.Last)
+		f.takeWhole(now, c.Rows, c.Last, c.Grace > 0)
 	case f.whole && c.After <= f.last:
-		f.takeChanges(now, c.Rows)
+		f.takeChanges(now, c.Rows, c.Grace > 0)
 		f.last = max(f.last, c.Last)
 	default:
 		f.hear(now, PeerKnows{From: e.From, Last: c.Last})
@@ -299,17 +303,18 @@
 	return b
 }
 
-// takeWhole takes all rows as of a version. What is missing among them was removed by then.
-func (f *Follower) takeWhole(now time.Time, rows []Row, asOf Version) {
+// takeWhole takes all rows as of a version. What is missing among them was removed by
+// then, and is kept for a while when hold says so.
+func (f *Follower) takeWhole(now time.Time, rows []Row, asOf Version, hold bool) {
 	present := make(map[string]bool, len(rows))
 	changed := !f.whole
 	for _, r := range rows {
 		present[r.Key] = true
-		changed = f.take(now, r) || changed
+		changed = f.take(now, r, hold) || changed
 	}
 	for k, r := range f.rows {
 		if !present[k] && r.Version <= asOf {
-			changed = f.take(now, Row{Key: k, Version: asOf, Removed: true}) || changed
+			changed = f.take(now, Row{Key: k, Version: asOf, Removed: true}, hold) || changed
 		}
 	}
 	f.forgotten = max(f.forgotten, asOf)
@@ -320,11 +325,11 @@
 }
 
 // takeChanges reports whether there was a later change among them than was known.
-func (f *Follower) takeChanges(now time.Time, rows []Row) (news bool) {
+func (f *Follower) takeChanges(now time.Time, rows []Row, hold bool) (news bool) {
 	before := f.last
 	changed := false
 	for _, r := range rows {
-		changed = f.take(now, r) || changed
+		changed = f.take(now, r, hold) || changed
 	}
 	if changed {
 		f.emit(Publish{})
@@ -332,8 +337,9 @@
 	return f.last > before
 }
 
-// take puts one change in place, unless a later one of the row is known.
-func (f *Follower) take(now time.Time, row Row) bool {
+// take puts one change in place, unless a later one of the row is known. A row that
+// vanishes is kept until the grace ends when hold says so.
+func (f *Follower) take(now time.Time, row Row, hold bool) bool {
 	old, known := f.rows[row.Key]
 	if known && old.Version >= row.Version || f.removedSince(row) {
 		return false
@@ -353,7 +359,7 @@
 		return false
 	}
 	delete(f.rows, row.Key)
-	if !f.awaySince.IsZero() || now.Before(f.graceUntil) {
+	if hold {
 		f.held[row.Key] = old
 		if f.graceUntil.Before(now) {
 			f.graceUntil = now.Add(returnGrace)
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -71,6 +71,20 @@
 	return daisyfeed.Row{Key: key, Version: version, Value: []byte(key)}
 }
 
+// A VM that the store refuses learns from one that it answers. A removal that was no
+// lapse for the latter is none for the former.
+func TestRemovalFromAPeerWithoutGraceIsFinalWhileTheOwnStoreIsAway(t *testing.T) {
+	h := newHolder(t)
+	h.read()
+	h.handle(daisyfeed.ReadFailed{})
+	h.pass(time.Second)
+	h.handle(daisyfeed.ReadFailed{})
+	h.handle(daisyfeed.PeerGave{From: "vm-2", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{gone("a", 6)}, After: 2, Last: 6}})
+	assert.DeepEqual(t, h.keys(), []string{"b"})
+	h.handle(daisyfeed.PeerGave{From: "vm-2", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{row("c", 8)}, Last: 8, Whole: true}})
+	assert.DeepEqual(t, h.keys(), []string{"c"})
+}
+
 func gone(key string, version daisyfeed.Version) daisyfeed.Row {
 	return daisyfeed.Row{Key: key, Version: version, Removed: true}
 }
