--- a/io/daisypeer/codec_test.go
+++ b/io/daisypeer/codec_test.go
@@ -140,7 +140,7 @@
 var compareAddresses = []cmp.Option{cmpopts.EquateComparable(netip.AddrPort{}), cmpopts.EquateApproxTime(time.Microsecond)}
 
 func testCodecs() (*encoder, *decoder) {
-	e := &encoder{epoch: testEpoch, peerEpoch: testEpoch.Add(time.Minute), vm: testVM("vm-1")}
+	e := &encoder{epoch: testEpoch, peerEpoch: testEpoch.Add(time.Minute), vm: testVM("vm-1"), packs: &packs{}}
 	d := &decoder{epoch: testEpoch.Add(time.Minute), peerEpoch: testEpoch, vm: testVM("vm-1")}
 	return e, d
 }
@@ -213,6 +213,41 @@
 	}
 }
 
+// Rows of the platform's store go from the VMs that read it to all others.
+func TestManyRowsAreCompressedOnce(t *testing.T) {
+	e, d := testCodecs()
+	value := bytes.Repeat([]byte(`{"name":"lookups","prefix":"/a/"},`), 1000)
+	m := daisymessage.RowsGiven{Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{{Key: "config", Version: 7, Value: value}}, Last: 7}}
+	w := e.encode(testNow, m)
+	frame, err := proto.Marshal(w)
+	assert.NilError(t, err)
+	assert.Assert(t, len(frame) < len(value)/5, "%d bytes of %d", len(frame), len(value))
+	got, err := d.decode(testNow, frame)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, m)
+	again := e.encode(testNow, m)
+	assert.Assert(t, &w.GetRowsGiven().Packed[0] == &again.GetRowsGiven().Packed[0], "compressed anew for another peer")
+	other := m
+	other.Changes.Rows = []daisyfeed.Row{{Key: "config", Version: 8, Value: value[:2000]}}
+	frame, err = proto.Marshal(e.encode(testNow, other))
+	assert.NilError(t, err)
+	got, err = d.decode(testNow, frame)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, other)
+}
+
+func TestRowsThatDecompressToTooMuchAreMalformed(t *testing.T) {
+	_, d := testCodecs()
+	packed, err := compressRows([]daisyfeed.Row{{Key: "config", Value: make([]byte, unpackedLimit)}})
+	assert.NilError(t, err)
+	for _, p := range [][]byte{packed, packed[:len(packed)/2], []byte("no deflate")} {
+		frame, err := proto.Marshal(&daisywire.Frame{Message: &daisywire.Frame_RowsGiven{RowsGiven: &daisywire.RowsGiven{Packed: p}}})
+		assert.NilError(t, err)
+		_, err = d.decode(testNow, frame)
+		assert.Assert(t, errorx.IsOfType(err, Malformed), "%v", err)
+	}
+}
+
 func TestFrameReaderFaults(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -243,7 +243,11 @@
 		Whole: w.GetWhole(),
 		Grace: time.Duration(w.GetGraceMicroseconds()) * time.Microsecond,
 	}
-	for _, x := range w.GetRows() {
+	rows := w.GetRows()
+	if packed := w.GetPacked(); len(packed) > 0 {
+		rows = r.unpack(packed)
+	}
+	for _, x := range rows {
 		c.Rows = append(c.Rows, daisyfeed.Row{
 			Key:     x.GetKey(),
 			Version: daisyfeed.Version(x.GetVersion()),
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -27,6 +27,8 @@
 	peerEpoch time.Time
 	vm        daisyvm.VM
 	inForce   inForce
+	// packs is shared by all streams.
+	packs *packs
 }
 
 // inForce is the configuration that the last heartbeat of a stream named.
@@ -54,7 +56,7 @@
 		w := &daisywire.RowsWanted{Topic: uint32(m.Topic), After: uint64(m.After)}
 		return &daisywire.Frame{Message: &daisywire.Frame_RowsWanted{RowsWanted: w}}
 	case daisymessage.RowsGiven:
-		return &daisywire.Frame{Message: &daisywire.Frame_RowsGiven{RowsGiven: encodeRows(m)}}
+		return &daisywire.Frame{Message: &daisywire.Frame_RowsGiven{RowsGiven: e.rowsGiven(m)}}
 	case daisymessage.StopWanted:
 		return &daisywire.Frame{Message: &daisywire.Frame_StopWanted{StopWanted: &daisywire.StopWanted{By: m.By}}}
 	}
@@ -98,7 +100,7 @@
 	return w
 }
 
-func encodeRows(m daisymessage.RowsGiven) *daisywire.RowsGiven {
+func (e *encoder) rowsGiven(m daisymessage.RowsGiven) *daisywire.RowsGiven {
 	c := m.Changes
 	w := &daisywire.RowsGiven{
 		Topic:             uint32(m.Topic),
@@ -107,8 +109,16 @@
 		Whole:             c.Whole,
 		GraceMicroseconds: c.Grace.Microseconds(),
 	}
-	for _, r := range c.Rows {
-		w.Rows = append(w.Rows, &daisywire.Row{Key: r.Key, Version: uint64(r.Version), Value: r.Value, Removed: r.Removed})
+	if w.Packed = e.packs.pack(c.Rows); w.Packed == nil {
+		w.Rows = encodeRows(c.Rows)
+	}
+	return w
+}
+
+func encodeRows(rows []daisyfeed.Row) []*daisywire.Row {
+	var w []*daisywire.Row
+	for _, r := range rows {
+		w = append(w, &daisywire.Row{Key: r.Key, Version: uint64(r.Version), Value: r.Value, Removed: r.Removed})
 	}
 	return w
 }
--- a/io/daisypeer/link.go
+++ b/io/daisypeer/link.go
@@ -198,7 +198,7 @@
 }
 
 func newWriter(l *link, user *streamUser, queue *lane, limit int) *writer {
-	e := &encoder{epoch: l.links.epoch, peerEpoch: l.peer.epoch, vm: l.links.options.Self}
+	e := &encoder{epoch: l.links.epoch, peerEpoch: l.peer.epoch, vm: l.links.options.Self, packs: &l.links.packs}
 	return &writer{link: l, user: user, lane: queue, limit: limit, encoder: e}
 }
 
--- a/io/daisypeer/links.go
+++ b/io/daisypeer/links.go
@@ -56,6 +56,7 @@
 	// epoch is what the times in this VM's heartbeats count from.
 	epoch  time.Time
 	counts counts
+	packs  packs
 	ctx    context.Context
 	cancel context.CancelFunc
 	ended  sync.WaitGroup
