--- a/core/daisycredit/pace.go
+++ b/core/daisycredit/pace.go
@@ -15,12 +15,12 @@
 	lazyDelay = 20 * time.Millisecond
 	// answerDelay is how long an acknowledgement is held back to share a message.
 	answerDelay = 200 * time.Millisecond
-	// wordEvery is the time between two messages of an owner to a VM whose requests
-	// wait for a credit on demand: two of them may be lost before its impatience ends.
-	wordEvery = 50 * time.Millisecond
 	// promptDelay is the same between VMs that lend on demand: a borrower whose
 	// requests wait has to learn soon that its owner lives.
 	promptDelay = 20 * time.Millisecond
+	// wordEvery is the time between two messages of an owner to a VM whose requests
+	// wait for a credit on demand: two of them may be lost before its impatience ends.
+	wordEvery = 50 * time.Millisecond
 	// repeatAfter is when a message without an acknowledgement is first sent
 	// again; the time doubles up to repeatAtMost.
 	repeatAfter  = 300 * time.Millisecond
--- a/io/daisymetric/help.go
+++ b/io/daisymetric/help.go
@@ -25,13 +25,13 @@
 	"daisyyoke_service_messages_total":    "Messages between VMs about services, by direction and kind.",
 }
 
-// helps adds the lines of help to what a set writes.
-type helps struct {
+// helpTexts adds the lines of help to what a set writes.
+type helpTexts struct {
 	mu    sync.Mutex
 	added map[string]string
 }
 
-func (h *helps) add(name, help string) {
+func (h *helpTexts) add(name, help string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.added == nil {
@@ -40,7 +40,7 @@
 	h.added[family(name)] = help
 }
 
-func (h *helps) find(name string) (family, help string) {
+func (h *helpTexts) find(name string) (family, help string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, suffix := range []string{"", "_bucket", "_sum", "_count"} {
@@ -56,7 +56,7 @@
 }
 
 // write copies metrics in the text format, each family after its help.
-func (h *helps) write(w io.Writer, text *bytes.Buffer) error {
+func (h *helpTexts) write(w io.Writer, text *bytes.Buffer) error {
 	out := bufio.NewWriter(w)
 	last := ""
 	for line := range bytes.Lines(text.Bytes()) {
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -20,7 +20,7 @@
 // and all of them are safe for concurrent use.
 type Metrics struct {
 	set      *metrics.Set
-	helps    helps
+	help     helpTexts
 	ranks    cache[rankKey, *Rank]
 	counters cache[string, *metrics.Counter]
 	probes   cache[probeKey, *metrics.Counter]
@@ -45,14 +45,14 @@
 	var text bytes.Buffer
 	m.set.WritePrometheus(&text)
 	metrics.WriteProcessMetrics(&text)
-	return m.helps.write(w, &text)
+	return m.help.write(w, &text)
 }
 
 // AddGauge adds a value that is read whenever the metrics are written, with a line of
 // help. The name may carry labels.
 func (m *Metrics) AddGauge(name, help string, read func() float64) {
 	if m != nil {
-		m.helps.add(name, help)
+		m.help.add(name, help)
 		m.set.GetOrCreateGauge(name, read)
 	}
 }
