--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -275,7 +275,7 @@
 
 // settle gives back everything that must not be kept.
 func (b *Borrower) settle(now time.Time) {
-	if b.guessing || b.held() <= b.running {
+	if b.guessing {
 		return
 	}
 	for _, a := range b.order {
--- a/core/daisyrequest/failure.go
+++ b/core/daisyrequest/failure.go
@@ -12,8 +12,12 @@
 // NoEndpoint says that no endpoint can take the request now; it was not run.
 type NoEndpoint struct{ RetryAfter time.Duration }
 
-// DeadlinePassed says that the timeout passed. Run says whether an attempt was under way.
-type DeadlinePassed struct{ Run Run }
+// DeadlinePassed says that the timeout passed. Run says whether an attempt was under
+// way; RetryAfter is 0 if one was.
+type DeadlinePassed struct {
+	Run        Run
+	RetryAfter time.Duration
+}
 
 // EndpointBroke says that the endpoint broke off before its answer began; it may have run the request.
 type EndpointBroke struct{}
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -24,7 +24,7 @@
 	d.requests[r.ID] = r
 	switch {
 	case !now.Before(q.Deadline):
-		d.fail(now, r, Expired, 0)
+		d.fail(now, r, Expired, retryAfter)
 		return
 	case d.usable == 0:
 		d.fail(now, r, NoneUsable, retryAfter)
@@ -130,7 +130,7 @@
 		d.fail(now, r, CannotFinish, retryAfter)
 		return
 	}
-	d.fail(now, r, Expired, 0)
+	d.fail(now, r, Expired, retryAfter)
 }
 
 // send starts an attempt. The budget has allowed it.
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -117,7 +117,7 @@
 	_, notSent := event.Outcome.(daisyrequest.NotSent)
 	r.unsent = notSent && a.counted
 	if _, ok := event.Outcome.(daisyrequest.TimedOut); ok {
-		d.fail(now, r, Expired, 0)
+		d.fail(now, r, Expired, retryAfter)
 		return
 	}
 	if r.running > 0 {
@@ -199,7 +199,10 @@
 
 func failure(run daisyrequest.Run, cause Cause, after time.Duration) daisyrequest.Failure {
 	if cause == Expired {
-		return daisyrequest.DeadlinePassed{Run: run}
+		if run == daisyrequest.MayHaveRun {
+			after = 0
+		}
+		return daisyrequest.DeadlinePassed{Run: run, RetryAfter: after}
 	}
 	if run == daisyrequest.MayHaveRun {
 		return daisyrequest.EndpointBroke{}
--- a/core/daisyroute/retry_test.go
+++ b/core/daisyroute/retry_test.go
@@ -167,3 +167,14 @@
 		one[daisyroute.Deliver](t, h.serve(s.Attempt, 200, time.Millisecond))
 	}
 }
+
+func TestRequestThatExpiresUnsentIsToldWhenToComeBack(t *testing.T) {
+	h := newHolder(t, newService(1, 1), nil)
+	h.send(h.request(1))
+	r := h.request(1)
+	r.Deadline = h.now.Add(20 * time.Millisecond)
+	assert.Equal(t, len(of[daisyroute.Send](h.arrive(r))), 0)
+	failed := of[daisyroute.Fail](h.pass(30 * time.Millisecond))
+	assert.Equal(t, len(failed), 1)
+	assert.Equal(t, failed[0].Failure, daisyrequest.Failure(daisyrequest.DeadlinePassed{Run: daisyrequest.NotRun, RetryAfter: time.Second}))
+}
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -101,15 +101,15 @@
 	switch v := verdict.(type) {
 	case Answer:
 		c.options.Metrics.Refused(v.Problem.Status)
+		c.limit(w, r)
+		status := c.options.Problems.WriteProblem(w, v.Problem)
 		c.options.Log.Write(daisylog.Rejected{
 			Name:   call.Request.Name,
 			Host:   r.Host,
 			Path:   r.URL.Path,
-			Status: v.Problem.Status,
+			Status: status,
 			Why:    v.Problem.Title,
 		})
-		c.limit(w, r)
-		c.options.Problems.WriteProblem(w, v.Problem)
 	case Reply:
 		c.limit(w, r)
 		v.write(w)
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -41,10 +41,11 @@
 	_ = x.control.SetWriteDeadline(time.Now().Add(x.forwarder.limits.Stall))
 }
 
-func (x *exchange) writeProblem(p daisyproblem.Problem) {
+// writeProblem sends an answer of daisyyoke's own and gives its HTTP status.
+func (x *exchange) writeProblem(p daisyproblem.Problem) (status int) {
 	x.settleBody()
 	x.extendWrite()
-	x.forwarder.dialect.WriteProblem(x.writer, p)
+	return x.forwarder.dialect.WriteProblem(x.writer, p)
 }
 
 // settleBody leaves the caller's body to the server, which reads what is left of it
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -198,8 +198,7 @@
 func (x *exchange) fail(decision daisyroute.Fail) {
 	x.outcome = outcomeOf(decision.Failure)
 	p := daisyproblem.FromFailure(decision.Failure)
-	x.logFail(decision, p)
-	x.writeProblem(p)
+	x.logFail(decision, x.writeProblem(p), p.RetryAfter)
 }
 
 func outcomeOf(failure daisyrequest.Failure) daisymetric.Outcome {
--- a/io/daisyforward/log.go
+++ b/io/daisyforward/log.go
@@ -7,7 +7,6 @@
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/io/daisylog"
-	"daisyyoke/io/daisyproblem"
 )
 
 func (x *exchange) subject() daisylog.Subject {
@@ -94,17 +93,17 @@
 	})
 }
 
-func (x *exchange) logFail(d daisyroute.Fail, p daisyproblem.Problem) {
+func (x *exchange) logFail(d daisyroute.Fail, status int, retryAfter time.Duration) {
 	if x.forwarder.log == nil {
 		return
 	}
 	x.forwarder.log.Write(daisylog.Refused{
 		Subject:    x.subject(),
 		Why:        d.Cause.String(),
-		Status:     p.Status,
+		Status:     status,
 		Attempts:   len(x.attempts),
 		Waited:     d.Waited,
-		RetryAfter: p.RetryAfter,
+		RetryAfter: retryAfter,
 	})
 }
 
--- a/io/daisyproblem/problem.go
+++ b/io/daisyproblem/problem.go
@@ -42,21 +42,22 @@
 
 // Writer writes problems in the form that callers understand.
 type Writer interface {
-	// WriteProblem sends the problem as the whole answer.
-	WriteProblem(w http.ResponseWriter, p Problem)
+	// WriteProblem sends the problem as the whole answer and gives the HTTP status that it has there.
+	WriteProblem(w http.ResponseWriter, p Problem) (status int)
 }
 
 // Native writes problems with the headers of daisyyoke's own interface.
 type Native struct{}
 
 // WriteProblem sends the problem with Daisy-Run and Retry-After.
-func (Native) WriteProblem(w http.ResponseWriter, p Problem) {
+func (Native) WriteProblem(w http.ResponseWriter, p Problem) (status int) {
 	h := w.Header()
 	h.Set(RunHeader, runValue(p.Run))
 	if p.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
 	}
 	p.Write(w)
+	return p.Status
 }
 
 // Write sends the status and the document; the headers that depend on the form come before.
@@ -103,7 +104,7 @@
 			RetryAfter: f.RetryAfter,
 		}
 	case daisyrequest.DeadlinePassed:
-		return Problem{Status: http.StatusGatewayTimeout, Title: "The timeout passed", Run: f.Run}
+		return Problem{Status: http.StatusGatewayTimeout, Title: "The timeout passed", Run: f.Run, RetryAfter: f.RetryAfter}
 	case daisyrequest.EndpointBroke:
 		return Problem{
 			Status: http.StatusBadGateway,
