--- a/io/daisylog/log.go
+++ b/io/daisylog/log.go
@@ -1,8 +1,8 @@
 // Package daisylog writes JSON lines: one for each decision that touches a request
 // or changes what the process believes, and messages on its start, stop and dependencies.
 //
-// A goroutine of the log encodes and writes the lines. Nobody waits for it: lines
-// for which the buffer has no room are dropped and counted. Above a rate of lines,
+// A goroutine of the log encodes the lines and writes those of a short time at once.
+// Nobody waits for it: lines for which the buffer has no room are dropped and counted. Above a rate of lines,
 // only a share of the requests is logged, chosen by the request's name, so that the
 // lines of one request come whole or not at all on every VM; failures come always.
 package daisylog
