--- a/io/daisypeer/spin_test.go
+++ b/io/daisypeer/spin_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +29,20 @@
 	return n, err
 }
 
+// haltingConn reads nothing more once it is halted, until done.
+type haltingConn struct {
+	net.Conn
+	halted atomic.Bool
+	done   chan struct{}
+}
+
+func (c *haltingConn) Read(p []byte) (int, error) {
+	if c.halted.Load() {
+		<-c.done
+	}
+	return c.Conn.Read(p)
+}
+
 type ignoringReceiver struct{}
 
 func (ignoringReceiver) Receive(daisyvm.Name, daisymessage.Message) {}
@@ -60,6 +75,32 @@
 	assert.Assert(t, spent < linger/5, "%v of processor time in %v without work", spent, linger)
 }
 
+// A write that the peer does not take keeps its stream; closing the session ends it.
+func TestAStuckWriteDoesNotHoldTheEndOfALinkUp(t *testing.T) {
+	near, far := net.Pipe()
+	peer := &haltingConn{Conn: far, done: make(chan struct{})}
+	server, err := newSession(peer, false)
+	assert.NilError(t, err)
+	defer func() {
+		close(peer.done)
+		_ = server.Close()
+	}()
+	session, err := newSession(near, true)
+	assert.NilError(t, err)
+	links := &Links{options: Options{Receiver: ignoringReceiver{}, Logger: hclog.NewNullLogger()}}
+	l := newLink(links, session, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0")
+	time.Sleep(50 * time.Millisecond)
+	peer.halted.Store(true)
+	for range 3 {
+		l.put(daisymessage.StopWanted{By: "vm-0"})
+		time.Sleep(10 * time.Millisecond)
+	}
+	began := time.Now()
+	l.end(Outdated.New("replaced"))
+	assert.Assert(t, time.Since(began) < writeTimeout/2, "%v", time.Since(began))
+	l.wait()
+}
+
 func processorTime(t *testing.T) time.Duration {
 	t.Helper()
 	var usage syscall.Rusage
--- a/io/daisypeer/stream.go
+++ b/io/daisypeer/stream.go
@@ -1,6 +1,7 @@
 package daisypeer
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -53,7 +54,11 @@
 	}
 }
 
-// end makes all users leave their streams and waits until they have.
+// leaveTime is how long the users of streams have to leave them: a scheduler's slice and
+// more. One that writes to a peer that takes nothing leaves when the session closes.
+const leaveTime = 100 * time.Millisecond
+
+// end makes all users leave their streams and waits until they have, or for leaveTime.
 func (s *streams) end() {
 	s.mu.Lock()
 	if !s.closed {
@@ -67,7 +72,13 @@
 		// It never fails; a stream without the deadline would end with the session.
 		_ = u.stream.SetDeadline(past)
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
+	defer cancel()
 	for _, u := range users {
-		<-u.done
+		select {
+		case <-u.done:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
