--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -3,15 +3,13 @@
 import (
 	"encoding/json"
 	"io"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
 
-// record is a decision in the format of hclog, which takes several times as long to
-// write one: it builds a map of each line. The fields of a kind of record are those
-// of its line.
-type record interface{ mark(head) }
+// Decisions are written in the format of hclog by encoding/json: hclog takes several
+// times as long, because it builds a map of each line. A record has the fields of one
+// kind of line.
 
 // head has the fields of every record.
 type head struct {
@@ -23,8 +21,6 @@
 	KeptShare float64 `json:"kept-share,omitempty"`
 }
 
-func (h *head) mark(marks head) { *h = marks }
-
 type subjectFields struct {
 	Fleet    string `json:"fleet"`
 	Service  string `json:"service"`
@@ -127,22 +123,17 @@
 	Guessing bool   `json:"guessing"`
 }
 
-// encoder writes records, one a line.
-type encoder struct{ json *json.Encoder }
-
-func newEncoder(output io.Writer) encoder {
+func newEncoder(output io.Writer) *json.Encoder {
 	e := json.NewEncoder(output)
 	e.SetEscapeHTML(false)
-	return encoder{e}
+	return e
 }
 
-// write writes a record that was made at a moment, with the share of the requests that are logged.
-func (e encoder) write(at time.Time, text string, share float64, r record) {
-	marks := head{Level: hclog.Info.String(), Message: text, Module: module, Timestamp: at.Format(hclog.TimeFormatJSON)}
-	if share < 1 {
-		marks.KeptShare = share
+// head begins the record of an entry.
+func (l *Log) head(e entry, text string) head {
+	h := head{Level: hclog.Info.String(), Message: text, Module: module, Timestamp: e.at.Format(hclog.TimeFormatJSON)}
+	if share := l.sampler.share(); share < 1 {
+		h.KeptShare = share
 	}
-	r.mark(marks)
-	// A log has nowhere to report that its own output fails.
-	_ = e.json.Encode(r)
+	return h
 }
--- a/io/daisylog/log.go
+++ b/io/daisylog/log.go
@@ -9,6 +9,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"slices"
 	"sync"
@@ -55,7 +56,7 @@
 // Log writes lines in the order of their Write. It is safe for concurrent use.
 type Log struct {
 	messages  hclog.Logger
-	decisions encoder
+	decisions *json.Encoder
 	output    *bufio.Writer
 	lines     chan entry
 	sampler   *sampler
--- a/io/daisylog/log_test.go
+++ b/io/daisylog/log_test.go
@@ -16,6 +16,7 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
@@ -152,6 +153,27 @@
 	})
 }
 
+func TestLineOfASendToAnEndpointWithAReport(t *testing.T) {
+	var output bytes.Buffer
+	log, err := daisylog.New(daisylog.Options{Output: &output, Level: "info"})
+	assert.NilError(t, err)
+	log.Write(daisylog.Sent{
+		Subject:   daisylog.Subject{Name: "<a>", Route: "r-1", Revision: 4},
+		Instance:  "i-1",
+		Report:    daisyendpoint.Report{At: time.Unix(1, 0), InFlight: 2, Waiting: 1, Slowdown: 1.5},
+		ReportAge: time.Second,
+	})
+	log.Close()
+	lines := parse(t, &output)
+	assert.Equal(t, len(lines), 1)
+	for field, want := range map[string]any{
+		"name": "<a>", "route": "r-1", "revision": 4.0, "instance": "i-1",
+		"report-in-flight": 2.0, "report-waiting": 1.0, "report-slowdown": 1.5, "report-age": "1s",
+	} {
+		assert.Equal(t, lines[0][field], want, field)
+	}
+}
+
 // counter counts writes.
 type counter struct {
 	writes int
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -8,27 +8,27 @@
 func (l *Log) print(e entry) {
 	switch n := e.line.(type) {
 	case Sent:
-		l.write(e, "request sent", n.record())
+		l.encode(n.record(l.head(e, "request sent")))
 	case AttemptFailed:
-		l.write(e, "attempt failed", &attemptFailedRecord{subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
+		l.encode(&attemptFailedRecord{head: l.head(e, "attempt failed"), subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
 			Attempt: uint64(n.Attempt), Outcome: n.Outcome, Cause: n.Cause, Took: n.Took.String()})
 	case Answered:
-		l.write(e, "request answered", &answeredRecord{subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
+		l.encode(&answeredRecord{head: l.head(e, "request answered"), subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
 			Attempt: uint64(n.Attempt), Status: n.Status, Whole: n.Whole, Attempts: n.Attempts, Took: n.Took.String()})
 	case Refused:
-		l.write(e, "request refused", &refusedRecord{subjectFields: n.fields(), Why: n.Why, Status: n.Status,
+		l.encode(&refusedRecord{head: l.head(e, "request refused"), subjectFields: n.fields(), Why: n.Why, Status: n.Status,
 			Attempts: n.Attempts, Waited: n.Waited.String(), RetryAfter: n.RetryAfter.String()})
 	case Rejected:
-		l.write(e, "request rejected", &rejectedRecord{Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Why: n.Why})
+		l.encode(&rejectedRecord{head: l.head(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Why: n.Why})
 	case Abandoned:
-		l.write(e, "request abandoned", &abandonedRecord{subjectFields: n.fields(), Attempts: n.Attempts, Took: n.Took.String()})
+		l.encode(&abandonedRecord{head: l.head(e, "request abandoned"), subjectFields: n.fields(), Attempts: n.Attempts, Took: n.Took.String()})
 	case Canceled:
-		l.write(e, "attempt canceled", &canceledRecord{subjectFields: n.fields(), Endpoint: n.Endpoint.String(), Attempt: uint64(n.Attempt)})
+		l.encode(&canceledRecord{head: l.head(e, "attempt canceled"), subjectFields: n.fields(), Endpoint: n.Endpoint.String(), Attempt: uint64(n.Attempt)})
 	case Changed:
-		l.write(e, "endpoint changed", &changedRecord{Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+		l.encode(&changedRecord{head: l.head(e, "endpoint changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Endpoint: n.Endpoint.String(), Condition: n.Condition})
 	case Lending:
-		l.write(e, "lending changed", &lendingRecord{Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+		l.encode(&lendingRecord{head: l.head(e, "lending changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Owner: string(n.Owner), Guessing: n.Guessing})
 	case message:
 		// A log has nowhere to report that its own output fails.
@@ -36,12 +36,14 @@
 	}
 }
 
-func (l *Log) write(e entry, text string, r record) {
-	l.decisions.write(e.at, text, l.sampler.share(), r)
+func (l *Log) encode(record any) {
+	// A log has nowhere to report that its own output fails.
+	_ = l.decisions.Encode(record)
 }
 
-func (n Sent) record() *sentRecord {
+func (n Sent) record(h head) *sentRecord {
 	r := &sentRecord{
+		head:          h,
 		subjectFields: n.fields(),
 		Endpoint:      n.Endpoint.String(),
 		Why:           n.Why,
