--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -189,8 +189,9 @@
 			l = a.lines[p.Address]
 			score = preference(a, p, l, free)
 		case OnDemand:
-			common := o.commonStrain(now, a, p)
-			if common-mostRelief > bestScore || !o.offers(now, p) {
+			pace := o.pace(now, p)
+			common := o.commonStrain(now, a, p, pace)
+			if common-mostRelief > bestScore || !o.offers(now, p, pace) {
 				continue
 			}
 			l = a.lines[p.Address]
--- a/core/daisycredit/offer.go
+++ b/core/daisycredit/offer.go
@@ -28,14 +28,14 @@
 	slowFrom = 1.5
 )
 
-// offers reports whether an endpoint may get a further attempt already. One that is
+// offers reports whether an endpoint of this pace may get a further attempt already. One that is
 // slow or nearly full may when the others would take longer to come free than the
 // attempt takes longer there, or when none came free for the patience; it notes
 // when that will be.
-func (o *Owner) offers(now time.Time, p *pool) bool {
+func (o *Owner) offers(now time.Time, p *pool, pace float64) bool {
 	load := p.load(now)
 	nearlyFull := p.nearlyFull(load)
-	slow := o.pace(now, p) >= slowFrom
+	slow := pace >= slowFrom
 	if !nearlyFull && !slow && p.fresh(now) {
 		return true
 	}
--- a/core/daisycredit/strain.go
+++ b/core/daisycredit/strain.go
@@ -25,12 +25,12 @@
 
 // strain orders endpoints: the least loaded first, slow ones as if they were as much fuller.
 func (o *Owner) strain(now time.Time, a *account, p *pool, l *loan) float64 {
-	return o.commonStrain(now, a, p) + o.ownStrain(now, p, l)
+	return o.commonStrain(now, a, p, o.pace(now, p)) + o.ownStrain(now, p, l)
 }
 
 // commonStrain is the part that is the same for all borrowers of an availability zone.
-func (o *Owner) commonStrain(now time.Time, a *account, p *pool) float64 {
-	s := float64(p.load(now)+1) / float64(p.Slots) * o.pace(now, p)
+func (o *Owner) commonStrain(now time.Time, a *account, p *pool, pace float64) float64 {
+	s := float64(p.load(now)+1) / float64(p.Slots) * pace
 	if p.Zone != a.vm.Zone {
 		s += farStrain
 	}
--- a/io/daisypeer/link.go
+++ b/io/daisypeer/link.go
@@ -68,11 +68,11 @@
 		peer:    peer,
 		dialer:  dialer,
 		session: session,
-		streams: newStreams(),
 		urgent:  newLane(urgentLimit),
 		bulk:    newLane(bulkLimit),
 		done:    make(chan struct{}),
 	}
+	l.streams = &streams{done: l.done}
 	l.ended.Go(func() { l.end(l.send()) })
 	l.ended.Go(func() { l.end(l.receive()) })
 	return l
@@ -207,7 +207,7 @@
 	for {
 		select {
 		case <-w.lane.wake:
-		case <-w.link.streams.stop:
+		case <-w.link.done:
 			return Broken.New("session closed")
 		case <-w.link.session.CloseChan():
 			return Broken.New("session closed")
--- a/io/daisypeer/stream.go
+++ b/io/daisypeer/stream.go
@@ -13,41 +13,38 @@
 // waits at a stream when its session closes returns only once the session's own reader
 // has ended, and asks again and again until then.
 type streams struct {
-	mu     sync.Mutex
-	closed bool
-	// stop is closed before the users are waited for.
-	stop  chan struct{}
+	// done is that of the link, which is closed before end.
+	done  <-chan struct{}
+	mu    sync.Mutex
 	users []*streamUser
 }
 
 // streamUser is a goroutine that reads or writes a stream.
 type streamUser struct {
-	all    *streams
+	*streams
 	stream *yamux.Stream
-	done   chan struct{}
+	left   chan struct{}
 }
 
-func newStreams() *streams { return &streams{stop: make(chan struct{})} }
-
 // use registers a goroutine as the user of a stream, until it calls release.
 func (s *streams) use(stream *yamux.Stream) (*streamUser, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.stopped() {
 		return nil, Broken.New("session closed")
 	}
-	u := &streamUser{all: s, stream: stream, done: make(chan struct{})}
+	u := &streamUser{streams: s, stream: stream, left: make(chan struct{})}
 	s.users = append(s.users, u)
 	return u, nil
 }
 
-func (u *streamUser) release() { close(u.done) }
+func (u *streamUser) release() { close(u.left) }
 
-// stopped reports whether the stream must not be used any more. A user asks after it
+// stopped reports whether the streams must not be used any more. A user asks after it
 // has set a deadline and before it waits, so that the deadline of end is the later one.
-func (u *streamUser) stopped() bool {
+func (s *streams) stopped() bool {
 	select {
-	case <-u.all.stop:
+	case <-s.done:
 		return true
 	default:
 		return false
@@ -61,10 +58,6 @@
 // end makes all users leave their streams and waits until they have, or for leaveTime.
 func (s *streams) end() {
 	s.mu.Lock()
-	if !s.closed {
-		s.closed = true
-		close(s.stop)
-	}
 	users := slices.Clone(s.users)
 	s.mu.Unlock()
 	past := time.Now().Add(-time.Second)
@@ -76,7 +69,7 @@
 	defer cancel()
 	for _, u := range users {
 		select {
-		case <-u.done:
+		case <-u.left:
 		case <-ctx.Done():
 			return
 		}
