--- a/examples/rest/fleet.go
+++ b/examples/rest/fleet.go
@@ -142,4 +142,5 @@
 			p.Stop(syscall.SIGKILL)
 		}
 	}
+	f.ports.Close()
 }
--- a/examples/trial/fleet.go
+++ b/examples/trial/fleet.go
@@ -198,6 +198,7 @@
 	if f.platform != nil {
 		f.platform.Stop(syscall.SIGKILL)
 	}
+	f.ports.Close()
 }
 
 // writeUsage prints what each daemon took, once it has ended.
--- a/io/daisytrial/process.go
+++ b/io/daisytrial/process.go
@@ -1,9 +1,6 @@
 package daisytrial
 
 import (
-	"math/rand/v2"
-	"net"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -99,37 +96,6 @@
 	<-ended
 }
 
-const (
-	// firstPort and lastPort lie below the ports that systems give to outgoing
-	// connections, so that none takes a port between its choice and its use.
-	firstPort = 15_000
-	lastPort  = 30_000
-)
-
-// Ports gives loopback addresses that nothing listens on.
-type Ports struct{ next uint16 }
-
-// NewPorts starts at a random port.
-func NewPorts() *Ports {
-	return &Ports{next: uint16(firstPort + rand.IntN((lastPort-firstPort)/2))}
-}
-
-// Take gives the next free address. It fails with daisyerror.Unavailable.
-func (p *Ports) Take() (netip.AddrPort, error) {
-	for p.next < lastPort {
-		p.next++
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p.next)
-		listener, err := net.Listen("tcp", address.String())
-		if err != nil {
-			continue
-		}
-		if err := listener.Close(); err == nil {
-			return address, nil
-		}
-	}
-	return netip.AddrPort{}, daisyerror.Unavailable.New("no free port below %d", lastPort)
-}
-
 // Build compiles daisyd and daisystand into a folder.
 func Build(folder string) error {
 	cmd := exec.Command("go", "build", "-o", folder+string(os.PathSeparator), "./cmd/daisyd", "./cmd/daisystand")
