--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -15,6 +15,8 @@
 // Refused says that the request does not wait.
 type Refused[T any] struct {
 	Cause Cause
+	// Needs is how long the request was expected to take, from now to its answer.
+	Needs time.Duration
 	// RetryAfter is when the queue of the rank may have drained.
 	RetryAfter time.Duration
 }
@@ -49,8 +51,9 @@
 // floor of the room gives way.
 func (q *Queue[T]) Admit(now time.Time, item *Item[T], room int) Verdict[T] {
 	q.settle(now)
-	if q.hopeless(now, item) {
-		return Refused[T]{Cause: Hopeless, RetryAfter: q.retryAfter(item.Rank)}
+	needs := q.needs(item.Rank)
+	if needs > 0 && now.Add(needs).After(item.Deadline) {
+		return Refused[T]{Cause: Hopeless, Needs: needs, RetryAfter: q.retryAfter(item.Rank)}
 	}
 	q.Push(now, item)
 	out := q.overfull(item.Rank, q.options.Limits.within(room))
@@ -60,22 +63,22 @@
 	q.Remove(now, out)
 	after := q.retryAfter(out.Rank)
 	if out == item {
-		return Refused[T]{Cause: Full, RetryAfter: after}
+		return Refused[T]{Cause: Full, Needs: needs, RetryAfter: after}
 	}
 	return Displaced[T]{Item: out, RetryAfter: after}
 }
 
-// hopeless reports whether the request would still wait when it has to begin.
-func (q *Queue[T]) hopeless(now time.Time, item *Item[T]) bool {
+// needs estimates how long a request of a rank that has to wait takes from now to
+// its answer; 0 when it need not wait, or is admitted whatever it takes.
+func (q *Queue[T]) needs(index daisyrank.Index) time.Duration {
 	switch q.options.Admission.(type) {
-	case AdmitAll:
-		return false
 	case RefuseHopeless:
-		wait := q.Wait(item.Rank)
-		finish := now.Add(wait).Add(q.ranks[item.Rank].account.answers.Median())
-		return wait > 0 && finish.After(item.Deadline)
+		if wait := q.Wait(index); wait > 0 {
+			return wait + q.ranks[index].account.answers.Median()
+		}
+	case AdmitAll:
 	}
-	return false
+	return 0
 }
 
 // Wait estimates how long a request of a rank that arrives now will wait: the
--- a/core/daisyqueue/next.go
+++ b/core/daisyqueue/next.go
@@ -14,7 +14,11 @@
 type Serve[T any] struct{ Item *Item[T] }
 
 // Drop says that the request cannot finish by its deadline and has to be refused.
-type Drop[T any] struct{ Item *Item[T] }
+type Drop[T any] struct {
+	Item *Item[T]
+	// Needs is how long it was expected to take from now to its answer.
+	Needs time.Duration
+}
 
 // Idle says that nothing waits.
 type Idle[T any] struct{}
@@ -36,10 +40,11 @@
 	}
 	r.demote(now)
 	item := r.head(now, q.options.Order)
-	if now.Before(item.Deadline) && (q.waiting == 1 || !r.late(now, item)) {
+	needs := r.margin()
+	if now.Before(item.Deadline) && (q.waiting == 1 || !now.Add(needs).After(item.Deadline)) {
 		return Serve[T]{Item: item}
 	}
-	return q.drop(now, r, item)
+	return q.drop(now, r, item, needs)
 }
 
 // Expire gives a request whose time to begin has passed while no slot was free, or Idle.
@@ -48,7 +53,7 @@
 		r.demote(now)
 		for _, h := range []*daisyheap.Heap[*Item[T]]{r.earliest, r.overdue} {
 			if _, item, ok := h.First(); ok && !now.Before(r.start(item)) {
-				return q.drop(now, r, item)
+				return q.drop(now, r, item, r.account.answers.Median())
 			}
 		}
 	}
@@ -126,14 +131,13 @@
 	return item
 }
 
-// late reports whether the request would probably not finish, while another of
-// its rank waits that has more time left.
-func (r *rank[T]) late(now time.Time, item *Item[T]) bool {
-	margin := r.account.answers.Median()
+// margin is the time to an answer that a request at the head must have left: more
+// while another of its rank waits that has more time left.
+func (r *rank[T]) margin() time.Duration {
 	if r.len() > 1 {
-		margin = r.account.answers.P95()
+		return r.account.answers.P95()
 	}
-	return now.Add(margin).After(item.Deadline)
+	return r.account.answers.Median()
 }
 
 // start gives the time by which the request has to begin to be more likely to finish than not.
@@ -141,8 +145,8 @@
 	return item.Deadline.Add(-r.account.answers.Median())
 }
 
-func (q *Queue[T]) drop(now time.Time, r *rank[T], item *Item[T]) Step[T] {
+func (q *Queue[T]) drop(now time.Time, r *rank[T], item *Item[T], needs time.Duration) Step[T] {
 	q.Remove(now, item)
 	r.overloadedUntil = now.Add(overloadTime)
-	return Drop[T]{Item: item}
+	return Drop[T]{Item: item, Needs: needs}
 }
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -42,6 +42,7 @@
 func (d *Dispatcher) admit(now time.Time, r *request, room int) {
 	switch v := d.queue.Admit(now, &r.item, room).(type) {
 	case daisyqueue.Refused[*request]:
+		r.needs = v.Needs
 		d.fail(now, r, causeOf(v.Cause), v.RetryAfter)
 	case daisyqueue.Displaced[*request]:
 		d.fail(now, v.Item.Value, QueueFull, v.RetryAfter)
@@ -86,7 +87,7 @@
 func (d *Dispatcher) serveNext(now time.Time) bool {
 	switch s := d.queue.Next(now).(type) {
 	case daisyqueue.Drop[*request]:
-		d.drop(now, s.Item.Value)
+		d.drop(now, s)
 		return true
 	case daisyqueue.Serve[*request]:
 		if d.keepsFree(now, s.Item.Value.Rank) {
@@ -121,11 +122,13 @@
 // expire fails the waiting requests that can no longer finish.
 func (d *Dispatcher) expire(now time.Time) {
 	for s, ok := d.queue.Expire(now).(daisyqueue.Drop[*request]); ok; s, ok = d.queue.Expire(now).(daisyqueue.Drop[*request]) {
-		d.drop(now, s.Item.Value)
+		d.drop(now, s)
 	}
 }
 
-func (d *Dispatcher) drop(now time.Time, r *request) {
+func (d *Dispatcher) drop(now time.Time, step daisyqueue.Drop[*request]) {
+	r := step.Item.Value
+	r.needs = step.Needs
 	if now.Before(r.Deadline) {
 		d.fail(now, r, CannotFinish, retryAfter)
 		return
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -47,8 +47,11 @@
 	Request daisyrequest.ID
 	Failure daisyrequest.Failure
 	Cause   Cause
-	// Waited is how long the request was in the hands of routing.
-	Waited time.Duration
+	// Waited is how long the request was in the hands of routing, Left how much of its
+	// time it had left; negative once its deadline has passed.
+	Waited, Left time.Duration
+	// Needs is how long it was expected to take until its answer, where that decided.
+	Needs time.Duration
 }
 
 // Cancel gives an attempt up. It holds its slot until the holder reports its
--- a/core/daisyroute/request.go
+++ b/core/daisyroute/request.go
@@ -26,6 +26,8 @@
 	held *attempt
 	// failed is the endpoint that failed the request last.
 	failed *endpoint
+	// needs is how long the queue expected it to take when it refused it.
+	needs time.Duration
 	// unsent says that the last attempt never left, so that the next one takes its place in the budget.
 	unsent bool
 	// run says whether an endpoint may have run the request.
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -193,7 +193,14 @@
 	if r.running > 0 {
 		r.run = daisyrequest.MayHaveRun
 	}
-	d.emit(Fail{Request: r.ID, Failure: failure(r.run, cause, after), Cause: cause, Waited: now.Sub(r.Arrived)})
+	d.emit(Fail{
+		Request: r.ID,
+		Failure: failure(r.run, cause, after),
+		Cause:   cause,
+		Waited:  now.Sub(r.Arrived),
+		Left:    r.Deadline.Sub(now),
+		Needs:   r.needs,
+	})
 	d.end(now, r, nil)
 }
 
--- a/io/daisyforward/log.go
+++ b/io/daisyforward/log.go
@@ -103,6 +103,8 @@
 		Status:     status,
 		Attempts:   len(x.attempts),
 		Waited:     d.Waited,
+		Left:       d.Left,
+		Needs:      d.Needs,
 		RetryAfter: retryAfter,
 	})
 }
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -81,6 +81,8 @@
 	Status     int    `json:"status"`
 	Attempts   int    `json:"attempts"`
 	Waited     string `json:"waited"`
+	Left       string `json:"left"`
+	Needs      string `json:"needs,omitempty"`
 	RetryAfter string `json:"retry-after"`
 }
 
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -80,7 +80,10 @@
 	Status int
 	// Attempts counts the sends before.
 	Attempts int
-	Waited   time.Duration
+	// Waited is how long the request was in hand, Left how much of its time was left.
+	Waited, Left time.Duration
+	// Needs is how long it was expected to take until its answer, where that decided; 0 elsewhere.
+	Needs time.Duration
 	// RetryAfter is when the caller was asked to come back; 0 for no word of it.
 	RetryAfter time.Duration
 }
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -16,8 +16,7 @@
 		l.encode(&answeredRecord{head: l.head(e, "request answered"), subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
 			Attempt: uint64(n.Attempt), Status: n.Status, Whole: n.Whole, Attempts: n.Attempts, Took: n.Took.String()})
 	case Refused:
-		l.encode(&refusedRecord{head: l.head(e, "request refused"), subjectFields: n.fields(), Why: n.Why, Status: n.Status,
-			Attempts: n.Attempts, Waited: n.Waited.String(), RetryAfter: n.RetryAfter.String()})
+		l.encode(n.record(l.head(e, "request refused")))
 	case Rejected:
 		l.encode(&rejectedRecord{head: l.head(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Why: n.Why})
 	case Abandoned:
@@ -41,6 +40,23 @@
 	_ = l.decisions.Encode(record)
 }
 
+func (n Refused) record(h head) *refusedRecord {
+	r := &refusedRecord{
+		head:          h,
+		subjectFields: n.fields(),
+		Why:           n.Why,
+		Status:        n.Status,
+		Attempts:      n.Attempts,
+		Waited:        n.Waited.String(),
+		Left:          n.Left.String(),
+		RetryAfter:    n.RetryAfter.String(),
+	}
+	if n.Needs > 0 {
+		r.Needs = n.Needs.String()
+	}
+	return r
+}
+
 func (n Sent) record(h head) *sentRecord {
 	r := &sentRecord{
 		head:          h,
