--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -25,8 +25,12 @@
 	// readGap is the time between two reads of a reader, so that changes which come
 	// close together take one call.
 	readGap = 100 * time.Millisecond
-	// standbyEvery is the time between two reads of a VM that others read for.
-	standbyEvery = 20 * time.Second
+	// standbyEvery is the time between two reads of a VM that others read for. It
+	// hears of changes from these; its own reads are for what all of them missed.
+	standbyEvery = 2 * time.Minute
+	// firstWait is how long a VM that has just read all rows waits for word of who
+	// reads for its peers before it reads on: links to them open within that time.
+	firstWait = time.Second
 	// mostTombstones bounds the removals that are remembered for peers.
 	mostTombstones = 1024
 )
@@ -104,6 +108,9 @@
 	case RowsRead:
 		f.reading = false
 		f.answered(now, false)
+		if !f.whole && len(f.peers) == 0 {
+			f.retryAt = now.Add(firstWait)
+		}
 		f.takeWhole(now, e.Rows, e.AsOf, f.inGrace(now))
 		f.asOf = e.AsOf
 	case RowsChanged:
@@ -118,7 +125,7 @@
 		f.reading = false
 		f.failed(now)
 	case DutyChanged:
-		f.changeDuty(e)
+		f.changeDuty(now, e)
 	case PeerKnows:
 		f.hear(now, e)
 	case PeerAsked:
@@ -169,10 +176,16 @@
 	f.emit(AwaitChanges{After: f.asOf, Now: !f.reader})
 }
 
-// changeDuty lets a VM that becomes a reader read at once.
-func (f *Follower) changeDuty(e DutyChanged) {
-	if e.Reader && !f.reader && f.awaySince.IsZero() {
+// changeDuty lets a VM that becomes a reader read at once, and one that no longer is
+// one leave it to its peers.
+func (f *Follower) changeDuty(now time.Time, e DutyChanged) {
+	met := len(f.peers) == 0 && len(e.Peers) > 0
+	switch {
+	case !f.awaySince.IsZero():
+	case e.Reader && (!f.reader || met):
 		f.retryAt = time.Time{}
+	case !e.Reader && f.reader && f.whole:
+		f.retryAt = now.Add(standbyEvery)
 	}
 	f.reader = e.Reader
 	f.peers = e.Peers
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -242,10 +242,36 @@
 		return calls
 	}
 	assert.Assert(t, count(true, true) <= 25, "a reader")
-	assert.Assert(t, count(false, true) <= 4, "a VM that others read for")
+	assert.Assert(t, count(false, true) <= 1, "a VM that others read for")
 	assert.Assert(t, count(true, false) <= 90, "a reader whose store is away")
 }
 
+// A VM that has read all rows waits for word of who reads on.
+func TestAfterTheFirstReadOnlyReadersReadOn(t *testing.T) {
+	peers := []daisyvm.Name{"vm-1", "vm-2"}
+	for name, k := range map[string]struct {
+		duty daisyfeed.DutyChanged
+		// calls within a minute, and when the first comes.
+		calls int
+		after time.Duration
+	}{
+		"alone":           {duty: daisyfeed.DutyChanged{Reader: true}, calls: 1, after: time.Second},
+		"reads for peers": {duty: daisyfeed.DutyChanged{Reader: true, Peers: peers}, calls: 1, after: 300 * time.Millisecond},
+		"peers read":      {duty: daisyfeed.DutyChanged{Peers: peers}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHolder(t)
+			h.read()
+			assert.Equal(t, len(of[daisyfeed.AwaitChanges](h.pass(300*time.Millisecond))), 0)
+			calls := of[daisyfeed.AwaitChanges](h.handle(k.duty))
+			calls = append(calls, of[daisyfeed.AwaitChanges](h.pass(k.after))...)
+			assert.Equal(t, len(calls), k.calls)
+			calls = append(calls, of[daisyfeed.AwaitChanges](h.pass(time.Minute))...)
+			assert.Equal(t, len(calls), k.calls)
+		})
+	}
+}
+
 func TestReadersAreTheSameForAllAndPassOverBlindOnes(t *testing.T) {
 	vms := []daisyvm.VM{{Name: "vm-0"}, {Name: "vm-1"}, {Name: "vm-2"}, {Name: "vm-3"}}
 	readers := func(blind ...daisyvm.Name) []string {
