--- a/core/daisycredit/demand_test.go
+++ b/core/daisycredit/demand_test.go
@@ -180,6 +180,23 @@
 
 // An endpoint that was slow once must not stay out of use: found on a day on which
 // endpoints that had joined cold never got a request.
+// The word of an endpoint that somebody else asked for is no reason to send far away,
+// but nobody waits long for a better one that is silent.
+func TestOnDemandTheOwnZoneIsAskedBeforeAnotherIsUsed(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		c := newDemandCluster(2, 2)
+		c.vms[0].Zone = c.service.Endpoints[0].Zone
+		c.owner.SetVMs(c.now, nil)
+		c.owner.SetVMs(c.now, c.vms)
+		c.settle()
+		c.silent[0] = silent
+		c.owner.NoteReport(c.now, c.service.Endpoints[1].Address, c.report(1))
+		used, waited := c.place(t, 0)
+		assert.Equal(t, used == 0, !silent)
+		assert.Assert(t, waited <= 2*answerWithin, "%v", waited)
+	}
+}
+
 func TestOnDemandAnEndpointThatWasSlowIsAskedAgain(t *testing.T) {
 	c := newDemandCluster(2, 3)
 	c.slowdown[1] = 4
--- a/core/daisycredit/inspect.go
+++ b/core/daisycredit/inspect.go
@@ -20,6 +20,10 @@
 	// answerWithin is how long an endpoint may take to tell its pace; one that takes
 	// longer is treated as slow until it answers.
 	answerWithin = 8 * time.Millisecond
+	// inspectGain is how much less strain an endpoint that has not told its pace has to
+	// have for work to wait for its word, up to answerWithin, while another could be
+	// used at once: less than what another availability zone counts.
+	inspectGain = 0.2
 	// mutePace stands for the pace of an endpoint that does not tell it in time.
 	mutePace = 4.0
 )
@@ -47,7 +51,7 @@
 	var least float64
 	for _, p := range o.pools {
 		l := a.lines[p.Address]
-		if p.nearlyFull(p.out) || p.out >= o.capacity(now, p) || l != nil && l.broken || p.fresh(now) || now.Sub(p.asked) <= freshFor {
+		if !o.mayInspect(now, p, l) {
 			continue
 		}
 		if s := o.strain(now, a, p, l); rather(s, p, least, best) {
@@ -62,6 +66,12 @@
 	o.retry = daisywake.Sooner(o.retry, now.Add(answerWithin))
 }
 
+// mayInspect reports whether it is worth asking an endpoint for its pace.
+func (o *Owner) mayInspect(now time.Time, p *pool, l *loan) bool {
+	return !p.nearlyFull(p.out) && p.out < o.capacity(now, p) && (l == nil || !l.broken) &&
+		!p.fresh(now) && now.Sub(p.asked) > freshFor
+}
+
 // Inspections gives the endpoints to be asked for their pace, once.
 func (o *Owner) Inspections() []netip.AddrPort {
 	wanted := o.inspections
--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -176,7 +176,7 @@
 // choose gives the endpoint with a free credit that is best for a borrower, or nil.
 func (o *Owner) choose(now time.Time, a *account) *pool {
 	var best *pool
-	bestScore := math.Inf(1)
+	bestScore, unasked := math.Inf(1), math.Inf(1)
 	for _, p := range o.pools {
 		free := o.capacity(now, p) - p.out
 		if free <= 0 {
@@ -191,16 +191,25 @@
 		case OnDemand:
 			pace := o.pace(now, p)
 			common := o.commonStrain(now, a, p, pace)
-			if common-mostRelief > bestScore || !o.offers(now, p, pace) {
+			if common-mostRelief > bestScore {
 				continue
 			}
 			l = a.lines[p.Address]
 			score = common + o.ownStrain(now, p, l)
+			if !o.offers(now, p, pace) {
+				if o.mayInspect(now, p, l) {
+					unasked = min(unasked, score)
+				}
+				continue
+			}
 		}
 		if (l == nil || !l.broken) && rather(score, p, bestScore, best) {
 			best, bestScore = p, score
 		}
 	}
+	if best != nil && unasked+inspectGain <= bestScore && now.Sub(o.since[o.rank]) < answerWithin {
+		return nil
+	}
 	return best
 }
 
