--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -49,7 +49,6 @@
 	// order has the endpoints with a line, for a stable order of reports.
 	order    []netip.AddrPort
 	target   int
-	others   []Demand
 	demand   []Demand
 	reported []Demand
 	received uint64
@@ -146,7 +145,6 @@
 func (b *Borrower) leaveTerm(now time.Time) {
 	b.term = Term{}
 	b.received = 0
-	b.others = nil
 	if !b.guessing && b.asking.IsZero() {
 		b.asking = now
 	}
@@ -368,9 +366,6 @@
 	return 0
 }
 
-// Others gives, for each rank, what the other VMs need and use as the owner last told.
-func (b *Borrower) Others() []Demand { return b.others }
-
 // Receive takes a grant.
 func (b *Borrower) Receive(now time.Time, from daisyvm.Name, grant Grant) {
 	if from != b.owner.Name || grant.Term.Owner != b.owner.Name || grant.Term.Incarnation != b.owner.Incarnation {
@@ -397,7 +392,6 @@
 	if grant.Sequence > b.received {
 		b.received = grant.Sequence
 		b.target = int(grant.Target)
-		b.others = grant.Others
 	}
 	b.settle(now)
 }
--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -91,6 +91,4 @@
 	Granted []Granted
 	// Target is how many credits the borrower should come down to as its attempts finish.
 	Target uint32
-	// Others has, for each rank, what the other VMs need and use.
-	Others []Demand
 }
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -400,7 +400,6 @@
 		Term:         a.term,
 		Acknowledged: a.sequence,
 		Target:       uint32(max(0, a.target)),
-		Others:       o.others(a),
 	}
 	a.touched = slices.DeleteFunc(a.touched, func(address netip.AddrPort) bool {
 		l := a.lines[address]
@@ -414,20 +413,6 @@
 	return g
 }
 
-func (o *Owner) others(a *account) []Demand {
-	sums := make([]Demand, len(o.service.Ranks))
-	for _, b := range o.accounts {
-		if a == b {
-			continue
-		}
-		for i := range min(len(sums), len(b.demand)) {
-			sums[i].Waiting += b.demand[i].Waiting
-			sums[i].InFlight += b.demand[i].InFlight
-		}
-	}
-	return sums
-}
-
 // check ends the rebuilding and takes back the credits of silent borrowers.
 func (o *Owner) check(now time.Time) {
 	if !o.settled && !now.Before(o.rebuilt) || reached(now, o.retry) {
--- a/io/daisypeer/codec_test.go
+++ b/io/daisypeer/codec_test.go
@@ -115,7 +115,6 @@
 			Sequence: 9,
 			Granted:  []daisycredit.Granted{{Endpoint: testEndpoint, Granted: 17, Recalled: 3}},
 			Target:   5,
-			Others:   demand,
 		}},
 		daisymessage.EndpointNews{
 			Service: testService,
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -200,7 +200,6 @@
 		Sequence:     w.GetSequence(),
 		Target:       w.GetTarget(),
 		Acknowledged: w.GetAcknowledged(),
-		Others:       decodeDemand(w.GetOthers()),
 	}
 	for _, x := range w.GetGranted() {
 		grant.Granted = append(grant.Granted, daisycredit.Granted{
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -214,7 +214,6 @@
 		Sequence:     g.Sequence,
 		Target:       g.Target,
 		Acknowledged: g.Acknowledged,
-		Others:       encodeDemand(g.Others),
 	}
 	for _, x := range g.Granted {
 		w.Granted = append(w.Granted, &daisywire.Granted{
