--- a/core/daisyvm/beat.go
+++ b/core/daisyvm/beat.go
@@ -18,7 +18,7 @@
 		}
 	}
 	var decisions []MemberDecision
-	for _, m := range s.takeTurns(heard) {
+	for _, m := range s.takeTurns(s.favored(), heard) {
 		decisions = append(decisions, s.heartbeat(now, m))
 	}
 	if len(silent) > 0 {
@@ -27,14 +27,32 @@
 	return decisions
 }
 
-// takeTurns gives FanOut VMs. Each has its turn once before any has its next
-// one, in an order drawn anew each time: with a fixed order, the same VMs would
-// miss the same words again and again.
-func (s *Members) takeTurns(heard []*member) []*member {
+// favored gives the VMs that get a heartbeat of this round out of turn: those longest
+// suspected, whose answer ends the doubt, and of those that sent one since the last
+// round those that have not had one for longest: they may doubt this VM.
+func (s *Members) favored() []*member {
+	var suspects, askers []*member
+	for _, m := range s.order {
+		switch {
+		case m.State == Suspect:
+			suspects = append(suspects, m)
+		case m.asked && !m.silent() && s.roundAt.Sub(m.beatAt) >= SuspectAfter:
+			askers = append(askers, m)
+		}
+		m.asked = false
+	}
+	slices.SortStableFunc(suspects, func(a, b *member) int { return a.HeardAt.Compare(b.HeardAt) })
+	slices.SortStableFunc(askers, func(a, b *member) int { return a.beatAt.Compare(b.beatAt) })
+	return slices.Concat(suspects[:min(len(suspects), outOfTurn)], askers[:min(len(askers), outOfTurn)])
+}
+
+// takeTurns gives FanOut VMs, those taken already among them. Each other one has its
+// turn once before any has its next one, in an order drawn anew each time: with a
+// fixed order, the same VMs would miss the same words again and again.
+func (s *Members) takeTurns(taken, heard []*member) []*member {
 	if len(heard) <= FanOut {
 		return heard
 	}
-	var taken []*member
 	for len(taken) < FanOut {
 		if len(s.turns) == 0 {
 			s.turns = slices.Clone(heard)
@@ -51,6 +69,7 @@
 
 // heartbeat makes the heartbeat for one VM with the present sequence.
 func (s *Members) heartbeat(now time.Time, to *member) SendHeartbeat {
+	to.beatAt = now
 	d := SendHeartbeat{
 		To:         to.VM.Name,
 		Sequence:   s.sequence,
--- a/core/daisyvm/faults_test.go
+++ b/core/daisyvm/faults_test.go
@@ -158,13 +158,16 @@
 func TestLossKillsNobody(t *testing.T) {
 	for _, size := range []int{6, 20, 60} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			n := newNetwork(3, size)
-			n.runUntil(start.Add(3 * time.Second))
-			n.loss = 0.1
-			n.runUntil(n.now.Add(30 * time.Second))
-			for _, v := range n.vms {
-				assert.Equal(t, len(v.deaths), 0, "%s saw %v die", v.vm.Name, v.deaths)
-				assert.Equal(t, len(n.answers(v)), size)
+			// One seed tells little: with all heartbeats in turn 9 of the first 40 fail at 60 VMs.
+			for seed := range uint64(12) {
+				n := newNetwork(seed, size)
+				n.runUntil(start.Add(3 * time.Second))
+				n.loss = 0.1
+				n.runUntil(n.now.Add(30 * time.Second))
+				for _, v := range n.vms {
+					assert.Equal(t, len(v.deaths), 0, "seed %d: %s saw %v die", seed, v.vm.Name, v.deaths)
+					assert.Equal(t, len(n.answers(v)), size, "seed %d: %s", seed, v.vm.Name)
+				}
 			}
 		})
 	}
--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -21,6 +21,8 @@
 	ForgetAfter = 2 * time.Hour
 	// ForgetLeftAfter is the same for one that left by plan.
 	ForgetLeftAfter = 10 * time.Minute
+	// outOfTurn bounds the heartbeats of a round to VMs in doubt, and those to VMs that may doubt this one.
+	outOfTurn = 2
 	// heardWindow is how far back a heartbeat tells whom its sender heard.
 	heardWindow = 2 * BeatInterval
 	// pauseAfter is how late a round shows that this VM itself was paused.
@@ -67,6 +69,9 @@
 	learnedAt      time.Time
 	// sent is the VM's clock in its last heartbeat.
 	sent time.Time
+	// beatAt is when it was last sent a heartbeat, asked that one of it arrived since the last round.
+	beatAt time.Time
+	asked  bool
 	// changed numbers the change that made the VM's description known first-hand;
 	// told is the latest change that the VM was told of.
 	changed uint64
@@ -135,6 +140,7 @@
 	}
 	m.directSequence = event.Sequence
 	m.DirectAt = now
+	m.asked = true
 	m.directLeaving = event.Status.Leaving
 	if event.Sequence < m.sequence {
 		event.Status.Leaving = m.Status.Leaving
--- a/core/daisyvm/sim_test.go
+++ b/core/daisyvm/sim_test.go
@@ -59,6 +59,8 @@
 	cut      func(a, b *simVM) bool
 	loss     float64
 	messages int
+	// introduced counts the descriptions of VMs in heartbeats.
+	introduced int
 }
 
 func newNetwork(seed uint64, size int) *network {
@@ -177,6 +179,7 @@
 	if from.linked[to] != to.vm.Incarnation || !to.up {
 		return
 	}
+	n.introduced += len(d.Introduced)
 	n.deliver(from, to, daisyvm.HeartbeatArrived{
 		VM: from.vm, Sequence: d.Sequence, Status: d.Status, Sent: n.now,
 		Echo: d.Echo, EchoHeld: d.EchoHeld, Heard: d.Heard, Introduced: d.Introduced,
