--- a/core/daisyvm/beat.go
+++ b/core/daisyvm/beat.go
@@ -1,6 +1,7 @@
 package daisyvm
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -104,10 +105,15 @@
 		}
 	}
 	slices.SortFunc(news, func(a, b *member) int { return int(a.changed) - int(b.changed) })
-	news = news[:min(len(news), introduceLimit)]
+	heard := s.countHeard()
 	var vms []VM
 	for _, m := range news {
-		vms = append(vms, m.VM)
+		if len(vms) == introduceLimit {
+			break
+		}
+		if s.introduces(m, to, heard) {
+			vms = append(vms, m.VM)
+		}
 		to.told = m.changed
 	}
 	if len(vms) == 0 && s.round%introduceEvery == 0 {
@@ -119,6 +125,27 @@
 	return vms
 }
 
+// introduces reports whether this VM is one of those that describe a VM to another:
+// all of a few VMs, and about introducers of many, or each would hear of each from all.
+func (s *Members) introduces(m, to *member, heard int) bool {
+	if heard <= FanOut {
+		return true
+	}
+	share := math.MaxUint64 / uint64(heard) * introducers
+	return ownerHash(s.self.Name, string(m.VM.Name)+"\x00"+string(to.VM.Name)) < share
+}
+
+// countHeard gives the number of other VMs that are not silent.
+func (s *Members) countHeard() int {
+	heard := 0
+	for _, m := range s.order {
+		if !m.silent() {
+			heard++
+		}
+	}
+	return heard
+}
+
 // share gives the VMs that share the services when they have changed. Who is
 // heard only by the word of others shares nothing with this VM. The last VM
 // shares with itself, also when it leaves.
--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -29,6 +29,9 @@
 	pauseAfter = 3 * BeatInterval
 	// introduceLimit bounds the descriptions in one heartbeat.
 	introduceLimit = 16
+	// introducers is how many VMs describe a VM to another on their own, on average; one
+	// in e^introducers is left to the repeated descriptions and to the platform's list.
+	introducers = 6
 	// introduceEvery is the number of rounds between two repeated descriptions.
 	introduceEvery = 8
 	// roundTripWeight is the share of the latest sample in a smoothed round trip.
