--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -74,6 +74,8 @@
 
 // DutyChanged says whether this VM reads the store for the others, and who they are.
 type DutyChanged struct {
+	// Place is that of this VM among all, in an order that all VMs share.
+	Place  int
 	Reader bool
 	Peers  []daisyvm.Name
 }
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -25,8 +25,15 @@
 	// readGap is the time between two reads of a reader, so that changes which come
 	// close together take one call.
 	readGap = 100 * time.Millisecond
-	// standbyEvery is the time between two reads of a VM that others read for. It
-	// hears of changes from these; its own reads are for what all of them missed.
+	// turnEvery is the time between two reads of turnTakers, who take turns beside the
+	// readers: a store that is silent to both readers is noticed by these only after
+	// their wait for changes, and a change has to be everywhere within 2 s.
+	turnEvery = time.Second
+	// turnTakers is the most VMs that take turns: so many that a store which is silent
+	// to a third of the VMs seldom is to several in a row, and that the last read of
+	// each is within the history that the store keeps.
+	turnTakers = 6
+	// standbyEvery is the time between two reads of the other VMs.
 	standbyEvery = 2 * time.Minute
 	// firstWait is how long a VM that has just read all rows waits for word of who
 	// reads for its peers before it reads on: links to them open within that time.
@@ -51,6 +58,8 @@
 	// reader says that this VM reads for its peers.
 	reader bool
 	peers  []daisyvm.Name
+	// place is that of this VM among all, for its turns.
+	place int
 
 	reading bool
 	retryAt time.Time
@@ -180,26 +189,43 @@
 // one leave it to its peers.
 func (f *Follower) changeDuty(now time.Time, e DutyChanged) {
 	met := len(f.peers) == 0 && len(e.Peers) > 0
+	f.peers, f.place = e.Peers, e.Place
 	switch {
 	case !f.awaySince.IsZero():
 	case e.Reader && (!f.reader || met):
 		f.retryAt = time.Time{}
 	case !e.Reader && f.reader && f.whole:
-		f.retryAt = now.Add(standbyEvery)
+		f.retryAt = f.nextTurn(now)
 	}
 	f.reader = e.Reader
-	f.peers = e.Peers
 }
 
-// takeRead takes changes from the store and passes them on.
+// nextTurn gives when a VM that others read for reads by itself.
+func (f *Follower) nextTurn(now time.Time) time.Time {
+	takers := max(1, min(turnTakers, len(f.peers)+1-readerCount))
+	place := max(0, f.place-readerCount)
+	if place >= takers {
+		return now.Add(standbyEvery)
+	}
+	round := time.Duration(takers) * turnEvery
+	turn := now.Truncate(round).Add(time.Duration(place) * turnEvery)
+	if !turn.After(now) {
+		turn = turn.Add(round)
+	}
+	return turn
+}
+
+// takeRead takes changes from the store and passes them on, also when it is not this
+// VM's to read for its peers: who reads for them has missed what is news to it.
 func (f *Follower) takeRead(now time.Time, e RowsChanged) {
-	after := f.asOf
+	after := max(f.asOf, f.last)
 	news := f.takeChanges(now, e.Rows, f.inGrace(now))
 	f.asOf = max(f.asOf, e.AsOf)
-	if !news || !f.reader {
+	if !news {
 		return
 	}
-	c := Changes{Rows: e.Rows, After: after, Last: f.last, Grace: f.graceLeft(now)}
+	rows := slices.DeleteFunc(slices.Clone(e.Rows), func(r Row) bool { return r.Version <= after })
+	c := Changes{Rows: rows, After: after, Last: f.last, Grace: f.graceLeft(now)}
 	for _, p := range f.peers {
 		f.emit(GivePeer{To: p, Changes: c})
 	}
@@ -233,7 +259,7 @@
 	f.retry = firstRetry
 	f.retryAt = now.Add(readGap)
 	if !f.reader {
-		f.retryAt = now.Add(standbyEvery)
+		f.retryAt = f.nextTurn(now)
 	}
 	if late || !f.awaySince.IsZero() {
 		f.graceUntil = now.Add(returnGrace)
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -1,6 +1,7 @@
 package daisyfeed_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -218,9 +219,11 @@
 
 // Every call to the store has a price.
 func TestCallsToTheStore(t *testing.T) {
-	count := func(reader, answers bool) int {
+	peers := make([]daisyvm.Name, 9)
+	count := func(place int, answers bool) int {
+		reader := place < 2
 		h := newHolder(t)
-		h.handle(daisyfeed.DutyChanged{Reader: reader})
+		h.handle(daisyfeed.DutyChanged{Reader: reader, Place: place, Peers: peers})
 		h.read()
 		calls := 0
 		for end := h.now.Add(time.Minute); h.now.Before(end); {
@@ -241,9 +244,10 @@
 		}
 		return calls
 	}
-	assert.Assert(t, count(true, true) <= 25, "a reader")
-	assert.Assert(t, count(false, true) <= 1, "a VM that others read for")
-	assert.Assert(t, count(true, false) <= 90, "a reader whose store is away")
+	assert.Assert(t, count(0, true) <= 25, "a reader")
+	assert.Assert(t, count(3, true) <= 11, "a VM that takes turns")
+	assert.Equal(t, count(8, true), 0, "a VM that others read for")
+	assert.Assert(t, count(0, false) <= 90, "a reader whose store is away")
 }
 
 // A VM that has read all rows waits for word of who reads on.
@@ -257,7 +261,7 @@
 	}{
 		"alone":           {duty: daisyfeed.DutyChanged{Reader: true}, calls: 1, after: time.Second},
 		"reads for peers": {duty: daisyfeed.DutyChanged{Reader: true, Peers: peers}, calls: 1, after: 300 * time.Millisecond},
-		"peers read":      {duty: daisyfeed.DutyChanged{Peers: peers}},
+		"peers read":      {duty: daisyfeed.DutyChanged{Place: 8, Peers: make([]daisyvm.Name, 9)}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHolder(t)
@@ -272,6 +276,35 @@
 	}
 }
 
+// A store that is silent to both readers is read by another VM within a second, which
+// passes on what is news and nothing else.
+func TestVMsTakeTurnsBesideTheReaders(t *testing.T) {
+	const vms = 10
+	var turns []time.Time
+	for place := 2; place < vms; place++ {
+		h := newHolder(t)
+		h.read()
+		h.handle(daisyfeed.DutyChanged{Place: place, Peers: make([]daisyvm.Name, vms-1)})
+		h.handle(daisyfeed.PeerGave{From: "vm-1", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{row("c", 7)}, After: 2, Last: 7}})
+		for end := start.Add(20 * time.Second); h.now.Before(end); {
+			if len(of[daisyfeed.AwaitChanges](h.pass(50*time.Millisecond))) == 0 {
+				continue
+			}
+			turns = append(turns, h.now)
+			give := of[daisyfeed.GivePeer](h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 7)}, AsOf: 7}))
+			assert.Equal(t, len(give), 0, "no news")
+		}
+		give := of[daisyfeed.GivePeer](h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 7), row("d", 9)}, AsOf: 9}))
+		assert.Equal(t, len(give), vms-1)
+		assert.DeepEqual(t, give[0].Changes, daisyfeed.Changes{Rows: []daisyfeed.Row{row("d", 9)}, After: 7, Last: 9})
+	}
+	slices.SortFunc(turns, time.Time.Compare)
+	assert.Assert(t, len(turns) <= 20, "%d reads in 20 s", len(turns))
+	for i, at := range turns[1:] {
+		assert.Assert(t, at.Sub(turns[i]) <= 1100*time.Millisecond, "nobody reads from %v to %v", turns[i], at)
+	}
+}
+
 func TestReadersAreTheSameForAllAndPassOverBlindOnes(t *testing.T) {
 	vms := []daisyvm.VM{{Name: "vm-0"}, {Name: "vm-1"}, {Name: "vm-2"}, {Name: "vm-3"}}
 	readers := func(blind ...daisyvm.Name) []string {
--- a/core/daisyfeed/readers.go
+++ b/core/daisyfeed/readers.go
@@ -52,6 +52,11 @@
 func (r *Readers) Duty() (DutyChanged, bool) {
 	r.picked = r.pick()
 	duty := DutyChanged{Reader: slices.Contains(r.picked, r.self), Peers: r.peers}
+	for _, p := range r.peers {
+		if daisyvm.CompareFor(readersKey, p, r.self) < 0 {
+			duty.Place++
+		}
+	}
 	changed := duty.Reader != r.told.Reader || !slices.Equal(duty.Peers, r.told.Peers)
 	r.told = duty
 	return duty, changed
