--- a/core/daisymeasure/case.go
+++ b/core/daisymeasure/case.go
@@ -96,6 +96,20 @@
 	return z.Faulty("70%, one endpoint drains", 0.7, Drain{Span: Span{faultStart, z.Duration}, EndpointRef: EndpointRef{0, 3}})
 }
 
+// LimitedCase returns a case in which every endpoint of the first service but one names
+// a limit of its rate, together with another fault; nil adds none.
+func (z Size) LimitedCase(name string, fleet Fleet, perSecond, load float64, fault Fault) Case {
+	c := z.Steady(name, fleet, load)
+	for i := range fleet.Endpoints[0] - 1 {
+		c.Scenario.Faults = append(c.Scenario.Faults, LimitRate{Span: Span{faultStart, z.Duration}, EndpointRef: EndpointRef{0, i}, PerSecond: perSecond})
+	}
+	if fault != nil {
+		c.Scenario.Faults = append(c.Scenario.Faults, fault)
+	}
+	c.WithoutCentralQueue = true
+	return c
+}
+
 // LostVM returns a case in which one of 6 VMs fails at 85% load.
 func (z Size) LostVM() Case {
 	return z.Faulty("85%, one VM lost", 0.85, KillVM{Span: Span{Begin: faultStart}, VM: 2})
@@ -134,6 +148,7 @@
 		z.UrgentFlood(),
 		z.FailFastCase(),
 		z.DrainCase(),
+		z.LimitedCase("30%, all endpoints but one name a limit of 5/s", Portugal(z.Services), 5, 0.3, nil),
 		z.LostVM(),
 		z.PausedVM(),
 		z.PartitionedVMs(),
--- a/core/daisymeasure/endpoint.go
+++ b/core/daisymeasure/endpoint.go
@@ -24,6 +24,10 @@
 	failFast bool
 	draining bool
 	down     bool
+	// rateLimit is the limit that the endpoint names, and arrivals the times at which
+	// attempts and probes reached it.
+	rateLimit daisyendpoint.RateLimit
+	arrivals  []time.Duration
 	// history contains past loads, for delayed reports.
 	history []loadSample
 }
@@ -46,6 +50,7 @@
 
 func (sm *Simulation) receiveAttempt(a *attempt) {
 	e := a.endpoint
+	e.arrivals = append(e.arrivals, sm.now.Sub(sm.start))
 	switch {
 	case a.state == done:
 	case e.down:
@@ -98,7 +103,7 @@
 	if _, ok := outcome.(daisyrequest.Answered); !ok || sm.scenario.NoReports {
 		r = daisyendpoint.Report{}
 	}
-	sm.schedule(sm.scenario.Fleet.delay(a.vm.Zone, a.endpoint.Zone), outcomeReceived{attempt: a, outcome: outcome, report: r})
+	sm.schedule(sm.scenario.Fleet.delay(a.vm.Zone, a.endpoint.Zone), outcomeReceived{attempt: a, outcome: outcome, report: r, rateLimit: a.endpoint.rateLimit})
 }
 
 // startQueued starts queued attempts in free slots.
@@ -153,7 +158,7 @@
 // loadReport returns the load report of an endpoint, with the delay and the
 // probability of false values that the scenario defines.
 func (sm *Simulation) loadReport(e *endpoint) daisyendpoint.Report {
-	r := daisyendpoint.Report{At: sm.now, InFlight: len(e.working) + len(e.queue), Slots: e.Slots, Draining: e.draining}
+	r := daisyendpoint.Report{At: sm.now, InFlight: len(e.working) + len(e.queue), Slots: e.Slots, Draining: e.draining, RateLimit: e.rateLimit}
 	if sm.scenario.ReportAge > 0 {
 		r.InFlight = e.loadAt(sm.now.Add(-sm.scenario.ReportAge))
 	}
--- a/core/daisymeasure/event.go
+++ b/core/daisymeasure/event.go
@@ -34,6 +34,8 @@
 	attempt *attempt
 	outcome daisyrequest.Outcome
 	report  daisyendpoint.Report
+	// rateLimit is the limit that the endpoint named; nil if there was no response.
+	rateLimit daisyendpoint.RateLimit
 }
 
 // deadlinePassed is the deadline of an attempt.
--- a/core/daisymeasure/fault.go
+++ b/core/daisymeasure/fault.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"daisyyoke/core/daisyendpoint"
 )
 
 // Span is the time during which a fault is present. Begin counts from the start of
@@ -12,7 +14,7 @@
 func (s Span) span() (begin, length time.Duration) { return s.Begin, s.Length }
 
 // Fault is a fault that is present for a time. It is one of Slow, FailFast, Drain,
-// Crash, KillVM, PauseVM and Partition.
+// Crash, LimitRate, KillVM, PauseVM and Partition.
 type Fault interface {
 	span() (begin, length time.Duration)
 	fault()
@@ -48,6 +50,14 @@
 	EndpointRef
 }
 
+// LimitRate makes an endpoint name a limit of its rate of requests in its answers. It
+// does not enforce the limit.
+type LimitRate struct {
+	Span
+	EndpointRef
+	PerSecond float64
+}
+
 // KillVM ends a VM permanently.
 type KillVM struct {
 	Span
@@ -67,6 +77,7 @@
 func (FailFast) fault()  {}
 func (Drain) fault()     {}
 func (Crash) fault()     {}
+func (LimitRate) fault() {}
 func (KillVM) fault()    {}
 func (PauseVM) fault()   {}
 func (Partition) fault() {}
@@ -92,6 +103,11 @@
 			sm.crash(sm.endpointAt(f.EndpointRef))
 		}
 		sm.endpointAt(f.EndpointRef).down = c.begins
+	case LimitRate:
+		sm.endpointAt(f.EndpointRef).rateLimit = daisyendpoint.Unlimited{}
+		if c.begins {
+			sm.endpointAt(f.EndpointRef).rateLimit, _ = daisyendpoint.NewRateLimit(f.PerSecond)
+		}
 	case KillVM:
 		if c.begins {
 			sm.killVM(sm.vms[f.VM%len(sm.vms)])
--- a/core/daisymeasure/route.go
+++ b/core/daisymeasure/route.go
@@ -121,7 +121,7 @@
 	if e.report.Slots > 0 {
 		sm.handle(a.vm, s, daisyroute.ReportReceived{Endpoint: a.endpoint.Address, Report: e.report})
 	}
-	sm.handle(a.vm, s, daisyroute.AttemptResolved{Attempt: a.id, Outcome: e.outcome, Resendable: true})
+	sm.handle(a.vm, s, daisyroute.AttemptResolved{Attempt: a.id, Outcome: e.outcome, Resendable: true, RateLimit: e.rateLimit})
 	if _, ok := e.outcome.(daisyrequest.Answered); ok {
 		sm.handle(a.vm, s, daisyroute.AttemptReleased{Attempt: a.id})
 	}
@@ -169,6 +169,7 @@
 func (sm *Simulation) startProbe(v *vm, s *service, d daisyroute.Probe) {
 	e := s.endpoints[d.Endpoint]
 	sm.tally.Probes++
+	e.arrivals = append(e.arrivals, sm.now.Add(sm.scenario.Fleet.delay(v.Zone, e.Zone)).Sub(sm.start))
 	after := 2*sm.scenario.Fleet.delay(v.Zone, e.Zone) + probeWork
 	sm.schedule(after, probeFinished{vm: v, service: s, endpoint: e, address: d.Endpoint, report: sm.loadReport(e), failed: e.down})
 }
--- a/core/daisymeasure/simulation.go
+++ b/core/daisymeasure/simulation.go
@@ -129,6 +129,7 @@
 		}
 	}
 	sm.tally.countViolations(sm)
+	sm.tally.recordArrivals(sm)
 	return sm.tally
 }
 
--- a/core/daisymeasure/tally.go
+++ b/core/daisymeasure/tally.go
@@ -33,6 +33,8 @@
 	// the warm-up to the last arrival.
 	usefulWork time.Duration
 	sends      []sendRecord
+	// arrivals has the times of the attempts and probes at each endpoint, by service.
+	arrivals [][][]time.Duration
 }
 
 // RankTally counts the requests of a rank by result.
@@ -155,6 +157,34 @@
 	}
 }
 
+// recordArrivals keeps the times at which attempts and probes reached the endpoints.
+func (t *Tally) recordArrivals(sm *Simulation) {
+	for _, s := range sm.services {
+		var arrivals [][]time.Duration
+		for _, e := range s.endpointOrder {
+			slices.Sort(e.arrivals)
+			arrivals = append(arrivals, e.arrivals)
+		}
+		t.arrivals = append(t.arrivals, arrivals)
+	}
+}
+
+// MaxArrivals returns the largest number of attempts and probes that reached an endpoint
+// within any window of the given length in a part of the run.
+func (t *Tally) MaxArrivals(ref EndpointRef, window, from, to time.Duration) int {
+	most, first := 0, 0
+	arrivals := t.arrivals[ref.Service][ref.Endpoint]
+	for i, at := range arrivals {
+		for first < i && (arrivals[first] < from || arrivals[first] <= at-window) {
+			first++
+		}
+		if at >= from && at < to {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
 // Percentile returns the latency within which the given share of a rank's successful
 // answers arrived.
 func (t *Tally) Percentile(rank daisyrank.Index, share float64) time.Duration {
