Keep the rate limits of endpoints, whichever VMs share them

What callers and endpoints saw: an endpoint that named 1.2 requests a second got up to 15 in 4 s (the users allow 1.5 times the limit and 5).

Cause: slots bound how many requests are at an endpoint at once; nothing counted how many arrive. The class of fault is a limit over time on a resource that all VMs share, kept by bounds on concurrency alone. Probes before each credit added to it.

The rate is divided into equal shares for the VMs that may send, and each share is used in one place: by the owner for the VMs that rely on its credits, by a VM itself in fallback mode and for trials. The owner takes a credit from a bucket (core/daisyrate) and gets it back after one attempt; limited endpoints are not probed before lending. VMs that fell silent keep a share for 30 s. Limits travel with reports and grants. A VM's queue counts a limited endpoint for the slots that its rate can keep busy, so that requests beyond all limits are refused at once with the estimated time.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -70,32 +70,6 @@
 	waitingSince, lastReceived time.Time
 }
 
-// endpointCredits is the state of a borrower at one endpoint.
-type endpointCredits struct {
-	// claimed is the number of credits held when the term began or, in fallback mode,
-	// of attempts in flight.
-	claimed uint32
-	// granted and recalled are the numbers of credits that the owner has granted and
-	// has asked back in this term, and returned is the number of those that the borrower
-	// has returned.
-	granted  uint64
-	recalled uint64
-	returned uint64
-	inFlight uint32
-	// shed is the number of attempts that the endpoint refused in this term because of
-	// its load.
-	shed uint64
-	// restricted is set if this VM sends only trials or nothing to the endpoint.
-	restricted bool
-	slots      int
-	draining   bool
-	// changed is the sequence number of the first report that includes the latest change.
-	changed uint64
-}
-
-func (c *endpointCredits) held() int { return int(c.claimed) + int(c.granted) - int(c.returned) }
-func (c *endpointCredits) idle() int { return max(0, c.held()-int(c.inFlight)) }
-
 // NewBorrower returns a Borrower in fallback mode. Until SetVMs or SetShare is called,
 // its share is all slots, as if its VM were the only one.
 func NewBorrower(self daisyvm.VM, service daisyservice.Service, lending Lending) *Borrower {
@@ -181,7 +155,7 @@
 	b.fallback = true
 	b.termEnded = time.Time{}
 	for _, c := range b.endpoints {
-		*c = endpointCredits{claimed: c.inFlight, inFlight: c.inFlight, restricted: c.restricted, slots: c.slots, draining: c.draining}
+		*c = c.renewed(c.inFlight)
 	}
 	b.recount()
 }
@@ -255,7 +229,7 @@
 		c.claimed = c.inFlight
 		return
 	}
-	if _, ok := b.lending.(OnDemand); ok && c.idle() > 0 && b.term != (Term{}) {
+	if (b.lendsOnDemand() || c.limited()) && c.idle() > 0 && b.term != (Term{}) {
 		// The owner has the demand of all VMs and the state of the endpoint, and
 		// decides where the next credit is lent, and to which VM.
 		b.returnCredits(now, c, 1)
@@ -279,6 +253,11 @@
 	b.timer.scheduleUpdateWithin(now, batchDelay)
 }
 
+func (b *Borrower) lendsOnDemand() bool {
+	_, ok := b.lending.(OnDemand)
+	return ok
+}
+
 // SetRestricted sets whether this VM sends only trials or nothing to an endpoint,
 // because it is ejected, draining or removed.
 func (b *Borrower) SetRestricted(now time.Time, endpoint netip.AddrPort, restricted bool) {
@@ -324,11 +303,12 @@
 		surplus = int(c.recalled - c.returned)
 	}
 	surplus = max(surplus, b.held()-b.creditTarget)
-	switch b.lending.(type) {
-	case InAdvance:
-	case OnDemand:
+	if b.lendsOnDemand() {
 		surplus = max(surplus, b.held()-b.totalInFlight-b.totalWaiting())
 	}
+	if c.limited() && b.totalWaiting() == 0 {
+		surplus = idle
+	}
 	if c.draining || c.restricted {
 		surplus = idle
 	}
@@ -420,6 +400,9 @@
 		c.granted = max(c.granted, g.Granted)
 		b.totalHeld += c.held()
 		c.recalled = max(c.recalled, g.Recalled)
+		if g.RateLimit != nil && c.rateLimitNews <= b.timer.acknowledged {
+			c.rateLimit = g.RateLimit
+		}
 	}
 	if grant.Sequence > 0 {
 		b.timer.scheduleAck(now, ackDelay)
@@ -435,8 +418,8 @@
 func (b *Borrower) beginTerm(now time.Time, term Term) {
 	b.timer.forgetUnacked()
 	for _, c := range b.endpoints {
-		*c = endpointCredits{claimed: uint32(max(c.held(), int(c.inFlight))), inFlight: c.inFlight, restricted: c.restricted, slots: c.slots, draining: c.draining}
-		if c.claimed > 0 || c.restricted {
+		*c = c.renewed(uint32(max(c.held(), int(c.inFlight))))
+		if c.claimed > 0 || c.restricted || c.limited() {
 			c.changed = b.timer.nextSequence()
 		}
 	}
@@ -480,7 +463,7 @@
 		if c.changed <= b.timer.acknowledged {
 			continue
 		}
-		held = append(held, Held{Endpoint: a, Claimed: c.claimed, Returned: c.returned, InFlight: c.inFlight, Shed: c.shed, Restricted: c.restricted})
+		held = append(held, Held{Endpoint: a, Claimed: c.claimed, Returned: c.returned, InFlight: c.inFlight, Shed: c.shed, Restricted: c.restricted, RateLimit: c.rateLimit, Answers: c.answers})
 	}
 	return held
 }
--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -12,6 +12,7 @@
 import (
 	"net/netip"
 
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 )
@@ -47,6 +48,11 @@
 	// Restricted reports whether the borrower sends only trials or nothing to the
 	// endpoint, because it is ejected, draining or removed.
 	Restricted bool
+	// RateLimit is the rate limit that the endpoint named in its latest answer to the
+	// borrower, and Answers the number of these answers, from which the owner tells
+	// whether it is news.
+	RateLimit daisyendpoint.RateLimit
+	Answers   uint64
 }
 
 // Demand is the demand of a borrower for slots for one rank.
@@ -79,6 +85,8 @@
 	// Recalled is the number of credits that the borrower has to return in this term
 	// as soon as its attempts finish, regardless of its Target.
 	Recalled uint64
+	// RateLimit is the rate limit of the endpoint as known to the owner; nil if unknown.
+	RateLimit daisyendpoint.RateLimit
 }
 
 // Grant is a message from the owner to a borrower.
--- a/core/daisycredit/eligibility.go
+++ b/core/daisycredit/eligibility.go
@@ -29,7 +29,8 @@
 )
 
 // eligible reports whether an endpoint with the given slowdown may get another attempt
-// now. An endpoint with a fresh report that is neither slow nor nearly full is eligible.
+// now. An endpoint with a fresh report, or with a rate limit, that is neither slow nor
+// nearly full is eligible.
 // One that is slow or nearly full is eligible if the backlog for good endpoints is
 // longer than the extra time that the attempt takes there. Otherwise an endpoint
 // becomes eligible when the rank has waited for grantWait without a grant, and eligible
@@ -39,7 +40,7 @@
 	load := e.load(now)
 	nearlyFull := e.nearlyFull(load)
 	slow := slowdown >= slowThreshold
-	if !nearlyFull && !slow && e.hasFreshReport(now) {
+	if !nearlyFull && !slow && (e.hasFreshReport(now) || e.rate.limited()) {
 		return true
 	}
 	if nearlyFull && !o.fullIncreasesThroughput() && now.Sub(o.lastFullGrant) < fullTrialInterval {
@@ -76,10 +77,10 @@
 // of more urgent ones have got endpoints that are neither slow nor nearly full.
 func (o *Owner) estimateBacklog(waiting [][]int, rank int) {
 	o.backlog = 0
-	usableSlots, waitingRequests := 0, 0
+	usableSlots, waitingRequests := 0.0, 0
 	for _, e := range o.endpoints {
 		if !e.Draining && !o.restrictedByMost(e) {
-			usableSlots += max(e.Slots-1, 1)
+			usableSlots += o.usableSlots(e, max(e.Slots-1, 1))
 		}
 	}
 	for _, w := range waiting {
@@ -88,7 +89,7 @@
 		}
 	}
 	if usableSlots > 0 && o.otherHoldTimes.samples >= minHoldSamples {
-		o.backlog = time.Duration(waitingRequests) * o.otherHoldTimes.mean / time.Duration(usableSlots)
+		o.backlog = time.Duration(float64(waitingRequests) * float64(o.otherHoldTimes.mean) / usableSlots)
 	}
 }
 
--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -19,6 +19,9 @@
 	o.retryAt = time.Time{}
 	countsWereValid := o.countsValid
 	o.recount()
+	if !countsWereValid {
+		o.updateBuckets(now)
+	}
 	o.updateSaturation(now)
 	if _, ok := o.options.Lending.(OnDemand); !ok || !countsWereValid {
 		o.recallExcess(now)
@@ -34,7 +37,7 @@
 		o.lowerTargets(now, ideals, missing)
 		o.lendSpare(now, ideals)
 	case OnDemand:
-		o.grantByRank(now, slots)
+		o.grantByRank(now, o.lendableSlots(now))
 	}
 }
 
@@ -135,7 +138,7 @@
 		if i < 0 {
 			return missing
 		}
-		if !o.grantOne(now, o.accounts[i]) {
+		if !o.grantOne(now, o.accounts[i], true) {
 			return missing
 		}
 		missing[i]--
@@ -154,9 +157,10 @@
 }
 
 // grantOne grants a borrower a free credit at the best endpoint. It reports false if
-// there is none.
-func (o *Owner) grantOne(now time.Time, a *account) bool {
-	best := o.chooseEndpoint(now, a)
+// there is none. Credits at endpoints with a rate limit are only granted for waiting
+// requests.
+func (o *Owner) grantOne(now time.Time, a *account, waiting bool) bool {
+	best := o.chooseEndpoint(now, a, waiting)
 	if best == nil {
 		return false
 	}
@@ -166,6 +170,7 @@
 	a.heldCredits++
 	a.markChanged(best.Address)
 	best.lastGrant = now
+	best.rate.bucket.Take(now)
 	if best.lentCredits >= best.Slots {
 		o.lastFullGrant = now
 	}
@@ -179,12 +184,12 @@
 
 // chooseEndpoint returns the best endpoint with a free credit for a borrower. It
 // returns nil if there is none, or if a probe may soon show a clearly better one.
-func (o *Owner) chooseEndpoint(now time.Time, a *account) *endpointState {
+func (o *Owner) chooseEndpoint(now time.Time, a *account, waiting bool) *endpointState {
 	var best *endpointState
 	minCost, minUnprobedCost := math.Inf(1), math.Inf(1)
 	for _, e := range o.endpoints {
 		free := o.capacity(now, e) - e.lentCredits
-		if free <= 0 {
+		if free <= 0 || !waiting && e.rate.limited() || !o.rateAllows(now, e) {
 			continue
 		}
 		var cost float64
@@ -303,13 +308,16 @@
 	}
 	free, slots := 0, 0
 	for _, e := range o.endpoints {
+		if e.rate.limited() {
+			continue
+		}
 		c := o.capacity(now, e)
 		slots += c
 		free += max(0, c-e.lentCredits)
 	}
 	for ; free > slots/reserveDivisor; free-- {
 		a := o.mostBelowIdeal(ideals)
-		if a == nil || !o.grantOne(now, a) {
+		if a == nil || !o.grantOne(now, a, false) {
 			return
 		}
 	}
--- a/core/daisycredit/on_demand.go
+++ b/core/daisycredit/on_demand.go
@@ -64,7 +64,7 @@
 // enough yet. It reports whether it granted one.
 func (o *Owner) grantFor(now time.Time, a *account, rank int) bool {
 	o.grantRank = rank
-	granted := o.grantOne(now, a)
+	granted := o.grantOne(now, a, true)
 	if granted {
 		o.lastGrant[rank] = now
 	}
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -91,6 +91,10 @@
 	probes []netip.AddrPort
 	// overcommitUntil is until when credits are overcommitted.
 	overcommitUntil time.Time
+	// silentVMs is the number of VMs that are no longer heard of and may still send.
+	silentVMs int
+	// reportedAccounts is the number of borrowers that have reported in their term.
+	reportedAccounts int
 }
 
 // endpointState is the owner's record of one endpoint.
@@ -111,7 +115,9 @@
 	lastGrant time.Time
 	// lentCredits is the number of credits that the borrowers hold, and restrictedBy
 	// the number of borrowers that send only trials or nothing to the endpoint.
-	lentCredits, restrictedBy int
+	// restrictedReported counts those of them that have reported in their term.
+	lentCredits, restrictedBy, restrictedReported int
+	rate                                          rateState
 }
 
 // account is the owner's record of one borrower.
@@ -155,6 +161,9 @@
 	outstanding []outstandingCredit
 	// lastGrant is when a credit was last granted.
 	lastGrant time.Time
+	// answers is the number of answers that the latest known RateLimit of the borrower
+	// came with.
+	answers uint64
 }
 
 func (l *loan) held() int { return max(0, int(l.claimed)+int(l.granted)-int(l.returned)) }
@@ -214,7 +223,7 @@
 	o.endpoints = nil
 	for _, d := range service.Endpoints {
 		e := old[d.Address]
-		if e == nil {
+		if e == nil || !e.SameIncarnation(d) {
 			e = &endpointState{}
 		}
 		e.Endpoint = d
@@ -286,6 +295,8 @@
 		clear(a.loans)
 		o.countsValid = false
 		a.reported = true
+		o.announceRateLimits(now, a)
+		o.noteClaimedRateLimits(now, a, report.Held)
 	}
 	a.timer.receiveAck(now, report.Acknowledged)
 	for _, h := range report.Held {
@@ -341,6 +352,12 @@
 	if e != nil {
 		e.lentCredits += l.held() - held
 	}
+	if h.Answers > l.answers {
+		l.answers = h.Answers
+		if e != nil && h.RateLimit != nil {
+			o.setRateLimit(now, e, h.RateLimit)
+		}
+	}
 	if h.Shed > l.shed {
 		l.shed = h.Shed
 		o.recordShed(now, h.Endpoint)
@@ -362,11 +379,15 @@
 		return
 	}
 	o.countsValid = true
+	o.reportedAccounts = 0
 	for _, e := range o.endpoints {
-		e.lentCredits, e.restrictedBy = 0, 0
+		e.lentCredits, e.restrictedBy, e.restrictedReported = 0, 0, 0
 	}
 	for _, a := range o.accounts {
 		a.heldCredits = 0
+		if a.reported {
+			o.reportedAccounts++
+		}
 		for address, l := range a.loans {
 			a.heldCredits += l.held()
 			e := o.byAddress[address]
@@ -377,6 +398,9 @@
 			if l.restricted {
 				e.restrictedBy++
 			}
+			if l.restricted && a.reported {
+				e.restrictedReported++
+			}
 		}
 	}
 }
@@ -432,7 +456,11 @@
 		if l == nil || l.changed <= a.timer.acknowledged {
 			return true
 		}
-		g.Granted = append(g.Granted, Granted{Endpoint: address, Granted: l.granted, Recalled: l.recalled})
+		granted := Granted{Endpoint: address, Granted: l.granted, Recalled: l.recalled}
+		if e := o.endpoint(address); e != nil {
+			granted.RateLimit = e.rate.limit
+		}
+		g.Granted = append(g.Granted, granted)
 		return false
 	})
 	g.Sequence = a.timer.recordUpdate(now)
--- a/core/daisycredit/probe.go
+++ b/core/daisycredit/probe.go
@@ -73,9 +73,10 @@
 }
 
 // worthProbing reports whether a probe may make an endpoint eligible for a borrower
-// that has the given loan there.
+// that has the given loan there. A probe would use up the rate of an endpoint with a
+// rate limit.
 func (o *Owner) worthProbing(now time.Time, e *endpointState, l *loan) bool {
-	return !e.nearlyFull(e.lentCredits) && e.lentCredits < o.capacity(now, e) && (l == nil || !l.restricted) &&
+	return !e.rate.limited() && !e.nearlyFull(e.lentCredits) && e.lentCredits < o.capacity(now, e) && (l == nil || !l.restricted) &&
 		!e.hasFreshReport(now) && now.Sub(e.probedAt) > freshReportAge
 }
 
--- a/core/daisymeasure/rate_limit_test.go
+++ b/core/daisymeasure/rate_limit_test.go
@@ -114,3 +114,21 @@
 		checkRateLimits(t, c, 2, 0, daemonPolicy())
 	}
 }
+
+// Guards against urgent requests that take the whole rate of all endpoints, so that a less
+// urgent rank gets less than its floor.
+func TestFloorsAreKeptUnderRateLimits(t *testing.T) {
+	const perSecond = 4.0
+	c := limitedSize().LimitedCase("urgent flood", limitedFleet(7), perSecond, 0, nil)
+	c.Scenario.Faults = append(c.Scenario.Faults, LimitRate{Span: Span{faultStart, c.Scenario.Duration}, EndpointRef: EndpointRef{0, c.Scenario.Fleet.Endpoints[0] - 1}, PerSecond: perSecond})
+	c.Scenario.Load = [rankCount]float64{0.3, 0.1, 0.01}
+	c.Scenario.Warmup = faultStart + rateGracePeriod
+	x := Run(c.Scenario, Routed{onDemand})
+	var served time.Duration
+	for _, r := range x.Ranks {
+		served += r.WorkServed
+	}
+	floor := c.Scenario.Fleet.ranks()[Standard].Floor
+	got := ratio(float64(x.Ranks[Standard].WorkServed), float64(served))
+	assert.Check(t, got >= floor, "%.3f of the served slot time is of a rank with the floor %.2f", got, floor)
+}
--- a/core/daisyprobe/schedule.go
+++ b/core/daisyprobe/schedule.go
@@ -109,6 +109,14 @@
 	s.reschedule(t)
 }
 
+// Skip records that a probe that is due is not sent. The next one is due after the usual
+// interval.
+func (s *Schedule) Skip(now time.Time, t *Target) {
+	t.pending = false
+	t.probed = now
+	s.reschedule(t)
+}
+
 // NextWake returns the earliest time at which Due may return an endpoint; the zero time
 // means never.
 func (s *Schedule) NextWake() time.Time {
--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -92,7 +92,7 @@
 // of the rank itself take at its recent share of the slots, and at most the time that
 // they take at its floor.
 func (q *Queue[T]) Wait(index daisyrank.Index) time.Duration {
-	if q.inFlight == 0 || q.waiting == 0 {
+	if q.inFlight == 0 && !q.rateLimited || q.waiting == 0 {
 		return 0
 	}
 	var ahead time.Duration
--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -102,6 +102,8 @@
 	accruedAt time.Time
 	// evenShare is the number of slots of this VM when all VMs have the same demand.
 	evenShare float64
+	// rateLimited is set if the endpoints' rate limits leave slots unused.
+	rateLimited bool
 }
 
 type rank[T any] struct {
@@ -154,6 +156,23 @@
 // needs them.
 func (q *Queue[T]) SetEvenShare(slots float64) { q.evenShare = slots }
 
+// SetRateLimited sets whether the endpoints' rate limits leave slots unused, so that
+// requests wait although none is in flight.
+func (q *Queue[T]) SetRateLimited(limited bool) { q.rateLimited = limited }
+
+// SlotTime returns the mean slot time of the attempts of all ranks, or 0 if none has ended.
+func (q *Queue[T]) SlotTime() time.Duration {
+	var sum time.Duration
+	ranks := 0
+	for _, r := range q.ranks {
+		if r.account.meanSlotTime > 0 {
+			sum += r.account.meanSlotTime
+			ranks++
+		}
+	}
+	return sum / time.Duration(max(ranks, 1))
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int { return q.waiting }
 
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -173,7 +173,7 @@
 	})
 	a.charge = d.queue.Started(now, a.rank)
 	a.endpoint.inFlight++
-	a.endpoint.rate.countUse(now)
+	d.countSend(now, a.endpoint, a.trial)
 	d.sharing.take(a.endpoint)
 	d.health.Sent(now, a.endpoint.health)
 	d.refresh(now, a.endpoint)
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -130,6 +130,7 @@
 		}
 	case daisymessage.CreditGrant:
 		s.borrower.Receive(now, from, m.Grant)
+		d.learnRateLimits(now, m.Grant)
 		s.changed = true
 	}
 }
@@ -205,6 +206,7 @@
 	for _, l := range s.owner.Flush(now) {
 		if l.To == s.self.Name {
 			s.borrower.Receive(now, l.To, l.Grant)
+			d.learnRateLimits(now, l.Grant)
 			s.changed, more = true, true
 			continue
 		}
@@ -270,6 +272,19 @@
 	}
 }
 
+// noteRateLimit passes the rate limit that an endpoint named on to the owner.
+func (s *slotSharing) noteRateLimit(now time.Time, e *endpoint, limit daisyendpoint.RateLimit) {
+	if s != nil {
+		s.borrower.NoteRateLimit(now, e.address, limit)
+	}
+}
+
+func (s *slotSharing) forgetRateLimit(e *endpoint) {
+	if s != nil {
+		s.borrower.ForgetRateLimit(e.address)
+	}
+}
+
 func (s *slotSharing) noteOutcome(now time.Time, e *endpoint, outcome daisyrequest.Outcome) {
 	if _, shed := outcome.(daisyrequest.Shed); shed && s != nil {
 		s.borrower.NoteShed(now, e.address)
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -67,6 +67,10 @@
 	budgetPolicy Budget
 	// peers are the other live VMs.
 	peers []daisyvm.Name
+	// leavingPeers is the number of other VMs in a planned stop, and silentSince has the
+	// VMs that are no longer heard of without having left as planned.
+	leavingPeers int
+	silentSince  map[daisyvm.Name]time.Time
 	// ownsService is set if this VM owns the service and probes its endpoints for
 	// all VMs.
 	ownsService bool
@@ -122,6 +126,7 @@
 		queue:          daisyqueue.New[*request](options.Service.Ranks, daisyqueue.Options{Limits: options.Limits}),
 		requests:       make(map[daisyrequest.ID]*request),
 		attempts:       make(map[daisyrequest.AttemptID]*attempt),
+		silentSince:    make(map[daisyvm.Name]time.Time),
 		attemptTimers:  daisyheap.New[*attempt](daisyheap.Earliest),
 		endpointTimers: daisyheap.New[*endpoint](daisyheap.Earliest),
 	}
@@ -207,6 +212,7 @@
 	for at, a, ok := d.attemptTimers.First(); ok && !now.Before(at); at, a, ok = d.attemptTimers.First() {
 		d.check(now, a)
 	}
+	d.updateSilentVMs(now)
 	d.dispatchWaiting(now)
 	d.expire(now)
 	d.sendProbes(now)
--- a/core/daisyroute/endpoint.go
+++ b/core/daisyroute/endpoint.go
@@ -60,6 +60,7 @@
 	spare, trial := 0, false
 	if !draining && !now.Before(e.backoffUntil) {
 		spare, trial = d.spareAttempts(now, e)
+		spare, trial = d.limitRate(now, e, spare, trial)
 	}
 	d.spare += spare - e.spare
 	e.spare = spare
@@ -88,12 +89,17 @@
 // whether it is due for a trial.
 func (d *Dispatcher) spareAttempts(now time.Time, e *endpoint) (spare int, trial bool) {
 	allowed := e.health.Allowance(now, e.inFlight)
-	if _, ok := e.health.State().(daisyhealth.Ejected); ok {
+	if e.ejected() {
 		return 0, allowed > 0 && !d.health.PostponeTrial(now, e.health)
 	}
 	return max(min(d.attemptLimit(e), allowed)-e.inFlight, 0), false
 }
 
+func (e *endpoint) ejected() bool {
+	_, ok := e.health.State().(daisyhealth.Ejected)
+	return ok
+}
+
 // setMember adds an endpoint to an unordered list, or removes it. The function index
 // returns where an endpoint keeps its index in that list.
 func setMember(list *[]*endpoint, e *endpoint, index func(*endpoint) *int, member bool) {
@@ -125,6 +131,7 @@
 		next = daisywake.Sooner(next, e.backoffUntil)
 	}
 	if !e.removed {
+		next = daisywake.Sooner(next, d.nextByRate(now, e))
 		if s, ok := e.health.State().(daisyhealth.Ejected); ok && now.Before(s.NextTrial) {
 			next = daisywake.Sooner(next, s.NextTrial)
 		}
--- a/core/daisyroute/probe.go
+++ b/core/daisyroute/probe.go
@@ -27,7 +27,7 @@
 	wasDraining := now.Before(e.drainingUntil)
 	probed := e.probeTarget.Pending()
 	d.recordReport(now, e, event.Report)
-	d.noteRateLimit(e, event.Report.RateLimit)
+	d.noteRateLimit(now, e, event.Report.RateLimit)
 	if probed {
 		d.probes.RecordSuccess(now, e.probeTarget)
 	}
@@ -85,7 +85,7 @@
 	}
 	if e := d.byAddress[m.Address]; e != nil && !e.removed && m.Service == d.service.ID {
 		d.recordReport(now, e, m.Report)
-		d.noteRateLimit(e, m.Report.RateLimit)
+		d.applyRateLimit(now, e, m.Report.RateLimit, true)
 	}
 }
 
@@ -97,6 +97,12 @@
 		return
 	}
 	for t := d.probes.Due(now); t != nil; t = d.probes.Due(now) {
+		e := d.byAddress[t.Address()]
+		if !e.rate.bucket.Allows(now) {
+			d.probes.Skip(now, t)
+			continue
+		}
+		e.rate.bucket.Take(now)
 		d.emit(d.newProbe(now, t.Address()))
 	}
 }
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -17,7 +17,7 @@
 	d.recordOutcome(now, a, event.Outcome)
 	d.sharing.noteOutcome(now, a.endpoint, event.Outcome)
 	if a.declared.SameIncarnation(a.endpoint.declared) {
-		d.noteRateLimit(a.endpoint, event.RateLimit)
+		d.noteRateLimit(now, a.endpoint, event.RateLimit)
 	}
 	d.attemptTimers.Remove(a.timerIndex)
 	if o, ok := event.Outcome.(daisyrequest.Answered); ok {
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -34,7 +34,7 @@
 		kept[e] = true
 		d.endpoints = append(d.endpoints, e)
 	}
-	d.queue.SetEvenShare(d.evenShare())
+	d.updateEvenShare()
 	for _, e := range d.byAddress {
 		if !kept[e] && !e.removed {
 			d.remove(now, e)
@@ -77,7 +77,7 @@
 	e.removed = true
 	e.report = daisyendpoint.Report{}
 	e.drainingUntil, e.backoffUntil, e.consecutiveSheds = time.Time{}, time.Time{}, 0
-	e.rate = rateState{}
+	d.forgetRateLimit(e)
 }
 
 // remove takes an endpoint out of use. Its attempts under way continue.
@@ -95,23 +95,25 @@
 
 func (d *Dispatcher) changePeers(now time.Time, event PeersChanged) {
 	vms := event.VMs
+	d.trackSilentVMs(now, event)
 	d.peers = d.peers[:0]
 	for _, v := range vms {
 		if v.Name != d.self {
 			d.peers = append(d.peers, v.Name)
 		}
 	}
-	d.queue.SetEvenShare(d.evenShare())
+	d.updateEvenShare()
 	d.budget.SetLimits(d.budgetPolicy.limits(len(d.peers) + 1))
 	d.setVMs(now, event)
+	d.updateSilentVMs(now)
+	for _, e := range d.endpoints {
+		if e.rate.limited() {
+			d.updateRateShare(now, e)
+		}
+	}
 	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
 	d.ownsService = !ok || owner.Name == d.self
 	for _, e := range d.endpoints {
 		d.refresh(now, e)
 	}
 }
-
-// evenShare returns the number of slots for this VM if all VMs need equally many.
-func (d *Dispatcher) evenShare() float64 {
-	return float64(d.service.Slots()) / float64(len(d.peers)+1)
-}
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -193,6 +193,8 @@
 			Restricted: h.GetBroken(),
 			Claimed:    h.GetClaimed(),
 			Shed:       h.GetShed(),
+			RateLimit:  decodeRateLimit(h.RateIntervalNanoseconds),
+			Answers:    h.GetAnswers(),
 		})
 	}
 	return report
@@ -218,9 +220,10 @@
 	}
 	for _, x := range w.GetGranted() {
 		grant.Granted = append(grant.Granted, daisycredit.Granted{
-			Endpoint: r.address(x.GetEndpoint()),
-			Granted:  x.GetGranted(),
-			Recalled: x.GetRecalled(),
+			Endpoint:  r.address(x.GetEndpoint()),
+			Granted:   x.GetGranted(),
+			Recalled:  x.GetRecalled(),
+			RateLimit: decodeRateLimit(x.RateIntervalNanoseconds),
 		})
 	}
 	return grant
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -202,12 +202,14 @@
 	}
 	for _, h := range r.Held {
 		w.Held = append(w.Held, &daisywire.Held{
-			Endpoint: encodeAddress(h.Endpoint),
-			Returned: h.Returned,
-			InFlight: h.InFlight,
-			Broken:   h.Restricted,
-			Claimed:  h.Claimed,
-			Shed:     h.Shed,
+			Endpoint:                encodeAddress(h.Endpoint),
+			Returned:                h.Returned,
+			InFlight:                h.InFlight,
+			Broken:                  h.Restricted,
+			Claimed:                 h.Claimed,
+			Shed:                    h.Shed,
+			Answers:                 h.Answers,
+			RateIntervalNanoseconds: encodeRateLimit(h.RateLimit),
 		})
 	}
 	return w
@@ -237,9 +239,10 @@
 	}
 	for _, x := range g.Granted {
 		w.Granted = append(w.Granted, &daisywire.Granted{
-			Endpoint: encodeAddress(x.Endpoint),
-			Granted:  x.Granted,
-			Recalled: x.Recalled,
+			Endpoint:                encodeAddress(x.Endpoint),
+			Granted:                 x.Granted,
+			Recalled:                x.Recalled,
+			RateIntervalNanoseconds: encodeRateLimit(x.RateLimit),
 		})
 	}
 	return w
