Log the era of the store and each full read of a topic

When the store is restored from a backup, its versions go back and its era rises. No line of a VM showed either, so that the logs could not tell a store that is older from one that was only away.

Two lines: 'all rows read' with version and era, and 'store does not have the changes asked for'. No decision depends on the era yet.

--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -5,9 +5,14 @@
 // to this one only. The store's versions order all changes, whatever their source. Every
 // call to the store has a price, so a few VMs read on behalf of all and send the changes
 // to the others. The others read from time to time, in case all readers fail unnoticed.
+//
+// A store that is restored from a backup loses its latest changes and assigns their
+// versions again. Versions are therefore ordered within an Era only. What was in force at
+// the end of an era holds until its writer has written it again.
 package daisyfeed
 
 import (
+	"cmp"
 	"time"
 
 	"daisyyoke/core/daisyvm"
@@ -36,9 +41,28 @@
 	return "unknown"
 }
 
-// Version orders all changes of the store; 0 precedes the first one.
+// Version orders all changes of the store in one era; 0 precedes the first one.
 type Version uint64
 
+// Era is the number of times that the store was restored from a backup; 0 if it never was
+// or does not say. Later eras are later, whatever the versions.
+type Era uint64
+
+// Written orders the values that one writer gave a row, across eras; the zero value is
+// unknown.
+type Written struct {
+	// Started is when the writer started by its own clock, in milliseconds since 1970; 0
+	// if its sequence continues across restarts.
+	Started  int64
+	Sequence uint64
+}
+
+// Compare returns a negative number if w was written before o, 0 if they are the same,
+// and a positive number if w was written after o.
+func (w Written) Compare(o Written) int {
+	return cmp.Or(cmp.Compare(w.Started, o.Started), cmp.Compare(w.Sequence, o.Sequence))
+}
+
 // Row is a row, or a tombstone for a removed one.
 type Row struct {
 	Key     string
@@ -46,6 +70,11 @@
 	Value   []byte
 	// Removed reports whether the row was removed; it has no value then.
 	Removed bool
+	// Era is the era of Version.
+	Era Era
+	// Written orders the value among those of its writer. Of a removed row it is that of
+	// its last value.
+	Written Written
 }
 
 // Event is an input to a Follower. It is one of RowsRead, RowsChanged, HistoryLost,
@@ -57,19 +86,22 @@
 type RowsRead struct {
 	Rows []Row
 	AsOf Version
+	Era  Era
 }
 
 // RowsChanged carries the changes after the requested version, up to AsOf.
 type RowsChanged struct {
 	Rows []Row
 	AsOf Version
+	Era  Era
 	// Late reports whether the reply took longer than the store was asked to wait. The
 	// store may have been unavailable meanwhile, so a late reply starts the grace period.
 	Late bool
 }
 
-// HistoryLost reports that the store no longer has the requested changes.
-type HistoryLost struct{}
+// HistoryLost reports that the store does not have the requested changes, because it no
+// longer keeps them or because it was restored from a backup without them.
+type HistoryLost struct{ Era Era }
 
 // ReadFailed reports that the store did not reply, or refused the request.
 type ReadFailed struct{}
@@ -86,12 +118,14 @@
 type PeerVersionKnown struct {
 	From daisyvm.Name
 	Last Version
+	Era  Era
 }
 
 // ChangesRequested reports that another VM requests the changes after a version.
 type ChangesRequested struct {
 	From  daisyvm.Name
 	After Version
+	Era   Era
 }
 
 // ChangesReceived carries changes from another VM.
@@ -107,6 +141,12 @@
 	Last  Version
 	// Complete reports whether Rows holds all rows; any other row was removed.
 	Complete bool
+	// Era is the era of the rows and versions.
+	Era Era
+	// Held holds the rows and removals of earlier eras that are in force, if Complete is
+	// set, and HoldTime how much longer they are at most.
+	Held     []Row
+	HoldTime time.Duration
 	// Grace is how much longer removed rows are kept because the store was unavailable.
 	Grace time.Duration
 }
@@ -145,6 +185,7 @@
 type RequestChanges struct {
 	To    daisyvm.Name
 	After Version
+	Era   Era
 }
 
 // SendChanges sends changes to another VM, whether or not it requested them.
--- a/core/daisymessage/message.go
+++ b/core/daisymessage/message.go
@@ -42,6 +42,8 @@
 	StoreUnavailable bool
 	// Known is the latest change of each topic that the sender knows, indexed by topic.
 	Known [daisyfeed.Topics]daisyfeed.Version
+	// KnownEras is the era of each version in Known.
+	KnownEras [daisyfeed.Topics]daisyfeed.Era
 	// Heard lists the VMs from which the sender recently received a heartbeat directly.
 	Heard []daisyvm.HeartbeatReport
 	// Introduced describes VMs that the receiver may not know.
@@ -71,6 +73,7 @@
 type RowsWanted struct {
 	Topic daisyfeed.Topic
 	After daisyfeed.Version
+	Era   daisyfeed.Era
 }
 
 // RowsGiven is the reply to RowsWanted, or sends on changes that were just read.
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -47,16 +47,18 @@
 type FeedRead struct {
 	Rows []daisyfeed.Row
 	AsOf daisyfeed.Version
+	Era  daisyfeed.Era
 }
 
 // FeedChanged contains the changes up to a version; there may be none.
 type FeedChanged struct {
 	Rows []daisyfeed.Row
 	AsOf daisyfeed.Version
+	Era  daisyfeed.Era
 }
 
-// FeedHistoryLost reports that the store no longer keeps the requested changes.
-type FeedHistoryLost struct{}
+// FeedHistoryLost reports that the store does not have the requested changes.
+type FeedHistoryLost struct{ Era daisyfeed.Era }
 
 // FeedFailed reports that the read failed.
 type FeedFailed struct{ Err error }
@@ -292,11 +294,13 @@
 func (c *Follow) eventFromAnswer(topic daisyfeed.Topic, answer FeedAnswer, late bool) daisyfeed.Event {
 	switch a := answer.(type) {
 	case FeedRead:
-		return daisyfeed.RowsRead{Rows: a.Rows, AsOf: a.AsOf}
+		c.options.Logger.Info("all rows read", "topic", topic.String(), "rows", len(a.Rows), "as-of", uint64(a.AsOf), "era", uint64(a.Era))
+		return daisyfeed.RowsRead{Rows: a.Rows, AsOf: a.AsOf, Era: a.Era}
 	case FeedChanged:
-		return daisyfeed.RowsChanged{Rows: a.Rows, AsOf: a.AsOf, Late: late}
+		return daisyfeed.RowsChanged{Rows: a.Rows, AsOf: a.AsOf, Era: a.Era, Late: late}
 	case FeedHistoryLost:
-		return daisyfeed.HistoryLost{}
+		c.options.Logger.Info("store does not have the changes asked for", "topic", topic.String(), "era", uint64(a.Era))
+		return daisyfeed.HistoryLost{Era: a.Era}
 	case FeedFailed:
 		if c.ctx.Err() == nil {
 			c.options.Logger.Debug("failed to read rows", "topic", topic.String(), "cause", a.Err.Error())
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -54,7 +54,7 @@
 	case *daisywire.Frame_EndpointNews:
 		m = r.news(now, x.EndpointNews)
 	case *daisywire.Frame_RowsWanted:
-		m = daisymessage.RowsWanted{Topic: r.topic(x.RowsWanted.GetTopic()), After: daisyfeed.Version(x.RowsWanted.GetAfter())}
+		m = daisymessage.RowsWanted{Topic: r.topic(x.RowsWanted.GetTopic()), After: daisyfeed.Version(x.RowsWanted.GetAfter()), Era: daisyfeed.Era(x.RowsWanted.GetEra())}
 	case *daisywire.Frame_RowsGiven:
 		m = r.rows(x.RowsGiven)
 	case *daisywire.Frame_StopWanted:
@@ -102,6 +102,11 @@
 			m.Known[i] = daisyfeed.Version(v)
 		}
 	}
+	for i, era := range w.KnownEras {
+		if i < len(m.KnownEras) {
+			m.KnownEras[i] = daisyfeed.Era(era)
+		}
+	}
 	return m
 }
 
@@ -261,18 +266,29 @@
 		Last:     daisyfeed.Version(w.GetLast()),
 		Complete: w.GetWhole(),
 		Grace:    time.Duration(w.GetGraceMicroseconds()) * time.Microsecond,
+		Era:      daisyfeed.Era(w.GetEra()),
+		Held:     decodeRows(w.GetHeld()),
+		HoldTime: time.Duration(w.GetHoldMicroseconds()) * time.Microsecond,
 	}
 	rows := w.GetRows()
 	if packed := w.GetPacked(); len(packed) > 0 {
 		rows = r.decompressRows(packed)
 	}
-	for _, x := range rows {
-		c.Rows = append(c.Rows, daisyfeed.Row{
+	c.Rows = decodeRows(rows)
+	return daisymessage.RowsGiven{Topic: r.topic(w.GetTopic()), Changes: c}
+}
+
+func decodeRows(w []*daisywire.Row) []daisyfeed.Row {
+	var rows []daisyfeed.Row
+	for _, x := range w {
+		rows = append(rows, daisyfeed.Row{
 			Key:     x.GetKey(),
 			Version: daisyfeed.Version(x.GetVersion()),
 			Value:   x.GetValue(),
 			Removed: x.GetRemoved(),
+			Era:     daisyfeed.Era(x.GetEra()),
+			Written: daisyfeed.Written{Started: x.GetWriterStartedMilliseconds(), Sequence: x.GetWriterSequence()},
 		})
 	}
-	return daisymessage.RowsGiven{Topic: r.topic(w.GetTopic()), Changes: c}
+	return rows
 }
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -56,7 +56,7 @@
 	case daisymessage.EndpointNews:
 		return &daisywire.Frame{Message: &daisywire.Frame_EndpointNews{EndpointNews: encodeNews(now, m)}}
 	case daisymessage.RowsWanted:
-		w := &daisywire.RowsWanted{Topic: uint32(m.Topic), After: uint64(m.After)}
+		w := &daisywire.RowsWanted{Topic: uint32(m.Topic), After: uint64(m.After), Era: uint64(m.Era)}
 		return &daisywire.Frame{Message: &daisywire.Frame_RowsWanted{RowsWanted: w}}
 	case daisymessage.RowsGiven:
 		return &daisywire.Frame{Message: &daisywire.Frame_RowsGiven{RowsGiven: e.rowsGiven(m)}}
@@ -100,6 +100,11 @@
 			w.Known = append(w.Known, uint64(v))
 		}
 	}
+	if m.KnownEras != [daisyfeed.Topics]daisyfeed.Era{} {
+		for _, era := range m.KnownEras {
+			w.KnownEras = append(w.KnownEras, uint64(era))
+		}
+	}
 	return w
 }
 
@@ -111,6 +116,9 @@
 		Last:              uint64(c.Last),
 		Whole:             c.Complete,
 		GraceMicroseconds: c.Grace.Microseconds(),
+		Era:               uint64(c.Era),
+		Held:              encodeRows(c.Held),
+		HoldMicroseconds:  c.HoldTime.Microseconds(),
 	}
 	if w.Packed = e.compressor.compress(c.Rows); w.Packed == nil {
 		w.Rows = encodeRows(c.Rows)
@@ -121,7 +129,15 @@
 func encodeRows(rows []daisyfeed.Row) []*daisywire.Row {
 	var w []*daisywire.Row
 	for _, r := range rows {
-		w = append(w, &daisywire.Row{Key: r.Key, Version: uint64(r.Version), Value: r.Value, Removed: r.Removed})
+		w = append(w, &daisywire.Row{
+			Key:                       r.Key,
+			Version:                   uint64(r.Version),
+			Value:                     r.Value,
+			Removed:                   r.Removed,
+			Era:                       uint64(r.Era),
+			WriterStartedMilliseconds: r.Written.Started,
+			WriterSequence:            r.Written.Sequence,
+		})
 	}
 	return w
 }
