Order the store's rows by its era, and keep what was confirmed

What callers saw: after the store was restored from a backup, a confirmed change of the configuration was not in force, a new route got 404, and requests went by the old one.

Cause: a VM orders rows by the store's version alone. A restored store has lower versions and gives them out again, so that a new row with a version that the VM knew already was passed over. The class of fault is an order that its authority may take back, used as if it only rose. The same order decided which registration of an address is the latest, which VM is ahead, which removals are remembered, and when a VM announces itself.

Versions are now ordered within an era. What was in force at the end of an era holds until its writer has written it again, by the writer's own order, so that no older configuration, no drained and no removed endpoint comes back with the backup. Late answers and messages of an earlier era are ignored; a VM that starts after the restore asks the others for what they hold; each VM announces itself again.

--- a/core/daisyconfig/merge.go
+++ b/core/daisyconfig/merge.go
@@ -1,6 +1,7 @@
 package daisyconfig
 
 import (
+	"cmp"
 	"net/netip"
 
 	"daisyyoke/core/daisyendpoint"
@@ -11,8 +12,16 @@
 type Registration struct {
 	Service  daisyservice.ID
 	Endpoint daisyendpoint.Endpoint
-	// Version increases with each change of any registration.
+	// Version increases with each change of any registration within an Era of the store.
 	Version uint64
+	// Era increases each time that the store was restored from a backup.
+	Era uint64
+}
+
+// Compare returns a negative number if r is from before o, and a positive one if it is
+// from after o.
+func (r Registration) Compare(o Registration) int {
+	return cmp.Or(cmp.Compare(r.Era, o.Era), cmp.Compare(r.Version, o.Version))
 }
 
 // MergeRegistrations returns a copy of the declared snapshot whose services have
@@ -22,13 +31,13 @@
 func MergeRegistrations(declared *Snapshot, registrations []Registration) *Snapshot {
 	latest := make(map[netip.AddrPort]Registration, len(registrations))
 	for _, r := range registrations {
-		if o, ok := latest[r.Endpoint.Address]; !ok || r.Version > o.Version {
+		if o, ok := latest[r.Endpoint.Address]; !ok || r.Compare(o) > 0 {
 			latest[r.Endpoint.Address] = r
 		}
 	}
 	registered := make(map[daisyservice.ID][]daisyendpoint.Endpoint)
 	for _, r := range registrations {
-		if latest[r.Endpoint.Address].Version == r.Version {
+		if latest[r.Endpoint.Address].Compare(r) == 0 {
 			registered[r.Service] = append(registered[r.Service], r.Endpoint)
 		}
 	}
--- /dev/null
+++ b/core/daisyfeed/era.go
@@ -0,0 +1,174 @@
+package daisyfeed
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"daisyyoke/core/daisywake"
+)
+
+// endpointHoldTime is how long a registration or removal of the last era holds against
+// an older row of the restored store. A row that no writer renews lapses sooner.
+const endpointHoldTime = 10 * time.Second
+
+// heldState holds the rows and removals that were in force at the end of the last era,
+// until the restored store has caught up with them: until their writer has written the
+// row again, or it was removed, or, for a row that the store has lost, until the grace
+// period ends.
+type heldState struct {
+	rows map[string]Row
+	// until is when they stop to hold in any case; the zero time means never.
+	until time.Time
+	// forever is set if they hold until the store has caught up with them.
+	forever bool
+}
+
+// covers reports whether a held row is in force in place of the current one.
+func (h *heldState) covers(current Row) bool {
+	held, ok := h.rows[current.Key]
+	if !ok {
+		return false
+	}
+	if held.Removed {
+		return current.Written.Compare(held.Written) <= 0
+	}
+	return current.Written.Compare(held.Written) < 0
+}
+
+// add holds a row or removal, unless a later one of the same row is held.
+func (h *heldState) add(row Row) {
+	if row.Written != (Written{}) && !h.covers(row) {
+		h.rows[row.Key] = row
+	}
+}
+
+// release stops holding a row if the store has caught up with it.
+func (h *heldState) release(current Row) {
+	if current.Removed || !h.covers(current) {
+		delete(h.rows, current.Key)
+	}
+}
+
+// beginEra starts an era of the store: versions begin anew, and what is in force is held.
+func (f *Follower) beginEra(now time.Time, era Era) {
+	known := f.complete
+	for _, t := range f.tombstones {
+		if _, ok := f.rows[t.Key]; !ok {
+			f.held.add(t)
+		}
+	}
+	for _, r := range f.retained {
+		f.held.add(r)
+	}
+	for _, r := range f.rows {
+		f.held.add(r)
+	}
+	clear(f.rows)
+	clear(f.retained)
+	f.tombstones = nil
+	f.era, f.eraComplete = era, false
+	f.last, f.readUpTo, f.prunedUpTo = 0, 0, 0
+	f.aheadPeer, f.requestedAt = "", time.Time{}
+	f.heldKnown = known
+	if !known {
+		return
+	}
+	f.graceUntil = later(f.graceUntil, now.Add(recoveryGrace))
+	f.holdFor(now, endpointHoldTime)
+	f.emit(StoreRestored{Era: era, Held: len(f.held.rows)})
+}
+
+// holdFor lets the held rows hold for at least a duration from now.
+func (f *Follower) holdFor(now time.Time, duration time.Duration) {
+	if !f.held.forever {
+		f.held.until = later(f.held.until, now.Add(duration))
+	}
+}
+
+// admitsAnswer reports whether the answer of the store may be applied. An answer of an
+// earlier era is late; one of a later era begins that era, and the rows are read anew
+// unless the answer has all of them.
+func (f *Follower) admitsAnswer(now time.Time, era Era, allRows bool) bool {
+	switch {
+	case era < f.era:
+		return false
+	case era == f.era:
+		return true
+	}
+	f.beginEra(now, era)
+	if !allRows {
+		f.nextReadAt = now
+	}
+	return allRows
+}
+
+// expireHeld drops the held rows whose time is over, and those that the store has lost
+// once the grace period has ended.
+func (f *Follower) expireHeld(now time.Time) (changed bool) {
+	before := len(f.held.rows)
+	if !f.held.until.IsZero() && !now.Before(f.held.until) {
+		clear(f.held.rows)
+		f.held.until = time.Time{}
+	}
+	if f.eraComplete && !f.held.forever && !f.inGrace(now) {
+		for k, h := range f.held.rows {
+			if _, ok := f.rows[k]; !ok && !h.Removed {
+				delete(f.held.rows, k)
+			}
+		}
+	}
+	return len(f.held.rows) < before
+}
+
+// heldWake returns when expireHeld has to be called next; the zero time means never.
+func (f *Follower) heldWake() time.Time {
+	if len(f.held.rows) == 0 || f.held.forever {
+		return time.Time{}
+	}
+	for k, h := range f.held.rows {
+		if _, ok := f.rows[k]; !ok && !h.Removed {
+			return daisywake.Sooner(f.held.until, f.graceUntil)
+		}
+	}
+	return f.held.until
+}
+
+// Holding reports whether rows or removals of earlier eras are in force.
+func (f *Follower) Holding() bool { return len(f.held.rows) > 0 }
+
+// requestHeld asks a peer for what it holds, if this VM began to follow the store in this
+// era and so knows only what the store was restored to.
+func (f *Follower) requestHeld(now time.Time, e PeerVersionKnown) {
+	if !e.Holding || f.heldKnown || !f.eraComplete || e.Era != f.era || now.Before(f.requestedAt.Add(peerRequestInterval)) {
+		return
+	}
+	f.requestedAt = now
+	f.emit(RequestChanges{To: e.From, Era: f.era})
+}
+
+// receiveHeld holds what another VM holds.
+func (f *Follower) receiveHeld(now time.Time, c Changes) {
+	f.heldKnown = true
+	if len(c.Held) == 0 {
+		return
+	}
+	for _, r := range c.Held {
+		f.held.add(r)
+		if current, ok := f.rows[r.Key]; ok {
+			f.held.release(current)
+		}
+	}
+	f.holdFor(now, min(c.HoldTime, endpointHoldTime))
+	f.emit(Publish{})
+}
+
+// heldRows returns the held rows sorted by key, for another VM.
+func (f *Follower) heldRows() []Row {
+	var rows []Row
+	for _, r := range f.held.rows {
+		rows = append(rows, r)
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	return rows
+}
--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -119,6 +119,8 @@
 	From daisyvm.Name
 	Last Version
 	Era  Era
+	// Holding reports whether rows or removals of earlier eras are in force there.
+	Holding bool
 }
 
 // ChangesRequested reports that another VM requests the changes after a version.
@@ -165,8 +167,8 @@
 func (TimePassed) event()       {}
 
 // Decision is an action that the controller of a Follower has to carry out. It is one of
-// ReadRows, AwaitChanges, RequestChanges, SendChanges, Publish, StoreLost and
-// StoreRecovered.
+// ReadRows, AwaitChanges, RequestChanges, SendChanges, Publish, StoreLost, StoreRecovered
+// and StoreRestored.
 type Decision interface{ decision() }
 
 // ReadRows reads all rows from the store. The result is RowsRead or ReadFailed.
@@ -203,6 +205,13 @@
 // StoreRecovered reports that the store replies again after an outage.
 type StoreRecovered struct{ Outage time.Duration }
 
+// StoreRestored reports that the store was restored from a backup. Held is the number of
+// rows and removals that stay in force although the store may have lost them.
+type StoreRestored struct {
+	Era  Era
+	Held int
+}
+
 func (ReadRows) decision()       {}
 func (AwaitChanges) decision()   {}
 func (RequestChanges) decision() {}
@@ -210,3 +219,4 @@
 func (Publish) decision()        {}
 func (StoreLost) decision()      {}
 func (StoreRecovered) decision() {}
+func (StoreRestored) decision()  {}
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -56,6 +56,13 @@
 	complete bool
 	// last is the latest known change from any source.
 	last Version
+	// era is the era of all versions, and eraComplete reports whether all rows were
+	// received in it.
+	era         Era
+	eraComplete bool
+	held        heldState
+	// heldKnown reports whether this VM knows what was in force before this era.
+	heldKnown bool
 
 	// reader reports whether this VM reads for its peers.
 	reader bool
@@ -76,6 +83,7 @@
 	// aheadPeer is the peer that knows the latest change, and aheadSince when a peer first
 	// knew a later one than this VM.
 	aheadPeer    daisyvm.Name
+	aheadEra     Era
 	aheadVersion Version
 	aheadSince   time.Time
 	requestedAt  time.Time
@@ -85,14 +93,36 @@
 
 // NewFollower returns a follower that has no rows and reads all of them first.
 func NewFollower() *Follower {
-	return &Follower{rows: make(map[string]Row), retained: make(map[string]Row), retryDelay: minRetryDelay, reader: true}
+	return &Follower{
+		rows:       make(map[string]Row),
+		retained:   make(map[string]Row),
+		held:       heldState{rows: make(map[string]Row)},
+		retryDelay: minRetryDelay,
+		reader:     true,
+	}
+}
+
+// NewConfirmedFollower returns a follower of rows that operators confirmed: what the store
+// loses when it is restored holds until they have written it again.
+func NewConfirmedFollower() *Follower {
+	f := NewFollower()
+	f.held.forever = true
+	return f
 }
 
-// Rows returns the rows sorted by key, including removed rows within the grace period.
+// Rows returns the rows that are in force, sorted by key, including removed rows within
+// the grace period and those of the last era that hold.
 func (f *Follower) Rows() []Row {
-	rows := make([]Row, 0, len(f.rows)+len(f.retained))
+	rows := make([]Row, 0, len(f.rows)+len(f.retained)+len(f.held.rows))
 	for _, r := range f.rows {
-		rows = append(rows, r)
+		if !f.held.covers(r) {
+			rows = append(rows, r)
+		}
+	}
+	for k, r := range f.held.rows {
+		if current, ok := f.rows[k]; !r.Removed && (!ok || f.held.covers(current)) {
+			rows = append(rows, r)
+		}
 	}
 	for k, r := range f.retained {
 		if _, ok := f.rows[k]; !ok {
@@ -106,6 +136,9 @@
 // Last returns the latest known change.
 func (f *Follower) Last() Version { return f.last }
 
+// Era returns the latest known era.
+func (f *Follower) Era() Era { return f.era }
+
 // StoreUnavailable reports whether the store is not replying to this VM.
 func (f *Follower) StoreUnavailable() bool { return !f.unavailableSince.IsZero() }
 
@@ -123,16 +156,22 @@
 		if !f.complete && len(f.peers) == 0 {
 			f.nextReadAt = now.Add(delayAfterFirstRead)
 		}
-		f.applyAll(now, e.Rows, e.AsOf, f.inGrace(now))
-		f.readUpTo = e.AsOf
+		if f.admitsAnswer(now, e.Era, true) {
+			f.applyAll(now, e.Rows, e.AsOf, f.inGrace(now))
+			f.readUpTo = e.AsOf
+		}
 	case RowsChanged:
 		f.readInFlight = false
 		f.storeAnswered(now, e.Late)
-		f.handleRowsChanged(now, e)
+		if f.admitsAnswer(now, e.Era, false) {
+			f.handleRowsChanged(now, e)
+		}
 	case HistoryLost:
 		f.readInFlight = false
 		f.storeAnswered(now, false)
-		f.readUpTo = 0
+		if f.admitsAnswer(now, e.Era, false) {
+			f.readUpTo = 0
+		}
 	case ReadFailed:
 		f.readInFlight = false
 		f.storeFailed(now)
@@ -159,7 +198,8 @@
 	if len(f.retained) > 0 {
 		wake = daisywake.Sooner(wake, f.graceUntil)
 	}
-	if f.aheadPeer != "" && f.aheadVersion > f.last {
+	wake = daisywake.Sooner(wake, f.heldWake())
+	if f.behind() {
 		wake = daisywake.Sooner(wake, f.requestChangesAt())
 	}
 	return wake
@@ -173,9 +213,12 @@
 		clear(f.retained)
 		f.emit(Publish{})
 	}
-	if f.aheadPeer != "" && f.aheadVersion > f.last && !now.Before(f.requestChangesAt()) {
+	if f.expireHeld(now) {
+		f.emit(Publish{})
+	}
+	if f.behind() && !now.Before(f.requestChangesAt()) {
 		f.requestedAt = now
-		f.emit(RequestChanges{To: f.aheadPeer, After: f.knownVersion()})
+		f.emit(RequestChanges{To: f.aheadPeer, After: f.knownVersion(), Era: f.era})
 	}
 	if f.readInFlight || now.Before(f.nextReadAt) {
 		return
@@ -228,7 +271,7 @@
 		return
 	}
 	rows := slices.DeleteFunc(slices.Clone(e.Rows), func(r Row) bool { return r.Version <= after })
-	c := Changes{Rows: rows, After: after, Last: f.last, Grace: f.graceLeft(now)}
+	c := Changes{Rows: rows, After: after, Last: f.last, Era: f.era, Grace: f.graceLeft(now)}
 	for _, p := range f.peers {
 		f.emit(SendChanges{To: p, Changes: c})
 	}
@@ -236,10 +279,20 @@
 
 func (f *Follower) graceLeft(now time.Time) time.Duration { return max(f.graceUntil.Sub(now), 0) }
 
+// behind reports whether a peer knows a later change.
+func (f *Follower) behind() bool {
+	return f.aheadPeer != "" && f.precedes(f.aheadEra, f.aheadVersion)
+}
+
+// precedes reports whether a change of an era is later than all known ones.
+func (f *Follower) precedes(era Era, version Version) bool {
+	return era > f.era || era == f.era && version > f.last
+}
+
 // knownVersion returns the version after which a peer is asked for changes: 0 until all
-// rows were received once.
+// rows were received in this era.
 func (f *Follower) knownVersion() Version {
-	if !f.complete {
+	if !f.eraComplete {
 		return 0
 	}
 	return f.last
@@ -287,24 +340,30 @@
 }
 
 func (f *Follower) handlePeerVersion(now time.Time, e PeerVersionKnown) {
-	if e.Last <= f.last {
+	f.requestHeld(now, e)
+	if !f.precedes(e.Era, e.Last) {
 		return
 	}
-	if f.aheadPeer == "" || f.aheadVersion <= f.last {
+	wasBehind := f.behind()
+	if !wasBehind {
 		f.aheadSince = now
 	}
-	if e.Last >= f.aheadVersion || f.aheadVersion <= f.last {
-		f.aheadPeer, f.aheadVersion = e.From, e.Last
+	if !wasBehind || e.Era > f.aheadEra || e.Era == f.aheadEra && e.Last >= f.aheadVersion {
+		f.aheadPeer, f.aheadEra, f.aheadVersion = e.From, e.Era, e.Last
 	}
 }
 
 // answerPeer sends the changes that the peer lacks, or all rows if some removals after
 // its version may have been pruned.
 func (f *Follower) answerPeer(now time.Time, e ChangesRequested) {
-	if !f.complete {
+	if !f.eraComplete || e.Era > f.era {
 		return
 	}
-	c := Changes{After: e.After, Last: f.last, Complete: e.After == 0 || e.After < f.prunedUpTo, Grace: f.graceLeft(now)}
+	c := Changes{After: e.After, Last: f.last, Era: f.era, Grace: f.graceLeft(now)}
+	c.Complete = e.Era < f.era || e.After == 0 || e.After < f.prunedUpTo
+	if c.Complete {
+		c.After, c.Held, c.HoldTime = 0, f.heldRows(), max(f.held.until.Sub(now), 0)
+	}
 	for _, r := range f.rows {
 		if c.Complete || r.Version > e.After {
 			c.Rows = append(c.Rows, r)
@@ -330,17 +389,25 @@
 // since the store replies to it.
 func (f *Follower) handlePeerChanges(now time.Time, e ChangesReceived) {
 	c := e.Changes
+	if c.Era < f.era {
+		// The sender does not know yet that the store was restored.
+		return
+	}
+	if c.Era > f.era && c.Complete {
+		f.beginEra(now, c.Era)
+	}
 	if c.Grace > 0 {
 		f.graceUntil = later(f.graceUntil, now.Add(min(c.Grace, recoveryGrace)))
 	}
 	switch {
 	case c.Complete:
+		f.receiveHeld(now, c)
 		f.applyAll(now, c.Rows, c.Last, c.Grace > 0)
-	case f.complete && c.After <= f.last:
+	case c.Era == f.era && f.eraComplete && c.After <= f.last:
 		f.applyChanges(now, c.Rows, c.Grace > 0)
 		f.last = max(f.last, c.Last)
 	default:
-		f.handlePeerVersion(now, PeerVersionKnown{From: e.From, Last: c.Last})
+		f.handlePeerVersion(now, PeerVersionKnown{From: e.From, Last: c.Last, Era: c.Era})
 	}
 }
 
@@ -355,7 +422,7 @@
 // were removed by then; they are kept for the grace period if retain is set.
 func (f *Follower) applyAll(now time.Time, rows []Row, asOf Version, retain bool) {
 	present := make(map[string]bool, len(rows))
-	changed := !f.complete
+	changed := !f.eraComplete
 	for _, r := range rows {
 		present[r.Key] = true
 		changed = f.apply(now, r, retain) || changed
@@ -366,7 +433,7 @@
 		}
 	}
 	f.prunedUpTo = max(f.prunedUpTo, asOf)
-	f.complete = true
+	f.complete, f.eraComplete = true, true
 	if changed {
 		f.emit(Publish{})
 	}
@@ -389,17 +456,19 @@
 // whether the result of Rows has changed. If retain is set, a removed row is kept until
 // the grace period ends.
 func (f *Follower) apply(now time.Time, row Row, retain bool) bool {
+	row.Era = f.era
 	old, known := f.rows[row.Key]
 	if known && old.Version >= row.Version || f.removedSince(row) {
 		return false
 	}
 	f.last = max(f.last, row.Version)
+	f.held.release(row)
 	if !row.Removed {
 		f.rows[row.Key] = row
 		delete(f.retained, row.Key)
 		return true
 	}
-	f.tombstones = append(f.tombstones, Row{Key: row.Key, Version: row.Version, Removed: true})
+	f.tombstones = append(f.tombstones, Row{Key: row.Key, Version: row.Version, Removed: true, Era: f.era, Written: old.Written})
 	if extra := len(f.tombstones) - maxTombstones; extra > 0 {
 		f.prunedUpTo = max(f.prunedUpTo, f.tombstones[extra-1].Version)
 		f.tombstones = slices.Delete(f.tombstones, 0, extra)
--- a/core/daisymessage/message.go
+++ b/core/daisymessage/message.go
@@ -44,6 +44,8 @@
 	Known [daisyfeed.Topics]daisyfeed.Version
 	// KnownEras is the era of each version in Known.
 	KnownEras [daisyfeed.Topics]daisyfeed.Era
+	// Holding reports, for each topic, whether rows of earlier eras are in force.
+	Holding [daisyfeed.Topics]bool
 	// Heard lists the VMs from which the sender recently received a heartbeat directly.
 	Heard []daisyvm.HeartbeatReport
 	// Introduced describes VMs that the receiver may not know.
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -134,9 +134,8 @@
 		events:        make(chan topicEvent, followQueueSize),
 		registrations: make(map[string]daisyconfig.Registration),
 	}
-	for t := range c.followers {
-		c.followers[t] = daisyfeed.NewFollower()
-	}
+	c.followers[daisyfeed.Configuration] = daisyfeed.NewConfirmedFollower()
+	c.followers[daisyfeed.Endpoints] = daisyfeed.NewFollower()
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.wg.Go(c.run)
 	return c
@@ -156,12 +155,12 @@
 	case daisymessage.Heartbeat:
 		c.updateReaders(func(r *daisyfeed.Readers) { r.SetStoreUnavailable(from, m.StoreUnavailable) })
 		for t, last := range m.Known {
-			if last > 0 {
-				c.post(daisyfeed.Topic(t), daisyfeed.PeerVersionKnown{From: from, Last: last})
+			if last > 0 || m.KnownEras[t] > 0 {
+				c.post(daisyfeed.Topic(t), daisyfeed.PeerVersionKnown{From: from, Last: last, Era: m.KnownEras[t], Holding: m.Holding[t]})
 			}
 		}
 	case daisymessage.RowsWanted:
-		c.post(m.Topic, daisyfeed.ChangesRequested{From: from, After: m.After})
+		c.post(m.Topic, daisyfeed.ChangesRequested{From: from, After: m.After, Era: m.Era})
 	case daisymessage.RowsGiven:
 		c.post(m.Topic, daisyfeed.ChangesReceived{From: from, Changes: m.Changes})
 	case daisymessage.SnapshotWanted, daisymessage.SnapshotGiven, daisymessage.CreditReport,
@@ -238,7 +237,7 @@
 	for _, d := range f.Handle(now(), event) {
 		publish = c.carryOut(topic, d) || publish
 	}
-	c.options.Member.SetKnown(topic, f.Last())
+	c.options.Member.SetKnown(topic, f.Era(), f.Last(), f.Holding())
 	if unavailable := c.followers[daisyfeed.Configuration].StoreUnavailable() || c.followers[daisyfeed.Endpoints].StoreUnavailable(); unavailable != c.storeUnavailable {
 		c.storeUnavailable = unavailable
 		c.options.Member.SetStoreUnavailable(unavailable)
@@ -259,14 +258,20 @@
 	case daisyfeed.AwaitChanges:
 		c.wg.Go(func() { c.awaitChanges(topic, d) })
 	case daisyfeed.RequestChanges:
-		c.options.Logger.Info("requesting rows from another VM", "topic", topic.String(), "vm", string(d.To), "after", uint64(d.After))
-		c.options.Sender.Send(d.To, daisymessage.RowsWanted{Topic: topic, After: d.After})
+		c.options.Logger.Info("requesting rows from another VM", "topic", topic.String(), "vm", string(d.To), "after", uint64(d.After), "era", uint64(d.Era))
+		c.options.Sender.Send(d.To, daisymessage.RowsWanted{Topic: topic, After: d.After, Era: d.Era})
 	case daisyfeed.SendChanges:
 		c.options.Sender.Send(d.To, daisymessage.RowsGiven{Topic: topic, Changes: d.Changes})
 	case daisyfeed.Publish:
 		return true
 	case daisyfeed.StoreLost:
 		c.options.Logger.Warn("store stopped answering", "topic", topic.String())
+	case daisyfeed.StoreRestored:
+		c.options.Logger.Warn("store was restored from a backup; keeping what was in force until it is written again",
+			"topic", topic.String(), "era", uint64(d.Era), "held", d.Held)
+		if topic == daisyfeed.Configuration {
+			c.options.Member.AnnounceAgain()
+		}
 	case daisyfeed.StoreRecovered:
 		c.options.Logger.Info("store answers again", "topic", topic.String(), "away", d.Outage.String())
 	}
@@ -343,7 +348,7 @@
 		if s == nil || c.declared != nil && s.Revision <= c.declared.Revision {
 			continue
 		}
-		c.options.Logger.Info("configuration in force", "revision", uint64(s.Revision), "row-version", uint64(r.Version))
+		c.options.Logger.Info("configuration in force", "revision", uint64(s.Revision), "row-version", uint64(r.Version), "era", uint64(r.Era))
 		c.declared = s
 	}
 	c.invalidRows[daisyfeed.Configuration] = invalid
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -81,6 +81,8 @@
 	status           daisyvm.Status
 	hash             daisyconfig.Hash
 	knownVersions    [daisyfeed.Topics]daisyfeed.Version
+	knownEras        [daisyfeed.Topics]daisyfeed.Era
+	holding          [daisyfeed.Topics]bool
 	storeUnavailable bool
 	statusChanged    chan struct{}
 	addresses        *daisyvm.AddressSelector
@@ -218,11 +220,21 @@
 	c.SetInForce(snapshot.Revision, snapshot.Hash)
 }
 
-// SetKnown sets the latest version of a feed that this VM knows.
-func (c *Member) SetKnown(topic daisyfeed.Topic, last daisyfeed.Version) {
+// SetKnown sets the latest version of a feed that this VM knows, its era, and whether rows
+// of earlier eras are in force.
+func (c *Member) SetKnown(topic daisyfeed.Topic, era daisyfeed.Era, last daisyfeed.Version, holding bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.knownVersions[topic] = last
+	c.knownVersions[topic], c.knownEras[topic], c.holding[topic] = last, era, holding
+}
+
+// AnnounceAgain announces this VM to the platform and reads the list of VMs now, since the
+// platform may have lost the announcement.
+func (c *Member) AnnounceAgain() {
+	select {
+	case c.announceSignal <- struct{}{}:
+	default:
+	}
 }
 
 // SetStoreUnavailable sets whether the platform's store fails to answer this VM.
@@ -240,10 +252,7 @@
 // SetStopping sets whether a planned stop is requested, and whether this VM is leaving.
 func (c *Member) SetStopping(stopping, leaving bool) {
 	c.setStatus(func(s *daisyvm.Status) { s.Stopping, s.Leaving = stopping, leaving })
-	select {
-	case c.announceSignal <- struct{}{}:
-	default:
-	}
+	c.AnnounceAgain()
 }
 
 func (c *Member) setStatus(change func(s *daisyvm.Status)) {
@@ -345,7 +354,7 @@
 
 func (c *Member) heartbeat(d daisyvm.SendHeartbeat) daisymessage.Heartbeat {
 	c.mu.Lock()
-	hash, known, unavailable := c.hash, c.knownVersions, c.storeUnavailable
+	hash, known, eras, holding, unavailable := c.hash, c.knownVersions, c.knownEras, c.holding, c.storeUnavailable
 	c.mu.Unlock()
 	return daisymessage.Heartbeat{
 		VM:               c.options.Self,
@@ -360,6 +369,8 @@
 		Echo:             d.Echo,
 		EchoHeld:         d.EchoHeld,
 		Known:            known,
+		KnownEras:        eras,
+		Holding:          holding,
 		StoreUnavailable: unavailable,
 		Heard:            d.Heard,
 		Introduced:       d.Introduced,
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -107,6 +107,7 @@
 			m.KnownEras[i] = daisyfeed.Era(era)
 		}
 	}
+	copy(m.Holding[:], w.Holding)
 	return m
 }
 
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -105,6 +105,9 @@
 			w.KnownEras = append(w.KnownEras, uint64(era))
 		}
 	}
+	if m.Holding != [daisyfeed.Topics]bool{} {
+		w.Holding = append(w.Holding, m.Holding[:]...)
+	}
 	return w
 }
 
