Write the configuration, leases and plans again after a restore of the platform

Reads of daisyplatform carry the era, and a restored platform assigns no version again, so that a write that expects a lost one is refused.

--- a/core/daisyconfig/decision.go
+++ b/core/daisyconfig/decision.go
@@ -1,8 +1,8 @@
 package daisyconfig
 
 // Decision is an action that the controller of a Follower has to carry out. It is
-// one of ReadHead, ReadSnapshot, RequestSnapshot, SendSnapshot, PutInForce and
-// ReportConflict.
+// one of ReadHead, ReadSnapshot, RequestSnapshot, SendSnapshot, PutInForce, RestoreHead
+// and ReportConflict.
 type Decision interface{ decision() }
 
 // ReadHead is the Decision to read the head row from the platform's table. The
@@ -29,6 +29,11 @@
 // PutInForce is the Decision to make a snapshot the configuration in force.
 type PutInForce struct{ Snapshot *Snapshot }
 
+// RestoreHead is the Decision to write the snapshot in force and its head to the platform
+// again, because the platform was restored from a backup that lacks them. The head is
+// written only over an older one.
+type RestoreHead struct{ Snapshot *Snapshot }
+
 // ReportConflict is the Decision to report that two snapshots have the same
 // revision, which cannot happen unless the platform is faulty. The Follower keeps
 // the snapshot in force unless the platform's table names the other one.
@@ -43,6 +48,7 @@
 func (RequestSnapshot) decision() {}
 func (SendSnapshot) decision()    {}
 func (PutInForce) decision()      {}
+func (RestoreHead) decision()     {}
 func (ReportConflict) decision()  {}
 
 // WaitReason is the reason why a VM has no configuration in force. It is one of
--- a/core/daisyconfig/event.go
+++ b/core/daisyconfig/event.go
@@ -15,11 +15,14 @@
 
 // HeadRead is the Event that the head was read from the platform's table. A read
 // of the table can return an older head.
-type HeadRead struct{ Head Head }
+type HeadRead struct {
+	Head Head
+	Era  Era
+}
 
 // HeadMissing is the Event that a read found no head in the table. The table may
 // have one that is not yet visible to the read.
-type HeadMissing struct{}
+type HeadMissing struct{ Era Era }
 
 // HeadReadFailed is the Event that the table could not be read.
 type HeadReadFailed struct{}
--- a/core/daisyconfig/follower.go
+++ b/core/daisyconfig/follower.go
@@ -63,7 +63,9 @@
 	// which a read in progress counts as failed.
 	nextHeadRead     time.Time
 	headReadFailures int
-	fetch            *fetch
+	// era is the latest era of the platform that a read has shown.
+	era   Era
+	fetch *fetch
 	// reportedConflict is the hash of the other snapshot in the last reported conflict.
 	reportedConflict Hash
 }
@@ -135,10 +137,11 @@
 	case HeadAnnounced:
 		decisions = f.handleAnnouncement(now, e)
 	case HeadRead:
-		decisions = f.handleHead(now, e.Head)
+		decisions = append(f.handleHead(now, e.Head), f.restoreHead(e.Head.Revision, e.Era)...)
 	case HeadMissing:
 		f.headMissing = true
 		f.completeHeadRead(now)
+		decisions = f.restoreHead(0, e.Era)
 	case HeadReadFailed:
 		f.failHeadRead(now)
 	case SnapshotReceived:
@@ -210,6 +213,17 @@
 	return nil
 }
 
+// restoreHead writes what is in force again if the platform was restored from a backup and
+// its table has an older head. A read that merely lags does no harm, because the write is
+// then refused.
+func (f *Follower) restoreHead(read Revision, era Era) []Decision {
+	f.era = max(f.era, era)
+	if f.era == 0 || era < f.era || f.inForce == nil || read >= f.inForce.Revision {
+		return nil
+	}
+	return []Decision{RestoreHead{Snapshot: f.inForce}}
+}
+
 func (f *Follower) completeHeadRead(now time.Time) {
 	f.readingHead = false
 	f.headReadFailures = 0
--- a/core/daisyconfig/head.go
+++ b/core/daisyconfig/head.go
@@ -12,6 +12,10 @@
 	ConfirmedAt time.Time
 }
 
+// Era is the number of times that the platform was restored from a backup. In a later era
+// the table may have an older head, or none.
+type Era uint64
+
 // Head returns the head that identifies the snapshot.
 func (s *Snapshot) Head() Head {
 	return Head{
--- a/core/daisylease/claim.go
+++ b/core/daisylease/claim.go
@@ -32,6 +32,13 @@
 	lastReadToken  Token
 	unchangedSince time.Time
 
+	// era is the latest era of the platform, and eraKnown is set once a read has shown it.
+	era      Era
+	eraKnown bool
+	// notBefore is when the lease may be acquired at the earliest after a restore of the
+	// platform.
+	notBefore time.Time
+
 	// token is the version of the row that this VM wrote last.
 	token Token
 	// validUntil is when the holder gives the lease up unless a write succeeds before.
@@ -91,9 +98,15 @@
 	var decisions []Decision
 	switch e := event.(type) {
 	case RowRead:
-		decisions = c.handleRead(now, e)
+		decisions = c.noteEra(now, e.Era)
+		if len(decisions) == 0 {
+			decisions = c.handleRead(now, e)
+		}
 	case RowMissing:
-		decisions = c.handleMissing(now)
+		decisions = c.noteEra(now, e.Era)
+		if len(decisions) == 0 {
+			decisions = c.handleMissing(now)
+		}
 	case ReadFailed, WriteFailed:
 		c.scheduleStep(now.Add(retryInterval))
 	case Written:
@@ -114,6 +127,24 @@
 	return append(decisions, c.startDueStep(now)...)
 }
 
+// noteEra notices that the platform was restored from a backup. What was read before does
+// not count any more, a write without a known outcome is lost or will be refused, and a
+// holder may live whose claim the row lacks.
+func (c *Claim) noteEra(now time.Time, era Era) []Decision {
+	restored := c.eraKnown && era > c.era
+	c.era, c.eraKnown = max(era, c.era), true
+	if !restored {
+		return nil
+	}
+	c.lastRead, c.lastReadToken, c.unchangedSince = Record{}, 0, now
+	c.notBefore = now.Add(TTL)
+	if c.phase == holding {
+		return c.finish(Lost{})
+	}
+	c.pending = nil
+	return nil
+}
+
 func (c *Claim) finish(decision Decision) []Decision {
 	c.phase = ended
 	return []Decision{decision}
@@ -217,7 +248,8 @@
 	if event.Token > c.lastReadToken {
 		c.lastRead, c.lastReadToken, c.unchangedSince = event.Record, event.Token, now
 	}
-	if c.lastRead.Holder == "" || !now.Before(c.unchangedSince.Add(c.lastRead.TTL)) {
+	free := c.lastRead.Holder == "" || !now.Before(c.unchangedSince.Add(c.lastRead.TTL))
+	if free && !now.Before(c.notBefore) {
 		return c.startWrite(now, c.lastReadToken)
 	}
 	c.scheduleStep(c.nextReadAt(now))
@@ -247,6 +279,10 @@
 		c.scheduleStep(c.nextReadAt(now))
 		return nil
 	}
+	if now.Before(c.notBefore) {
+		c.scheduleStep(c.nextReadAt(now))
+		return nil
+	}
 	return c.startWrite(now, 0)
 }
 
--- a/core/daisylease/claim_test.go
+++ b/core/daisylease/claim_test.go
@@ -243,3 +243,41 @@
 		assert.Equal(t, s.acquisitions, 2)
 	}
 }
+
+// Guards against a lease that nobody can acquire any more, and against two holders, after
+// the platform was restored from a backup in which the row is older or missing.
+func TestLeaseIsAcquiredAfterRestoreOfThePlatform(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	live := daisylease.Record{Holder: "vm-2", Incarnation: 1, TTL: daisylease.TTL}
+	restored := map[string]daisylease.Event{
+		"free":    daisylease.RowRead{Record: daisylease.Record{TTL: daisylease.TTL}, Token: 6, Era: 1},
+		"missing": daisylease.RowMissing{Era: 1},
+	}
+	for name, event := range restored {
+		c := daisylease.NewClaim(now, daisyvm.VM{Name: "vm-1", Incarnation: 1}, rand.New(rand.NewPCG(1, 1)))
+		c.Handle(now, daisylease.TimePassed{})
+		c.Handle(now, daisylease.RowRead{Record: live, Token: 10})
+		var write *daisylease.WriteRow
+		at := now
+		for write == nil && at.Sub(now) < time.Minute {
+			at = c.NextWake()
+			for _, d := range c.Handle(at, daisylease.TimePassed{}) {
+				if _, ok := d.(daisylease.ReadRow); !ok {
+					continue
+				}
+				for _, d := range c.Handle(at, event) {
+					if w, ok := d.(daisylease.WriteRow); ok {
+						write = &w
+					}
+				}
+			}
+		}
+		assert.Assert(t, write != nil, "%s: never claimed", name)
+		assert.Assert(t, at.Sub(now) >= daisylease.TTL, "%s: claimed after %v, while the holder that the row lacks may live", name, at.Sub(now))
+		want := daisylease.Token(0)
+		if r, ok := event.(daisylease.RowRead); ok {
+			want = r.Token
+		}
+		assert.Equal(t, write.Expected, want, name)
+	}
+}
--- a/core/daisylease/event.go
+++ b/core/daisylease/event.go
@@ -8,10 +8,11 @@
 type RowRead struct {
 	Record Record
 	Token  Token
+	Era    Era
 }
 
 // RowMissing reports that the row does not exist, or is not visible to this read yet.
-type RowMissing struct{}
+type RowMissing struct{ Era Era }
 
 // ReadFailed reports that the row could not be read.
 type ReadFailed struct{}
--- a/core/daisylease/lease.go
+++ b/core/daisylease/lease.go
@@ -7,7 +7,8 @@
 //
 // No VM compares its clock with that of another. A contender takes a lease over once
 // the row has kept the same version for the whole duration of the lease on the
-// contender's own clock. The holder counts the duration from before its last successful
+// contender's own clock, or a whole lease after it noticed that the platform was restored
+// from a backup, since the row may lack the claim of a live holder. The holder counts the duration from before its last successful
 // write began, and gives the lease up a little earlier.
 package daisylease
 
@@ -23,6 +24,10 @@
 // Token is the fencing token: the version of the lease's row.
 type Token uint64
 
+// Era is the number of times that the platform was restored from a backup. In a later era
+// the row may be an older one, with a lower token.
+type Era uint64
+
 // Record is the content of a lease's row.
 type Record struct {
 	// Holder is empty while the lease is free.
--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -234,6 +234,8 @@
 		case c.applySignal <- struct{}{}:
 		default:
 		}
+	case daisyconfig.RestoreHead:
+		c.wg.Go(func() { c.restoreHead(d.Snapshot) })
 	case daisyconfig.ReportConflict:
 		c.options.Logger.Error("two different snapshots have the same revision",
 			"revision", d.Revision, "in-force", d.InForce, "other", d.Other)
@@ -262,9 +264,50 @@
 		return daisyconfig.HeadReadFailed{}
 	}
 	if row.version == 0 {
-		return daisyconfig.HeadMissing{}
+		return daisyconfig.HeadMissing{Era: row.era}
+	}
+	return daisyconfig.HeadRead{Head: row.head, Era: row.era}
+}
+
+// restoreHead writes a snapshot and its head to the platform again, unless the head row
+// has the revision or a later one by now.
+func (c *Config) restoreHead(s *daisyconfig.Snapshot) {
+	ctx, cancel := context.WithTimeout(c.ctx, platformTimeout)
+	defer cancel()
+	if err := c.writeHead(ctx, s); err != nil {
+		c.options.Logger.Warn("failed to write the configuration in force to the restored platform", "revision", s.Revision, "error", err)
+		return
+	}
+	c.options.Logger.Warn("the platform was restored from a backup without the configuration in force; written again", "revision", s.Revision, "hash", s.Hash)
+}
+
+func (c *Config) writeHead(ctx context.Context, s *daisyconfig.Snapshot) error {
+	row, err := getHead(ctx, c.options.Platform)
+	if err != nil || row.head.Revision >= s.Revision {
+		return err
+	}
+	data, _, err := daisysnapshot.Encode(s)
+	if err != nil {
+		return err
+	}
+	if err := putObject(ctx, c.options.Platform, snapshotPrefix+string(s.Hash), data); err != nil {
+		return err
+	}
+	value, err := daisysnapshot.EncodeHead(s.Head())
+	if err != nil {
+		return err
+	}
+	switch a := c.options.Platform.SwapRow(ctx, headKey, row.version, value).(type) {
+	case daisyplatform.RowWritten, daisyplatform.Conflict:
+		// After a conflict, the next read shows whether another VM has written the head.
+		return nil
+	case daisyplatform.Unknown:
+		return a.Err
+	case daisyplatform.Unavailable:
+		return a.Err
+	default:
+		return unexpectedError(a, "write the head row")
 	}
-	return daisyconfig.HeadRead{Head: row.head}
 }
 
 func (c *Config) readSnapshot(hash daisyconfig.Hash) daisyconfig.Event {
--- a/io/daisycontroller/lease_held.go
+++ b/io/daisycontroller/lease_held.go
@@ -206,9 +206,9 @@
 			h.lease.options.Logger.Error("failed to decode lease row", "lease", h.name, "error", err)
 			return daisylease.ReadFailed{}
 		}
-		return daisylease.RowRead{Record: r, Token: daisylease.Token(a.Row.Version)}
+		return daisylease.RowRead{Record: r, Token: daisylease.Token(a.Row.Version), Era: daisylease.Era(a.Era)}
 	case daisyplatform.NotFound:
-		return daisylease.RowMissing{}
+		return daisylease.RowMissing{Era: daisylease.Era(a.Era)}
 	default:
 		return daisylease.ReadFailed{}
 	}
--- a/io/daisycontroller/plan_row.go
+++ b/io/daisycontroller/plan_row.go
@@ -50,10 +50,10 @@
 	}
 	switch a := c.options.Platform.GetRow(ctx, planPrefix+string(id)).(type) {
 	case daisyplatform.RowRead:
-		return c.newestRow(id, a.Row)
+		return c.newestRow(id, a.Row, a.Era)
 	case daisyplatform.NotFound:
 		if row, ok := c.writtenRow(id); ok {
-			return row, nil
+			return row.expecting(0, a.Era), nil
 		}
 		if createdRecently(id, now()) {
 			return planRow{}, daisyerror.Unavailable.New("the platform does not show plan %s yet, or there is none", id)
@@ -83,12 +83,22 @@
 	return err == nil && at.Sub(created).Abs() < maxReadLag
 }
 
-func (c *Plan) newestRow(id daisyplan.ID, row daisyplatform.Row) (planRow, error) {
+func (c *Plan) newestRow(id daisyplan.ID, row daisyplatform.Row, era daisyplatform.Era) (planRow, error) {
 	if w, ok := c.writtenRow(id); ok && w.version > row.Version {
-		return w, nil
+		return w.expecting(row.Version, era), nil
 	}
 	record, err := daisysnapshot.DecodePlanRecord(row.Value)
-	return planRow{record: record, version: row.Version}, err
+	return planRow{record: record, version: row.Version, era: era}, err
+}
+
+// expecting returns a row that this VM wrote, for a write over the version that was read.
+// The platform has an older version than the written one if the read lags, or if the
+// platform was restored from a backup since; then the next write replaces that one.
+func (r planRow) expecting(read daisyplatform.Version, era daisyplatform.Era) planRow {
+	if era > r.era {
+		r.version, r.era = read, era
+	}
+	return r
 }
 
 func (c *Plan) writtenRow(id daisyplan.ID) (planRow, bool) {
@@ -130,7 +140,7 @@
 		}
 		switch a := c.options.Platform.SwapRow(ctx, key, row.version, value).(type) {
 		case daisyplatform.RowWritten:
-			c.cacheRow(planRow{record: row.record, version: a.Version})
+			c.cacheRow(planRow{record: row.record, version: a.Version, era: row.era})
 			return nil
 		case daisyplatform.Conflict:
 			if replyLost {
@@ -158,7 +168,7 @@
 	if !bytes.Equal(a.Row.Value, value) {
 		return true, errRowChanged.New("plan %s was changed by somebody else", row.record.ID)
 	}
-	c.cacheRow(planRow{record: row.record, version: a.Row.Version})
+	c.cacheRow(planRow{record: row.record, version: a.Row.Version, era: a.Era})
 	return true, nil
 }
 
@@ -219,7 +229,7 @@
 	for _, r := range rows {
 		id := daisyplan.ID(strings.TrimPrefix(r.Key, planPrefix))
 		listed[id] = true
-		row, err := c.newestRow(id, r)
+		row, err := c.newestRow(id, r, 0)
 		if err != nil {
 			return nil, err
 		}
--- a/io/daisycontroller/store.go
+++ b/io/daisycontroller/store.go
@@ -71,6 +71,7 @@
 type headRow struct {
 	head    daisyconfig.Head
 	version daisyplatform.Version
+	era     daisyconfig.Era
 }
 
 // getHead reads the head row, without retries. The result may lag behind the last write.
@@ -79,9 +80,9 @@
 	switch a := table.GetRow(ctx, headKey).(type) {
 	case daisyplatform.RowRead:
 		head, err := daisysnapshot.DecodeHead(a.Row.Value)
-		return headRow{head: head, version: a.Row.Version}, err
+		return headRow{head: head, version: a.Row.Version, era: daisyconfig.Era(a.Era)}, err
 	case daisyplatform.NotFound:
-		return headRow{}, nil
+		return headRow{era: daisyconfig.Era(a.Era)}, nil
 	case daisyplatform.Unavailable:
 		return headRow{}, unavailableError(a.Err, operation)
 	default:
--- a/io/daisyplatform/client.go
+++ b/io/daisyplatform/client.go
@@ -103,7 +103,11 @@
 			if !ok {
 				return invalidResponse("a row without a version")
 			}
-			return RowRead{Row: Row{Key: key, Version: v, Value: body}}
+			era, ok := parseEra(header)
+			if !ok {
+				return invalidResponse("a row with an invalid era")
+			}
+			return RowRead{Row: Row{Key: key, Version: v, Value: body}, Era: era}
 		},
 	})
 }
@@ -305,7 +309,11 @@
 	case http.StatusOK, http.StatusNoContent:
 		return operation.decode(response.Header, body)
 	case http.StatusNotFound:
-		return NotFound{}
+		era, ok := parseEra(response.Header)
+		if !ok {
+			return invalidResponse("an invalid era")
+		}
+		return NotFound{Era: era}
 	case http.StatusPreconditionFailed:
 		return Conflict{}
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
--- a/io/daisyplatform/embedded.go
+++ b/io/daisyplatform/embedded.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,13 +28,15 @@
 // server. It is always available; Faulty adds faults.
 type Embedded struct {
 	shards [embeddedShards]embeddedShard
+	// era is changed and used for a row under the lock of its shard.
+	era atomic.Uint64
 }
 
 // embeddedShard holds the rows, objects and VMs whose names hash to it.
 type embeddedShard struct {
 	mu      sync.Mutex
 	rows    map[string][]rowVersion
-	objects map[string][]byte
+	objects map[string]object
 	vms     map[daisyvm.Name][]announcement
 }
 
@@ -44,6 +47,12 @@
 	at  time.Time
 }
 
+// object is an object and the time of its write.
+type object struct {
+	data []byte
+	at   time.Time
+}
+
 // announcement is a VM as it was announced, and the time of the announcement.
 type announcement struct {
 	vm ListedVM
@@ -58,7 +67,7 @@
 	for i := range e.shards {
 		s := &e.shards[i]
 		s.rows = make(map[string][]rowVersion)
-		s.objects = make(map[string][]byte)
+		s.objects = make(map[string]object)
 		s.vms = make(map[daisyvm.Name][]announcement)
 	}
 	return e
@@ -81,9 +90,47 @@
 	defer s.mu.Unlock()
 	v, ok := versionAt(s.rows[key], time.Now().Add(-lag))
 	if !ok {
-		return NotFound{}
+		return NotFound{Era: Era(e.era.Load())}
+	}
+	return RowRead{Row: cloneRow(v.row), Era: Era(e.era.Load())}
+}
+
+// eraShift is the number of the bits of a Version that count the writes in one era.
+const eraShift = 32
+
+// nextVersion returns the version of the next write to a row.
+func (e *Embedded) nextVersion(current Version) Version {
+	if first := Version(e.era.Load() << eraShift); current < first {
+		current = first
+	}
+	return current + 1
+}
+
+// Restore replaces all data by that of a backup of the given age, at most MaxLag: what was
+// written since is lost.
+func (e *Embedded) Restore(age time.Duration) {
+	at := time.Now().Add(-min(age, MaxLag))
+	e.era.Add(1)
+	for i := range e.shards {
+		e.shards[i].restore(at)
+	}
+}
+
+// restore drops everything that was written after a time.
+func (s *embeddedShard) restore(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, versions := range s.rows {
+		s.rows[k] = slices.DeleteFunc(versions, func(v rowVersion) bool { return v.at.After(at) })
+	}
+	for k, o := range s.objects {
+		if o.at.After(at) {
+			delete(s.objects, k)
+		}
+	}
+	for k, announcements := range s.vms {
+		s.vms[k] = slices.DeleteFunc(announcements, func(a announcement) bool { return a.at.After(at) })
 	}
-	return RowRead{Row: cloneRow(v.row)}
 }
 
 // versionAt returns the version that was current at a time, and whether there was one.
@@ -119,7 +166,7 @@
 		return Conflict{}
 	}
 	now := time.Now()
-	written := Row{Key: key, Version: current + 1, Value: slices.Clone(value)}
+	written := Row{Key: key, Version: e.nextVersion(current), Value: slices.Clone(value)}
 	s.rows[key] = append(pruneVersions(versions, now.Add(-MaxLag)), rowVersion{row: written, at: now})
 	return RowWritten{Version: written.Version}
 }
@@ -172,7 +219,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.objects[name]; !ok {
-		s.objects[name] = slices.Clone(data)
+		s.objects[name] = object{data: slices.Clone(data), at: time.Now()}
 	}
 	return ObjectWritten{}
 }
@@ -185,11 +232,11 @@
 	s := e.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	data, ok := s.objects[name]
+	o, ok := s.objects[name]
 	if !ok {
-		return NotFound{}
+		return NotFound{Era: Era(e.era.Load())}
 	}
-	return ObjectRead{Data: slices.Clone(data)}
+	return ObjectRead{Data: slices.Clone(o.data)}
 }
 
 // AnnounceVM answers VMAnnounced.
--- a/io/daisyplatform/fault.go
+++ b/io/daisyplatform/fault.go
@@ -171,6 +171,9 @@
 	}
 }
 
+// Restore restores the platform from a backup of the given age, at most MaxLag.
+func (f *Faulty) Restore(age time.Duration) { f.inner.Restore(age) }
+
 // GetRow answers as Embedded does, subject to the faults.
 func (f *Faulty) GetRow(ctx context.Context, key string) Answer {
 	return f.read(ctx, func(e faultEffect) Answer { return f.inner.getRow(key, e.rowLag) })
--- a/io/daisyplatform/handler.go
+++ b/io/daisyplatform/handler.go
@@ -107,6 +107,7 @@
 func writeAnswer(w http.ResponseWriter, answer Answer) {
 	switch a := answer.(type) {
 	case RowRead:
+		setEra(w.Header(), a.Era)
 		w.Header().Set("ETag", formatVersionTag(a.Row.Version))
 		writeBytes(w, a.Row.Value)
 	case RowsListed:
@@ -127,6 +128,7 @@
 	case Conflict:
 		w.WriteHeader(http.StatusPreconditionFailed)
 	case NotFound:
+		setEra(w.Header(), a.Era)
 		w.WriteHeader(http.StatusNotFound)
 	case Unknown:
 		panic(http.ErrAbortHandler)
--- a/io/daisyplatform/platform.go
+++ b/io/daisyplatform/platform.go
@@ -25,9 +25,15 @@
 )
 
 // Version is the number of a write to a row, counted from 1; 0 stands for a row that does
-// not exist.
+// not exist. A platform that was restored from a backup assigns no version again: it puts
+// its Era into the upper 32 bits, so that a write that expects a version which the restore
+// lost is refused.
 type Version uint64
 
+// Era is the number of times that the platform was restored from a backup. Only in a later
+// era may a row have a lower version than before, or be missing again.
+type Era uint64
+
 // Row is one row of the table.
 type Row struct {
 	Key     string
@@ -89,8 +95,11 @@
 // NotFound, Unknown and Unavailable.
 type Answer interface{ answer() }
 
-// RowRead carries the row that was read.
-type RowRead struct{ Row Row }
+// RowRead carries the row that was read, and the era of the platform.
+type RowRead struct {
+	Row Row
+	Era Era
+}
 
 // RowsListed carries the matching rows in the order of their keys.
 type RowsListed struct{ Rows []Row }
@@ -114,8 +123,8 @@
 type Conflict struct{}
 
 // NotFound states that the row or object does not exist, or is not visible to a lagging
-// read yet.
-type NotFound struct{}
+// read yet. A row or object that existed may be missing in a later Era.
+type NotFound struct{ Era Era }
 
 // Unknown states that a write may have taken effect, or may still do so.
 type Unknown struct{ Err error }
--- a/io/daisyplatform/wire.go
+++ b/io/daisyplatform/wire.go
@@ -1,6 +1,7 @@
 package daisyplatform
 
 import (
+	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
@@ -32,6 +33,9 @@
 	platformHeader      = "Daisy-Platform"
 	platformHeaderValue = "v1"
 
+	// eraHeader is the Era of the platform on the response to a read; 0 is omitted.
+	eraHeader = "Daisy-Platform-Era"
+
 	// anyVersion in If-None-Match requires that the row does not exist yet (RFC 9110, 13.1.2).
 	anyVersion = "*"
 )
@@ -64,6 +68,21 @@
 	return Version(v), err == nil && v > 0
 }
 
+func setEra(header http.Header, era Era) {
+	if era > 0 {
+		header.Set(eraHeader, strconv.FormatUint(uint64(era), 10))
+	}
+}
+
+func parseEra(header http.Header) (Era, bool) {
+	text := header.Get(eraHeader)
+	if text == "" {
+		return 0, true
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	return Era(era), err == nil
+}
+
 func encodeRows(rows []Row) []rowDocument {
 	documents := make([]rowDocument, 0, len(rows))
 	for _, r := range rows {
--- a/io/daisystand/platform.go
+++ b/io/daisystand/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"daisyyoke/io/daisyplatform"
 )
@@ -23,6 +24,10 @@
 // SetFaults replaces the faults.
 func (p *Platform) SetFaults(faults ...daisyplatform.Fault) { p.faulty.SetFaults(faults...) }
 
+// Restore restores the platform from a backup of the given age, at most
+// daisyplatform.MaxLag.
+func (p *Platform) Restore(age time.Duration) { p.faulty.Restore(age) }
+
 // ServeHTTP serves the faults document and the requests to the platform.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == faultsPath {
--- a/io/daisystand/platform_codec.go
+++ b/io/daisystand/platform_codec.go
@@ -18,6 +18,8 @@
 	LaggingVMs  string  `json:"lagging-vms,omitempty"`
 	LostReplies float64 `json:"lost-replies,omitempty"`
 	Throttled   float64 `json:"throttled,omitempty"`
+	// Restored is the age of the backup that the platform is restored from, once.
+	Restored string `json:"restored,omitempty"`
 }
 
 func (p *Platform) serveFaults(w http.ResponseWriter, r *http.Request) {
@@ -26,12 +28,15 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(newPlatformFaultsDocument(p.faulty.Faults()))
 	case http.MethodPost:
-		faults, err := decodePlatformFaults(http.MaxBytesReader(w, r.Body, maxFaultsSize))
+		faults, backupAge, err := decodePlatformFaults(http.MaxBytesReader(w, r.Body, maxFaultsSize))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		p.SetFaults(faults...)
+		if backupAge > 0 {
+			p.Restore(backupAge)
+		}
 		w.WriteHeader(http.StatusNoContent)
 	default:
 		w.Header().Set("Allow", http.MethodGet+", "+http.MethodPost)
@@ -60,30 +65,34 @@
 	return d
 }
 
-// decodePlatformFaults decodes a faults document. It fails with daisyerror.InvalidRequest.
-func decodePlatformFaults(body io.Reader) ([]daisyplatform.Fault, error) {
+// decodePlatformFaults decodes a faults document. The age of the backup is 0 if the platform
+// is not to be restored. It fails with daisyerror.InvalidRequest.
+func decodePlatformFaults(body io.Reader) (faults []daisyplatform.Fault, backupAge time.Duration, err error) {
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	var d platformFaultsDocument
 	if err := decoder.Decode(&d); err != nil {
-		return nil, daisyerror.InvalidRequest.Wrap(err, "faults")
+		return nil, 0, daisyerror.InvalidRequest.Wrap(err, "faults")
 	}
 	slow, err := parseFaultDuration("slow", d.Slow)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	lag, err := parseFaultDuration("lagging", d.Lagging)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	vmLag, err := parseFaultDuration("lagging-vms", d.LaggingVMs)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
+	}
+	if backupAge, err = parseFaultDuration("restored", d.Restored); err != nil {
+		return nil, 0, err
 	}
 	if d.LostReplies < 0 || d.LostReplies > 1 || d.Throttled < 0 {
-		return nil, daisyerror.InvalidRequest.New("faults: lost-replies is a share from 0 to 1, throttled is a rate per second")
+		return nil, 0, daisyerror.InvalidRequest.New("faults: lost-replies is a share from 0 to 1, throttled is a rate per second")
 	}
-	return d.faults(slow, lag, vmLag), nil
+	return d.faults(slow, lag, vmLag), backupAge, nil
 }
 
 func (d platformFaultsDocument) faults(slow, lag, vmLag time.Duration) []daisyplatform.Fault {
