Bound every part of an answer in bytes and time

An endpoint in trouble may send bytes without end, in a header or a body. A test with such a server failed for 7 of 18 kinds of answers: interim responses, which net/http accepts in any number once somebody listens to them, chunks and bodies without length, which had no bound but 30 s without a byte, and the same sent a byte at a time, a trailer too.

An attempt fails after 8 interim responses, and a body breaks off after 1 GiB or 10 minutes. The line 'request answered' says why an answer broke off.

--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -24,6 +24,9 @@
 	errDeadline = daisyerror.Unknown.New("deadline of the attempt exceeded")
 	errCanceled = daisyerror.Unknown.New("attempt canceled: its response is no longer needed")
 	errStalled  = daisyerror.Unknown.New("endpoint sent no byte of the response body within the stall timeout")
+	errTooLong  = daisyerror.Unknown.New("response body took longer than the maximum response time")
+	errTooLarge = daisyerror.Unknown.New("response body is larger than the maximum response size")
+	errInterim  = daisyerror.Unknown.New("endpoint sent more than %d interim responses", maxInterim)
 )
 
 const (
@@ -49,6 +52,8 @@
 	response     *http.Response
 	responseTime time.Duration
 	interim      []interim
+	// interimCount counts all interim responses, also those that are not stored.
+	interimCount int
 	// closed reports whether the response was taken or is no longer needed.
 	closed bool
 }
@@ -108,16 +113,17 @@
 	return request
 }
 
-// gotInterim stores an interim response. If the request is hedgeable, the interim
+// gotInterim stores an interim response. It fails after maxInterim of them, because
+// net/http accepts any number. If the request is hedgeable, the interim
 // response is not forwarded before the final one, which may come from another attempt.
 func (a *attempt) gotInterim(status int, header textproto.MIMEHeader) error {
-	if status == http.StatusContinue {
-		// The HTTP server sends 100 Continue to the caller when the body is read.
-		return nil
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.interim) == maxInterim {
+	if a.interimCount++; a.interimCount > maxInterim {
+		return errInterim
+	}
+	if status == http.StatusContinue {
+		// The HTTP server sends 100 Continue to the caller when the body is read.
 		return nil
 	}
 	a.interim = append(a.interim, interim{status: status, header: header})
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -25,7 +25,7 @@
 	_ = response.Body.Close()
 	x.ticketFinished = true
 	x.ticket.Finish(a.send.Attempt, rc.ending)
-	x.logAnswered(a, response.StatusCode, err == nil)
+	x.logAnswered(a, response.StatusCode, err)
 	switch {
 	case err == nil:
 		x.outcome = daisymetric.Served
@@ -177,6 +177,10 @@
 	}
 	rc.timer = time.AfterFunc(rc.readTimeout(), rc.onReadTimeout)
 	defer rc.timer.Stop()
+	if limit := rc.exchange.forwarder.limits.MaxResponseTime; limit > 0 {
+		end := time.AfterFunc(limit, func() { rc.attempt.cancel(errTooLong) })
+		defer end.Stop()
+	}
 	chunk := getChunk(rc.response.ContentLength)
 	defer putChunk(chunk)
 	return rc.copyBody(chunk.bytes)
@@ -188,6 +192,10 @@
 	for copied := int64(0); ; {
 		n, err := rc.read(chunk)
 		copied += int64(n)
+		if limit := rc.exchange.forwarder.limits.MaxResponseBytes; limit > 0 && copied > limit {
+			rc.attempt.cancel(errTooLarge)
+			n, err = 0, errTooLarge
+		}
 		ended := err == io.EOF
 		if n > 0 || ended {
 			rc.writeHeader()
--- a/io/daisyforward/limits.go
+++ b/io/daisyforward/limits.go
@@ -10,16 +10,29 @@
 	// StallTimeout is the maximum time during which a caller or an endpoint may send or
 	// accept no byte of a body.
 	StallTimeout time.Duration
+	// MaxResponseBytes limits the body of a response. A response that is longer, or that
+	// takes longer than MaxResponseTime, is broken off; 0 means no limit.
+	MaxResponseBytes int64
+	// MaxResponseTime limits the time from the header of a response to its end; 0 means no
+	// limit.
+	MaxResponseTime time.Duration
 }
 
 // DefaultLimits returns the limits that a VM uses by default.
-func DefaultLimits() Limits { return Limits{MaxReplayBytes: 64 << 10, StallTimeout: 30 * time.Second} }
+func DefaultLimits() Limits {
+	return Limits{
+		MaxReplayBytes:   64 << 10,
+		StallTimeout:     30 * time.Second,
+		MaxResponseBytes: 1 << 30,
+		MaxResponseTime:  10 * time.Minute,
+	}
+}
 
 const (
 	// headerDelay is the time that the header of a response of known length waits for
 	// the first byte of the body, so that both can be sent in one write.
 	headerDelay = 2 * time.Millisecond
-	// maxInterim is the maximum number of interim responses (1xx) that an attempt
-	// stores until they are forwarded.
+	// maxInterim is the maximum number of interim responses (1xx) of an attempt. An
+	// endpoint that sends more is treated as one that sends no response.
 	maxInterim = 8
 )
--- a/io/daisyforward/log.go
+++ b/io/daisyforward/log.go
@@ -1,6 +1,7 @@
 package daisyforward
 
 import (
+	"context"
 	"time"
 
 	"daisyyoke/core/daisyerror"
@@ -82,16 +83,25 @@
 	return "unknown", ""
 }
 
-func (x *exchange) logAnswered(a *attempt, status int, complete bool) {
+// logAnswered logs the end of a response, and the cause if it broke off.
+func (x *exchange) logAnswered(a *attempt, status int, err error) {
 	if x.forwarder.log == nil {
 		return
 	}
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+	}
+	if reason := context.Cause(a.ctx); err != nil && reason != nil {
+		cause = reason.Error()
+	}
 	x.forwarder.log.Write(daisylog.Answered{
 		Subject:  x.subject(),
 		Attempt:  a.send.Attempt,
 		Endpoint: a.send.Endpoint,
 		Status:   status,
-		Complete: complete,
+		Complete: err == nil,
+		Cause:    cause,
 		Attempts: len(x.attempts),
 		Duration: time.Since(x.call.Arrived),
 	})
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -80,6 +80,7 @@
 	Attempt  uint64 `json:"attempt"`
 	Status   int    `json:"status"`
 	Complete bool   `json:"whole"`
+	Cause    string `json:"cause,omitempty"`
 	Attempts int    `json:"attempts"`
 	Duration string `json:"took"`
 }
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -76,6 +76,8 @@
 	Status   int
 	// Complete reports whether the complete response was forwarded.
 	Complete bool
+	// Cause is why the response broke off; empty if it did not.
+	Cause string
 	// Attempts is the number of attempts, Duration the time since the arrival of the request.
 	Attempts int
 	Duration time.Duration
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -17,7 +17,7 @@
 			Attempt: uint64(n.Attempt), Outcome: n.Outcome, Cause: n.Cause, ResponseTime: n.ResponseTime.String()})
 	case Answered:
 		l.encode(&answeredRecord{commonFields: l.commonFields(e, "request answered"), subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
-			Attempt: uint64(n.Attempt), Status: n.Status, Complete: n.Complete, Attempts: n.Attempts, Duration: n.Duration.String()})
+			Attempt: uint64(n.Attempt), Status: n.Status, Complete: n.Complete, Cause: n.Cause, Attempts: n.Attempts, Duration: n.Duration.String()})
 	case Refused:
 		l.encode(n.record(l.commonFields(e, "request refused")))
 	case Rejected:
--- a/io/daisyplatform/client.go
+++ b/io/daisyplatform/client.go
@@ -36,6 +36,8 @@
 	// maxErrorSize is the size up to which the body of an error response is read even if
 	// the limit of the operation is less, in bytes.
 	maxErrorSize = 4 << 10
+	// maxHeaderSize is the maximum size of the header of a response, in bytes.
+	maxHeaderSize = 64 << 10
 )
 
 // Client is a platform that is reached over HTTP. It limits the rate of its requests, and
@@ -70,6 +72,8 @@
 		MaxIdleConnsPerHost: requestBurst,
 		IdleConnTimeout:     idleConnTimeout,
 		ForceAttemptHTTP2:   true,
+
+		MaxResponseHeaderBytes: maxHeaderSize,
 	}
 }
 
