Do not hedge while rate limits leave slots unused

A hedge takes one request of a rate that other requests wait for, at an endpoint that asked for less.

--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -67,6 +67,8 @@
 	budgetPolicy Budget
 	// peers are the other live VMs.
 	peers []daisyvm.Name
+	// rateLimited is set if the endpoints' rate limits leave slots unused.
+	rateLimited bool
 	// leavingPeers is the number of other VMs in a planned stop, and silentSince has the
 	// VMs that are no longer heard of without having left as planned.
 	leavingPeers int
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -93,10 +93,11 @@
 }
 
 // mayHedge reports whether the request of an attempt may be sent a second time in
-// parallel with it.
+// parallel with it. While rate limits leave slots unused, a hedge would take the place of
+// another request.
 func (d *Dispatcher) mayHedge(now time.Time, a *attempt) bool {
 	r := a.request
-	if r == nil || !r.Hedgeable || r.hedged || r.openCount != 1 || r.heldError != nil || r.attemptsSpent() {
+	if r == nil || !r.Hedgeable || d.rateLimited || r.hedged || r.openCount != 1 || r.heldError != nil || r.attemptsSpent() {
 		return false
 	}
 	times := d.queue.ResponseTimes(a.rank)
--- a/core/daisyroute/rate.go
+++ b/core/daisyroute/rate.go
@@ -199,6 +199,7 @@
 	slots, limited := d.usableSlots()
 	d.queue.SetEvenShare(slots / float64(len(d.peers)+1))
 	d.queue.SetRateLimited(limited)
+	d.rateLimited = limited
 }
 
 // RateLimit returns the rate limit of an endpoint; nil if it is not known.
--- a/core/daisyroute/rate_test.go
+++ b/core/daisyroute/rate_test.go
@@ -130,3 +130,28 @@
 	}
 	assert.Check(t, refused >= 20, "%d of 30 requests were refused at once", refused)
 }
+
+// Guards against hedges that take the place of other requests while rate limits, and not
+// slots, bound what the endpoints accept.
+func TestNoHedgeWhileRateLimitsLeaveSlotsUnused(t *testing.T) {
+	hedges := func(limit daisyendpoint.RateLimit) int {
+		h := newRateHarness(t, 2, daisyroute.LeastOfTwo{})
+		h.warmUp(2, 20*time.Millisecond)
+		for range 10 {
+			h.answerWithLimit(h.sendOne(t).Attempt, limit)
+		}
+		h.advance(time.Second)
+		r := h.request(2)
+		r.Idempotent, r.Hedgeable = true, true
+		h.arrive(r)
+		n := 0
+		for _, s := range ofType[daisyroute.Send](h.advance(10 * time.Second)) {
+			if s.Reason == daisyroute.Hedge {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, hedges(daisyendpoint.Unlimited{}), 1)
+	assert.Equal(t, hedges(daisyendpoint.Limited{Interval: 200 * time.Millisecond}), 0)
+}
