--- a/core/daisyroute/rate_test.go
+++ b/core/daisyroute/rate_test.go
@@ -135,17 +135,20 @@
 // slots, bound what the endpoints accept.
 func TestNoHedgeWhileRateLimitsLeaveSlotsUnused(t *testing.T) {
 	hedges := func(limit daisyendpoint.RateLimit) int {
-		h := newRateHarness(t, 2, daisyroute.LeastOfTwo{})
-		h.warmUp(2, 20*time.Millisecond)
-		for range 10 {
-			h.answerWithLimit(h.sendOne(t).Attempt, limit)
+		h := newHarness(t, newService(5, 2), nil)
+		h.warmUp(0, usualTime)
+		for range 50 {
+			if sent := ofType[daisyroute.Send](h.arrive(h.request(0))); len(sent) > 0 {
+				h.now = h.now.Add(usualTime)
+				h.answerWithLimit(sent[0].Attempt, limit)
+			}
 		}
-		h.advance(time.Second)
-		r := h.request(2)
+		h.advance(usualTime)
+		r := h.request(0)
 		r.Idempotent, r.Hedgeable = true, true
-		h.arrive(r)
+		decisions := append(h.arrive(r), h.advance(2*usualTime)...)
 		n := 0
-		for _, s := range ofType[daisyroute.Send](h.advance(10 * time.Second)) {
+		for _, s := range ofType[daisyroute.Send](decisions) {
 			if s.Reason == daisyroute.Hedge {
 				n++
 			}
@@ -153,5 +156,5 @@
 		return n
 	}
 	assert.Equal(t, hedges(daisyendpoint.Unlimited{}), 1)
-	assert.Equal(t, hedges(daisyendpoint.Limited{Interval: 200 * time.Millisecond}), 0)
+	assert.Equal(t, hedges(daisyendpoint.Limited{Interval: usualTime}), 0)
 }
