--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -228,6 +229,13 @@
 	c.knownVersions[topic], c.knownEras[topic], c.holding[topic] = last, era, holding
 }
 
+// StoreEra returns the latest known era of the platform's store; 0 if none is known.
+func (c *Member) StoreEra() daisyfeed.Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Max(c.knownEras[:])
+}
+
 // AnnounceAgain announces this VM to the platform and reads the list of VMs now, since the
 // platform may have lost the announcement.
 func (c *Member) AnnounceAgain() {
--- a/io/daisyforward/endless_test.go
+++ b/io/daisyforward/endless_test.go
@@ -17,7 +17,8 @@
 // startEndless starts a server that is closed at the end of the test.
 func startEndless(t *testing.T, endless daisystand.Endless) *daisystand.EndlessServer {
 	t.Helper()
-	e := daisystand.NewEndlessServer(listen(t), endless)
+	e, err := daisystand.ListenEndless(endless)
+	assert.NilError(t, err)
 	t.Cleanup(e.Close)
 	return e
 }
--- a/io/daisyload/endless_test.go
+++ b/io/daisyload/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -32,9 +31,8 @@
 	for name, endless := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := daisystand.ListenEndless(endless)
 			assert.NilError(t, err)
-			server := daisystand.NewEndlessServer(listener, endless)
 			defer server.Close()
 			pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
 			defer pool.Close()
--- a/io/daisystand/endless.go
+++ b/io/daisystand/endless.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"daisyyoke/core/daisyerror"
 )
 
 // Endless is what an EndlessServer sends: a prefix, and then the filler until the
@@ -57,6 +59,16 @@
 	return s
 }
 
+// ListenEndless returns an EndlessServer on a free port of the loopback interface. It
+// fails with daisyerror.Unavailable.
+func ListenEndless(endless Endless) (*EndlessServer, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, daisyerror.Unavailable.Wrap(err, "cannot listen")
+	}
+	return NewEndlessServer(listener, endless), nil
+}
+
 // Address returns the address of the listener.
 func (s *EndlessServer) Address() netip.AddrPort {
 	return netip.MustParseAddrPort(s.listener.Addr().String())
