Tell callers of dropped requests when the queue will have drained

A request that waited and could no longer finish got a Retry-After of one second, whatever waited before it; with rate limits the queue drains in several.

--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -57,7 +57,7 @@
 	q.accrue(now)
 	expected := q.estimateCompletion(item.Rank)
 	if expected > 0 && now.Add(expected).After(item.Deadline) {
-		return Refused[T]{Cause: Infeasible, Expected: expected, RetryAfter: q.retryAfter(item.Rank)}
+		return Refused[T]{Cause: Infeasible, Expected: expected, RetryAfter: q.RetryAfter(item.Rank)}
 	}
 	q.Push(now, item)
 	evicted := q.evictionCandidate(item.Rank, q.options.Limits.cappedAt(available))
@@ -65,7 +65,7 @@
 		return Admitted[T]{}
 	}
 	q.Remove(now, evicted)
-	retryAfter := q.retryAfter(evicted.Rank)
+	retryAfter := q.RetryAfter(evicted.Rank)
 	if evicted == item {
 		return Refused[T]{Cause: Full, Expected: expected, RetryAfter: retryAfter}
 	}
@@ -114,7 +114,9 @@
 // minSlotShare keeps the estimate finite for a rank without a floor.
 const minSlotShare = 0.001
 
-func (q *Queue[T]) retryAfter(index daisyrank.Index) time.Duration {
+// RetryAfter returns the estimated time until the queue of a rank has drained, within
+// bounds.
+func (q *Queue[T]) RetryAfter(index daisyrank.Index) time.Duration {
 	return min(max(q.Wait(index), minRetryAfter), maxRetryAfter)
 }
 
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -133,11 +133,12 @@
 func (d *Dispatcher) drop(now time.Time, step daisyqueue.Drop[*request]) {
 	r := step.Item.Value
 	r.expected = step.Expected
+	retryAfter := d.queue.RetryAfter(r.Rank)
 	if now.Before(r.Deadline) {
-		d.fail(now, r, CannotFinish, defaultRetryAfter)
+		d.fail(now, r, CannotFinish, retryAfter)
 		return
 	}
-	d.fail(now, r, Expired, defaultRetryAfter)
+	d.fail(now, r, Expired, retryAfter)
 }
 
 // send starts an attempt. The budget of a retry or hedge has to be checked before.
