Hold the rows of the last era until the restored store was read

A store that says that it was restored and then fails lost all rows of a VM after 10 s, so that no endpoint was left, and from 2.2 s on the follower asked to be woken at a time that was over, without end. The times for which rows hold ran from the news of the era, not from the first read in it. Found by reading; the test runs into its timeout without the change.

--- a/core/daisyfeed/era.go
+++ b/core/daisyfeed/era.go
@@ -18,7 +18,7 @@
 // period ends.
 type heldState struct {
 	rows map[string]Row
-	// until is when they stop to hold in any case; the zero time means never.
+	// until is when they stop to hold in any case.
 	until time.Time
 	// forever is set if they hold until the store has caught up with them.
 	forever bool
@@ -51,7 +51,7 @@
 }
 
 // beginEra starts an era of the store: versions begin anew, and what is in force is held.
-func (f *Follower) beginEra(now time.Time, era Era) {
+func (f *Follower) beginEra(era Era) {
 	known := f.complete
 	for _, t := range f.tombstones {
 		if _, ok := f.rows[t.Key]; !ok {
@@ -74,11 +74,22 @@
 	if !known {
 		return
 	}
-	f.graceUntil = later(f.graceUntil, now.Add(recoveryGrace))
-	f.holdFor(now, endpointHoldTime)
 	f.emit(StoreRestored{Era: era, Held: len(f.held.rows)})
 }
 
+// completeEra starts the times for which held rows hold, once all rows were received in
+// this era. Until then nothing is known that could replace them.
+func (f *Follower) completeEra(now time.Time) {
+	if f.eraComplete {
+		return
+	}
+	f.eraComplete = true
+	if f.Holding() {
+		f.graceUntil = later(f.graceUntil, now.Add(recoveryGrace))
+		f.holdFor(now, endpointHoldTime)
+	}
+}
+
 // holdFor lets the held rows hold for at least a duration from now.
 func (f *Follower) holdFor(now time.Time, duration time.Duration) {
 	if !f.held.forever {
@@ -96,7 +107,7 @@
 	case era == f.era:
 		return true
 	}
-	f.beginEra(now, era)
+	f.beginEra(era)
 	if !allRows {
 		f.nextReadAt = now
 	}
@@ -106,12 +117,14 @@
 // expireHeld drops the held rows whose time is over, and those that the store has lost
 // once the grace period has ended.
 func (f *Follower) expireHeld(now time.Time) (changed bool) {
+	if !f.eraComplete || f.held.forever {
+		return false
+	}
 	before := len(f.held.rows)
-	if !f.held.until.IsZero() && !now.Before(f.held.until) {
+	if !now.Before(f.held.until) {
 		clear(f.held.rows)
-		f.held.until = time.Time{}
 	}
-	if f.eraComplete && !f.held.forever && !f.inGrace(now) {
+	if !f.inGrace(now) {
 		for k, h := range f.held.rows {
 			if _, ok := f.rows[k]; !ok && !h.Removed {
 				delete(f.held.rows, k)
@@ -123,7 +136,7 @@
 
 // heldWake returns when expireHeld has to be called next; the zero time means never.
 func (f *Follower) heldWake() time.Time {
-	if len(f.held.rows) == 0 || f.held.forever {
+	if !f.Holding() || f.held.forever || !f.eraComplete {
 		return time.Time{}
 	}
 	for k, h := range f.held.rows {
--- a/core/daisyfeed/era_test.go
+++ b/core/daisyfeed/era_test.go
@@ -171,3 +171,22 @@
 	assert.Assert(t, len(decisionsOf[daisyfeed.Publish](late.decisions)) > 0)
 	assert.DeepEqual(t, late.sequences(), map[string]uint64{"config": 9})
 }
+
+// Guards against all rows vanishing, and against a wake-up that is never over, when the
+// store fails after it said that it was restored and before it could be read.
+func TestStateHoldsWhileTheRestoredStoreCannotBeRead(t *testing.T) {
+	h := newHarness(t)
+	h.handle(daisyfeed.RowsRead{Rows: []daisyfeed.Row{written("a", 39, 9)}, AsOf: 39})
+	h.advance(time.Second)
+	h.handle(daisyfeed.HistoryLost{Era: 2})
+	for range 120 {
+		h.advance(time.Second)
+		h.handle(daisyfeed.ReadFailed{})
+		assert.DeepEqual(t, h.sequences(), map[string]uint64{"a": 9})
+		assert.Assert(t, h.follower.NextWake().After(h.now))
+	}
+	h.handle(daisyfeed.RowsRead{AsOf: 30, Era: 2})
+	assert.DeepEqual(t, h.sequences(), map[string]uint64{"a": 9})
+	h.advance(3 * time.Second)
+	assert.DeepEqual(t, h.sequences(), map[string]uint64{})
+}
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -394,7 +394,7 @@
 		return
 	}
 	if c.Era > f.era && c.Complete {
-		f.beginEra(now, c.Era)
+		f.beginEra(c.Era)
 	}
 	if c.Grace > 0 {
 		f.graceUntil = later(f.graceUntil, now.Add(min(c.Grace, recoveryGrace)))
@@ -433,7 +433,8 @@
 		}
 	}
 	f.prunedUpTo = max(f.prunedUpTo, asOf)
-	f.complete, f.eraComplete = true, true
+	f.complete = true
+	f.completeEra(now)
 	if changed {
 		f.emit(Publish{})
 	}
