--- a/core/daisyfeed/era.go
+++ b/core/daisyfeed/era.go
@@ -99,13 +99,13 @@
 
 // admitsAnswer reports whether the answer of the store may be applied. An answer of an
 // earlier era is late; one of a later era begins that era, and the rows are read anew
-// unless the answer has all of them.
+// unless the answer has all of them. An answer without an era is taken to be of this one.
 func (f *Follower) admitsAnswer(now time.Time, era Era, allRows bool) bool {
 	switch {
+	case era == f.era, era == 0:
+		return true
 	case era < f.era:
 		return false
-	case era == f.era:
-		return true
 	}
 	f.beginEra(era)
 	if !allRows {
--- a/core/daisyfeed/era_test.go
+++ b/core/daisyfeed/era_test.go
@@ -190,3 +190,12 @@
 	h.advance(3 * time.Second)
 	assert.DeepEqual(t, h.sequences(), map[string]uint64{})
 }
+
+// Guards against a store whose answers are ignored for ever after one without an era.
+func TestAnswerWithoutEraIsOfTheCurrentOne(t *testing.T) {
+	h := newHarness(t)
+	h.handle(daisyfeed.RowsRead{Rows: []daisyfeed.Row{written("a", 39, 9)}, AsOf: 39, Era: 3})
+	h.advance(time.Second)
+	h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{written("a", 40, 10)}, AsOf: 40})
+	assert.DeepEqual(t, h.sequences(), map[string]uint64{"a": 10})
+}
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -145,9 +145,7 @@
 	}
 	s.setDemand(now, d)
 	for range maxExchanges {
-		decisions, more := s.flush(now, d)
-		d.decisions = append(d.decisions, decisions...)
-		if !more {
+		if !d.flushCredits(now) {
 			break
 		}
 	}
@@ -181,9 +179,10 @@
 	s.borrower.SetDemand(now, s.demand)
 }
 
-// flush delivers or emits the reports, grants and probes that are due. It reports
+// flushCredits delivers or emits the reports, grants and probes that are due. It reports
 // whether a message was delivered within this VM, which may make another one due.
-func (s *slotSharing) flush(now time.Time, d *Dispatcher) (decisions []Decision, more bool) {
+func (d *Dispatcher) flushCredits(now time.Time) (more bool) {
+	s := d.sharing
 	inFallback := s.borrower.InFallback()
 	if r, ok := s.borrower.Flush(now); ok {
 		to := s.borrower.Owner().Name
@@ -191,17 +190,17 @@
 			s.owner.Receive(now, to, r)
 			more = true
 		} else {
-			decisions = append(decisions, SendMessage{To: to, Message: daisymessage.CreditReport{Report: r}})
+			d.emit(SendMessage{To: to, Message: daisymessage.CreditReport{Report: r}})
 		}
 	}
 	if inFallback != s.borrower.InFallback() {
 		s.changed = true
 	}
 	if s.owner == nil {
-		return decisions, more
+		return more
 	}
 	for _, a := range s.owner.TakeProbes() {
-		decisions = append(decisions, d.newProbe(now, a))
+		d.emit(d.newProbe(now, a))
 	}
 	for _, l := range s.owner.Flush(now) {
 		if l.To == s.self.Name {
@@ -210,9 +209,9 @@
 			s.changed, more = true, true
 			continue
 		}
-		decisions = append(decisions, SendMessage{To: l.To, Message: daisymessage.CreditGrant{Grant: l.Grant}})
+		d.emit(SendMessage{To: l.To, Message: daisymessage.CreditGrant{Grant: l.Grant}})
 	}
-	return decisions, more
+	return more
 }
 
 func (s *slotSharing) wake() time.Time {
