Tell a lagging read of a plan from a restore by the era of its version

On a platform that was restored at any time before, a plan that this VM had written could not be changed while reads lagged: the older version that they showed was taken for a restored one, and each write was refused. Found by reading; the test fails without the change. The version says in which era it was assigned.

--- a/io/daisycontroller/plan.go
+++ b/io/daisycontroller/plan.go
@@ -59,8 +59,6 @@
 type planRow struct {
 	record  daisyplan.Record
 	version daisyplatform.Version
-	// era is the era of the platform in which the version was read or expected.
-	era daisyplatform.Era
 }
 
 var _ Controller = (*Plan)(nil)
--- a/io/daisycontroller/plan_row.go
+++ b/io/daisycontroller/plan_row.go
@@ -88,15 +88,15 @@
 		return w.expecting(row.Version, era), nil
 	}
 	record, err := daisysnapshot.DecodePlanRecord(row.Value)
-	return planRow{record: record, version: row.Version, era: era}, err
+	return planRow{record: record, version: row.Version}, err
 }
 
 // expecting returns a row that this VM wrote, for a write over the version that was read.
 // The platform has an older version than the written one if the read lags, or if the
 // platform was restored from a backup since; then the next write replaces that one.
 func (r planRow) expecting(read daisyplatform.Version, era daisyplatform.Era) planRow {
-	if era > r.era {
-		r.version, r.era = read, era
+	if era > r.version.Era() {
+		r.version = read
 	}
 	return r
 }
@@ -140,7 +140,7 @@
 		}
 		switch a := c.options.Platform.SwapRow(ctx, key, row.version, value).(type) {
 		case daisyplatform.RowWritten:
-			c.cacheRow(planRow{record: row.record, version: a.Version, era: row.era})
+			c.cacheRow(planRow{record: row.record, version: a.Version})
 			return nil
 		case daisyplatform.Conflict:
 			if replyLost {
@@ -168,7 +168,7 @@
 	if !bytes.Equal(a.Row.Value, value) {
 		return true, errRowChanged.New("plan %s was changed by somebody else", row.record.ID)
 	}
-	c.cacheRow(planRow{record: row.record, version: a.Row.Version, era: a.Era})
+	c.cacheRow(planRow{record: row.record, version: a.Row.Version})
 	return true, nil
 }
 
--- a/io/daisycontroller/restore_test.go
+++ b/io/daisycontroller/restore_test.go
@@ -52,3 +52,22 @@
 		}
 	})
 }
+
+// Guards against a plan that cannot be changed while reads lag, on a platform that was
+// restored long before.
+func TestPlanIsChangedDespiteLagAfterAnEarlierRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		embedded := daisyplatform.NewEmbedded()
+		platform := daisyplatform.NewFaulty(embedded, 1)
+		embedded.Restore(time.Second)
+		v := newConfigVM(t, "vm-1", platform, noopSender{}, 1)
+		defer v.Close()
+		p, err := v.plans.Create(t.Context(), testIntent(2), "ana")
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+		platform.SetFaults(daisyplatform.Lagging{By: 30 * time.Second})
+		start := time.Now()
+		assert.NilError(t, v.plans.Discard(t.Context(), p.ID, "ana"))
+		assert.Check(t, time.Since(start) < time.Second, "discarded after %v", time.Since(start))
+	})
+}
--- a/io/daisyplatform/embedded.go
+++ b/io/daisyplatform/embedded.go
@@ -95,9 +95,6 @@
 	return RowRead{Row: cloneRow(v.row), Era: Era(e.era.Load())}
 }
 
-// eraShift is the number of the bits of a Version that count the writes in one era.
-const eraShift = 32
-
 // nextVersion returns the version of the next write to a row.
 func (e *Embedded) nextVersion(current Version) Version {
 	if first := Version(e.era.Load() << eraShift); current < first {
--- a/io/daisyplatform/platform.go
+++ b/io/daisyplatform/platform.go
@@ -34,6 +34,12 @@
 // era may a row have a lower version than before, or be missing again.
 type Era uint64
 
+// eraShift is the number of the bits of a Version that count the writes in one era.
+const eraShift = 32
+
+// Era returns the era in which the version was assigned.
+func (v Version) Era() Era { return Era(v >> eraShift) }
+
 // Row is one row of the table.
 type Row struct {
 	Key     string
