--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -274,39 +274,44 @@
 func (c *Config) restoreHead(s *daisyconfig.Snapshot) {
 	ctx, cancel := context.WithTimeout(c.ctx, platformTimeout)
 	defer cancel()
-	if err := c.writeHead(ctx, s); err != nil {
+	written, err := c.writeHead(ctx, s)
+	switch {
+	case err != nil:
 		c.options.Logger.Warn("failed to write the configuration in force to the restored platform", "revision", s.Revision, "error", err)
-		return
+	case written:
+		c.options.Logger.Warn("the platform was restored from a backup without the configuration in force; written again", "revision", s.Revision, "hash", s.Hash)
 	}
-	c.options.Logger.Warn("the platform was restored from a backup without the configuration in force; written again", "revision", s.Revision, "hash", s.Hash)
 }
 
-func (c *Config) writeHead(ctx context.Context, s *daisyconfig.Snapshot) error {
+// writeHead writes a snapshot and its head over an older head, and reports whether it did.
+func (c *Config) writeHead(ctx context.Context, s *daisyconfig.Snapshot) (written bool, err error) {
 	row, err := getHead(ctx, c.options.Platform)
 	if err != nil || row.head.Revision >= s.Revision {
-		return err
+		return false, err
 	}
 	data, _, err := daisysnapshot.Encode(s)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if err := putObject(ctx, c.options.Platform, snapshotPrefix+string(s.Hash), data); err != nil {
-		return err
+		return false, err
 	}
 	value, err := daisysnapshot.EncodeHead(s.Head())
 	if err != nil {
-		return err
+		return false, err
 	}
 	switch a := c.options.Platform.SwapRow(ctx, headKey, row.version, value).(type) {
-	case daisyplatform.RowWritten, daisyplatform.Conflict:
-		// After a conflict, the next read shows whether another VM has written the head.
-		return nil
+	case daisyplatform.RowWritten:
+		return true, nil
+	case daisyplatform.Conflict:
+		// The next read shows whether another VM has written the head.
+		return false, nil
 	case daisyplatform.Unknown:
-		return a.Err
+		return false, a.Err
 	case daisyplatform.Unavailable:
-		return a.Err
+		return false, a.Err
 	default:
-		return unexpectedError(a, "write the head row")
+		return false, unexpectedError(a, "write the head row")
 	}
 }
 
