Tie a response to its request before it proves anything

Cause: HTTP/1.1 has only the order of responses. An endpoint that writes an earlier refusal once more as the next request arrives on a kept connection made daisyd say not-run for requests that ran, or run one at a second endpoint. Change: attempts carry Daisy-Attempt, and a response that echoes another one is none; a refusal that names no request ends its HTTP/1.1 connection, and is no proof where earlier responses named theirs.

--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/net/http2"
+
+	"daisyyoke/core/daisyservice"
 )
 
 // connection is a connection to an endpoint. The endpoint's lock guards requests,
@@ -24,6 +26,8 @@
 	lastUsed time.Time
 	// idleTimeout is how long the connection may be unused before it is closed.
 	idleTimeout time.Duration
+	// named is set once a response on the connection has named its request.
+	named atomic.Bool
 }
 
 func (c *connection) roundTrip(request *http.Request) (*http.Response, error) {
@@ -37,7 +41,8 @@
 		c.endpoint.release(c, false)
 		return nil, c.classifyError(err, bytesBefore)
 	}
-	if err := c.endpoint.verify(request, response); err != nil {
+	final, err := c.verify(request, response)
+	if err != nil {
 		_ = response.Body.Close()
 		c.socket.removeBody(request.Body)
 		c.endpoint.release(c, false)
@@ -48,13 +53,30 @@
 	}
 	if response.Body == http.NoBody {
 		c.socket.removeBody(request.Body)
-		c.endpoint.release(c, true)
+		c.endpoint.release(c, !final)
 		return response, nil
 	}
-	response.Body = &responseBody{ReadCloser: response.Body, connection: c, requestBody: request.Body}
+	response.Body = &responseBody{ReadCloser: response.Body, connection: c, requestBody: request.Body, final: final}
 	return response, nil
 }
 
+// verify returns an error if response does not belong to request, and whether the
+// connection may not carry a further request after it.
+func (c *connection) verify(request *http.Request, response *http.Response) (final bool, err error) {
+	v := c.endpoint.verifier
+	if v == nil {
+		return false, nil
+	}
+	if err := v.Verify(request, response, c.named.Load()); err != nil {
+		return true, err
+	}
+	if v.Names(request, response) {
+		c.named.Store(true)
+		return false, nil
+	}
+	return v.Refuses(response) && c.endpoint.target.Protocol == daisyservice.HTTP1, nil
+}
+
 // classifyError wraps err as NotSent, Refused or BrokenOff. bytesBefore is the value
 // of socket.bytesStarted before the request. When classifyError runs,
 // either the write loop of the connection has ended, or other streams share the
@@ -77,7 +99,9 @@
 	connection *connection
 	// requestBody is nil if the request has no body.
 	requestBody io.ReadCloser
-	released    atomic.Bool
+	// final is set if the connection may not carry a further request.
+	final    bool
+	released atomic.Bool
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -99,7 +123,7 @@
 		return
 	}
 	b.connection.socket.removeBody(b.requestBody)
-	b.connection.endpoint.release(b.connection, complete)
+	b.connection.endpoint.release(b.connection, complete && !b.final)
 }
 
 // socket counts the bytes that it was asked to write, whether or not they were
--- a/io/daisyconnection/endpoint.go
+++ b/io/daisyconnection/endpoint.go
@@ -35,12 +35,13 @@
 	return &endpoint{target: target, transport: transport, limits: limits, verifier: verifier}
 }
 
-func (e *endpoint) verify(request *http.Request, response *http.Response) error {
-	if e.verifier == nil {
-		return nil
-	}
-	return e.verifier.Verify(request, response)
-}
+// connectionChoice is which connections may carry a request.
+type connectionChoice int
+
+const (
+	anyConnection connectionChoice = iota
+	newConnection
+)
 
 func (e *endpoint) setMaxConnections(limit int) {
 	e.mu.Lock()
@@ -57,9 +58,9 @@
 
 // acquire returns a connection on which room for one request is reserved. It opens a
 // connection if that is allowed, and otherwise waits for one.
-func (e *endpoint) acquire(ctx context.Context) (*connection, error) {
+func (e *endpoint) acquire(ctx context.Context, choice connectionChoice) (*connection, error) {
 	for {
-		c, changed, err := e.tryAcquire()
+		c, changed, err := e.tryAcquire(choice)
 		if err != nil || c != nil {
 			return c, err
 		}
@@ -76,14 +77,21 @@
 
 // tryAcquire returns a connection, or a channel to wait on, or neither if the caller
 // must open a new connection, which is then already counted in opening.
-func (e *endpoint) tryAcquire() (*connection, <-chan struct{}, error) {
+func (e *endpoint) tryAcquire(choice connectionChoice) (*connection, <-chan struct{}, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.closed {
 		return nil, nil, daisyerror.Closed.New("connection pool is closed")
 	}
-	if c := e.reserve(); c != nil {
-		return c, nil, nil
+	switch choice {
+	case anyConnection:
+		if c := e.reserve(); c != nil {
+			return c, nil, nil
+		}
+	case newConnection:
+		if !e.mayOpen() {
+			e.closeOldestUnused()
+		}
 	}
 	if e.mayOpen() {
 		e.opening++
@@ -136,6 +144,16 @@
 	_ = c.client.Close()
 }
 
+// closeOldestUnused makes room for another connection.
+func (e *endpoint) closeOldestUnused() {
+	for i, c := range e.connections {
+		if c.requests == 0 {
+			e.closeAt(i)
+			return
+		}
+	}
+}
+
 func (e *endpoint) open(ctx context.Context) (*connection, error) {
 	c, err := e.dial(ctx)
 	e.mu.Lock()
--- a/io/daisyconnection/pool.go
+++ b/io/daisyconnection/pool.go
@@ -97,8 +97,15 @@
 // request. If it is not, the round trip fails with BrokenOff, and an HTTP/1.1
 // connection is closed.
 type Verifier interface {
-	// Verify returns an error if response is not the response to request.
-	Verify(request *http.Request, response *http.Response) error
+	// Verify returns an error if response is not the response to request. The argument
+	// named reports whether an earlier response on the connection named its request.
+	Verify(request *http.Request, response *http.Response, named bool) error
+	// Names reports whether response names request as the one that it belongs to.
+	Names(request *http.Request, response *http.Response) bool
+	// Refuses reports whether response says that the endpoint did not run the request. An
+	// HTTP/1.1 connection carries no further request after such a response that does not
+	// name its request: a faulty endpoint may send it again later.
+	Refuses(response *http.Response) bool
 }
 
 // NewPool returns a pool that has no connections yet and does not verify responses.
@@ -140,11 +147,22 @@
 // whose body the caller must close. Every error is of type NotSent, Refused or
 // BrokenOff.
 func (p *Pool) RoundTrip(request *http.Request, target Target) (*http.Response, error) {
+	return p.roundTrip(request, target, anyConnection)
+}
+
+// RoundTripOnNew is like RoundTrip, but uses a connection that has carried no request: an
+// endpoint that was sent the same request before may send its earlier response again on
+// the connection that this came on.
+func (p *Pool) RoundTripOnNew(request *http.Request, target Target) (*http.Response, error) {
+	return p.roundTrip(request, target, newConnection)
+}
+
+func (p *Pool) roundTrip(request *http.Request, target Target, choice connectionChoice) (*http.Response, error) {
 	e, err := p.endpoint(target)
 	if err != nil {
 		return nil, err
 	}
-	c, err := e.acquire(request.Context())
+	c, err := e.acquire(request.Context(), choice)
 	if err != nil {
 		closeBody(request)
 		return nil, NotSent.Wrap(err, "no connection to %v", target.Address)
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -51,7 +51,7 @@
 	d.inbox = daisycontroller.NewInbox()
 	d.onClose(d.inbox.Close)
 	d.startLinks(seed)
-	d.pool = daisyconnection.NewPool(daisyconnection.DefaultLimits())
+	d.pool = daisyconnection.NewVerifyingPool(daisyconnection.DefaultLimits(), daisyforward.NewNative(d.self.Name))
 	d.onClose(d.pool.Close)
 	d.routes = daisycontroller.NewRoute(daisycontroller.RouteOptions{
 		Self:        d.self,
--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -71,9 +71,13 @@
 	// caller's request until the round trip to the endpoint has ended.
 	a.ctx, a.cancel = context.WithCancelCause(context.Background())
 	request := a.newRequest()
+	roundTrip := x.forwarder.pool.RoundTrip
+	if x.wasSentTo(send.Endpoint) {
+		roundTrip = x.forwarder.pool.RoundTripOnNew
+	}
 	x.forwarder.wg.Go(func() {
 		timer := time.AfterFunc(time.Until(send.Deadline), func() { a.cancel(errDeadline) })
-		response, err := x.forwarder.pool.RoundTrip(request, x.target(send.Endpoint))
+		response, err := roundTrip(request, x.target(send.Endpoint))
 		timer.Stop()
 		a.finish(response, err)
 	})
@@ -234,18 +238,19 @@
 	return daisyrequest.Canceled{}
 }
 
-// readLoad adds the rate limit and the load report of the endpoint to resolution, if
-// response has them. A misdirected request was answered by another endpoint.
+// readLoad adds the rate limit and the load report of the endpoint to
+// resolution, if response has them. A misdirected request was answered by another endpoint.
 func (a *attempt) readLoad(response *http.Response, resolution *daisycontroller.Resolution) {
 	if response == nil {
 		return
 	}
+	dialect := a.exchange.forwarder.dialect
 	switch resolution.Outcome.(type) {
 	case daisyrequest.Answered, daisyrequest.Shed:
-		resolution.RateLimit = a.exchange.forwarder.dialect.RateLimit(response.Header)
+		resolution.RateLimit = dialect.RateLimit(response.Header)
 	case daisyrequest.Misdirected, daisyrequest.NotSent, daisyrequest.BrokenOff, daisyrequest.TimedOut, daisyrequest.Canceled:
 	}
-	report, ok := a.exchange.forwarder.dialect.Load(time.Now(), response.Header)
+	report, ok := dialect.Load(time.Now(), response.Header)
 	if !ok {
 		return
 	}
--- a/io/daisyforward/dialect.go
+++ b/io/daisyforward/dialect.go
@@ -1,10 +1,13 @@
 package daisyforward
 
 import (
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyvm"
@@ -41,6 +44,10 @@
 	daisyproblem.Writer
 }
 
+// attemptHeader names one attempt. An endpoint that echoes it shows which request its
+// response belongs to.
+const attemptHeader = "Daisy-Attempt"
+
 // Native is daisyyoke's own dialect.
 type Native struct {
 	daisyproblem.Native
@@ -61,24 +68,50 @@
 	to["Forwarded"] = appendCopy(to["Forwarded"], forwarded(request, n.self))
 }
 
-// EncodeAttempt adds Daisy-Timeout.
+// EncodeAttempt adds Daisy-Timeout and a new Daisy-Attempt.
 func (n *Native) EncodeAttempt(to http.Header, attempt Attempt) {
-	to[daisyfilter.TimeoutHeader] = []string{formatTimeout(attempt.Remaining)}
+	values := [...]string{formatTimeout(attempt.Remaining), strconv.FormatUint(rand.Uint64(), 36)}
+	to[daisyfilter.TimeoutHeader], to[attemptHeader] = values[:1:1], values[1:]
 }
 
-// EncodeResponse adds Via.
+// EncodeResponse adds Via and removes Daisy-Attempt, which concerns endpoint and VM only.
 func (n *Native) EncodeResponse(to http.Header, response *http.Response) {
+	delete(to, attemptHeader)
 	to["Via"] = appendCopy(to["Via"], via(response.ProtoMajor, response.ProtoMinor, n.self))
 }
 
 // Outcome returns Shed for 503 with Daisy-Run: not-run, and Answered for any other response.
 func (n *Native) Outcome(_ *http.Request, response *http.Response, responseTime time.Duration) daisyrequest.Outcome {
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(daisyproblem.RunHeader) == daisyproblem.NotRunValue {
+	if n.Refuses(response) {
 		return daisyrequest.Shed{ResponseTime: responseTime}
 	}
 	return daisyrequest.Answered{Status: response.StatusCode, ResponseTime: responseTime}
 }
 
+// Verify returns an error if a response names another attempt than the request, or refuses
+// the request without naming it although earlier responses on the connection named theirs.
+func (n *Native) Verify(request *http.Request, response *http.Response, named bool) error {
+	echoed := response.Header.Get(attemptHeader)
+	switch {
+	case echoed == request.Header.Get(attemptHeader):
+		return nil
+	case echoed != "" || named && n.Refuses(response):
+		return daisyerror.InvalidRequest.New("response to the attempt %q, want %q", echoed, request.Header.Get(attemptHeader))
+	}
+	return nil
+}
+
+// Names reports whether the response echoes the attempt of the request.
+func (n *Native) Names(request *http.Request, response *http.Response) bool {
+	echoed := response.Header.Get(attemptHeader)
+	return echoed != "" && echoed == request.Header.Get(attemptHeader)
+}
+
+// Refuses reports whether a response is 503 with Daisy-Run: not-run.
+func (n *Native) Refuses(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(daisyproblem.RunHeader) == daisyproblem.NotRunValue
+}
+
 // Load parses Daisy-Load.
 func (n *Native) Load(now time.Time, header http.Header) (daisyendpoint.Report, bool) {
 	if len(header[daisyload.Header]) == 0 {
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -192,6 +193,11 @@
 	return nil
 }
 
+// wasSentTo reports whether an earlier attempt was made at the endpoint.
+func (x *exchange) wasSentTo(endpoint netip.AddrPort) bool {
+	return slices.ContainsFunc(x.attempts, func(a *attempt) bool { return a.send.Endpoint == endpoint })
+}
+
 func (x *exchange) cancel(decision daisyroute.Cancel) {
 	a := x.findAttempt(decision.Attempt)
 	if a == nil {
--- a/io/daisyforward/vm_test.go
+++ b/io/daisyforward/vm_test.go
@@ -71,7 +71,7 @@
 	t.Cleanup(routes.Close)
 	snapshot := newSnapshot(s)
 	routes.Apply(snapshot)
-	pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
+	pool := daisyconnection.NewVerifyingPool(daisyconnection.DefaultLimits(), daisyforward.NewNative("vm-1"))
 	t.Cleanup(pool.Close)
 	pool.Apply(snapshot)
 	forwarder := daisyforward.New(daisyforward.Options{Self: "vm-1", Routes: routes, Pool: pool, Limits: s.limits})
--- a/io/daisystand/endpoint.go
+++ b/io/daisystand/endpoint.go
@@ -105,6 +105,9 @@
 	if r.URL.Path != countsPath && r.URL.Path != faultsPath {
 		e.countLimited()
 	}
+	if attempt := r.Header.Get("Daisy-Attempt"); attempt != "" {
+		w.Header().Set("Daisy-Attempt", attempt)
+	}
 	switch r.URL.Path {
 	case loadPath:
 		e.serveLoad(w, r)
