--- a/core/daisycredit/eligibility.go
+++ b/core/daisycredit/eligibility.go
@@ -79,7 +79,7 @@
 	o.backlog = 0
 	usableSlots, waitingRequests := 0.0, 0
 	for _, e := range o.endpoints {
-		if !e.Draining && !o.restrictedByMost(e) {
+		if !e.Draining && !e.leaving && !o.restrictedByMost(e) {
 			usableSlots += o.usableSlots(e, max(e.Slots-1, 1))
 		}
 	}
--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -76,7 +76,7 @@
 
 // capacity returns the number of credits that may be lent at an endpoint.
 func (o *Owner) capacity(now time.Time, e *endpointState) int {
-	if e.Draining || o.restrictedByMost(e) {
+	if e.Draining || e.leaving || o.restrictedByMost(e) {
 		return 0
 	}
 	if now.Before(o.overcommitUntil) && now.After(e.shedCooldownEnd) {
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -113,6 +113,10 @@
 	holdTimes                  holdStats
 	// lastGrant is when a credit was last granted.
 	lastGrant time.Time
+	// leaving is set if the endpoint said that it is going to stop, and pausedUntil is the
+	// end of the pause that it asked this VM for, which sends the probes.
+	leaving     bool
+	pausedUntil time.Time
 	// lentCredits is the number of credits that the borrowers hold, and restrictedBy
 	// the number of borrowers that send only trials or nothing to the endpoint.
 	// restrictedReported counts those of them that have reported in their term.
--- a/core/daisycredit/probe.go
+++ b/core/daisycredit/probe.go
@@ -76,10 +76,25 @@
 // that has the given loan there. A probe would use up the rate of an endpoint with a
 // rate limit.
 func (o *Owner) worthProbing(now time.Time, e *endpointState, l *loan) bool {
-	return !e.rate.limited() && !e.nearlyFull(e.lentCredits) && e.lentCredits < o.capacity(now, e) && (l == nil || !l.restricted) &&
+	return !e.rate.limited() && !now.Before(e.pausedUntil) && !e.nearlyFull(e.lentCredits) && e.lentCredits < o.capacity(now, e) && (l == nil || !l.restricted) &&
 		!e.hasFreshReport(now) && now.Sub(e.probedAt) > freshReportAge
 }
 
+// SetLeaving takes the declared incarnation of an endpoint out of use.
+func (o *Owner) SetLeaving(endpoint netip.AddrPort) {
+	if e := o.endpoint(endpoint); e != nil {
+		e.leaving = true
+	}
+}
+
+// SetPause sets until when the VM of the owner may not probe an endpoint. Borrowers that
+// were asked for a pause get no credits there, as it is restricted for them.
+func (o *Owner) SetPause(endpoint netip.AddrPort, until time.Time) {
+	if e := o.endpoint(endpoint); e != nil {
+		e.pausedUntil = until
+	}
+}
+
 // TakeProbes returns the endpoints to probe that were added since the last call.
 func (o *Owner) TakeProbes() []netip.AddrPort {
 	probes := o.probes
--- a/core/daisyendpoint/endpoint.go
+++ b/core/daisyendpoint/endpoint.go
@@ -37,6 +37,22 @@
 	return e.Instance == o.Instance && e.Started == o.Started
 }
 
+// Identity names one incarnation of the endpoint at an address.
+type Identity struct {
+	Address  netip.AddrPort
+	Instance Instance
+	// Started is as in Endpoint.
+	Started int64
+}
+
+// Identity returns the identity of the declared incarnation.
+func (e Endpoint) Identity() Identity {
+	return Identity{Address: e.Address, Instance: e.Instance, Started: e.Started}
+}
+
+// Declared reports whether the incarnation can be told from others at its address.
+func (i Identity) Declared() bool { return i.Instance != "" || i.Started != 0 }
+
 // ConnectionShare returns how many connections each of vms VMs may hold to the
 // endpoint: an even share of its limit, but at least its number of slots. It
 // returns 0 if no limit is declared.
--- a/core/daisymessage/message.go
+++ b/core/daisymessage/message.go
@@ -14,7 +14,7 @@
 )
 
 // Message is one of Heartbeat, SnapshotWanted, SnapshotGiven, CreditReport,
-// CreditGrant, EndpointNews, RowsWanted, RowsGiven and StopWanted.
+// CreditGrant, EndpointNews, EndpointLeaving, RowsWanted, RowsGiven and StopWanted.
 type Message interface{ message() }
 
 // Heartbeat reports that a VM is alive, its configuration in force and its spare capacity.
@@ -71,6 +71,12 @@
 	Report  daisyendpoint.Report
 }
 
+// EndpointLeaving passes on that an incarnation of an endpoint said that it is going to stop.
+type EndpointLeaving struct {
+	Service  daisyservice.ID
+	Endpoint daisyendpoint.Identity
+}
+
 // RowsWanted requests the changes of a topic after a version.
 type RowsWanted struct {
 	Topic daisyfeed.Topic
@@ -90,12 +96,13 @@
 	By string
 }
 
-func (Heartbeat) message()      {}
-func (SnapshotWanted) message() {}
-func (SnapshotGiven) message()  {}
-func (CreditReport) message()   {}
-func (CreditGrant) message()    {}
-func (EndpointNews) message()   {}
-func (RowsWanted) message()     {}
-func (RowsGiven) message()      {}
-func (StopWanted) message()     {}
+func (Heartbeat) message()       {}
+func (SnapshotWanted) message()  {}
+func (SnapshotGiven) message()   {}
+func (CreditReport) message()    {}
+func (CreditGrant) message()     {}
+func (EndpointNews) message()    {}
+func (EndpointLeaving) message() {}
+func (RowsWanted) message()      {}
+func (RowsGiven) message()       {}
+func (StopWanted) message()      {}
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -31,6 +31,9 @@
 		d.fail(now, r, NoneUsable, defaultRetryAfter)
 		return
 	}
+	if d.failForPause(now, r) {
+		return
+	}
 	if d.queue.Len() == 0 {
 		if c := d.pick(now, r); c.endpoint != nil {
 			d.send(now, r, c)
--- a/core/daisyroute/condition.go
+++ b/core/daisyroute/condition.go
@@ -26,6 +26,11 @@
 	Draining
 	// Removed means that the endpoint is no longer declared.
 	Removed
+	// Leaving means that the endpoint said that it is going to stop, and gets no new
+	// requests until a later incarnation is declared.
+	Leaving
+	// Pausing means that the endpoint asked for nothing to be sent to it for a time.
+	Pausing
 )
 
 // String returns the condition in kebab case.
@@ -43,6 +48,10 @@
 		return "draining"
 	case Removed:
 		return "removed"
+	case Leaving:
+		return "leaving"
+	case Pausing:
+		return "pausing"
 	}
 	return "unknown"
 }
@@ -51,9 +60,15 @@
 	if e.removed {
 		return Removed
 	}
+	if e.leaving {
+		return Leaving
+	}
 	if e.declared.Draining || now.Before(e.drainingUntil) {
 		return Draining
 	}
+	if e.pausing(now) {
+		return Pausing
+	}
 	switch s := e.health.State().(type) {
 	case daisyhealth.Ramping:
 		return Ramping
@@ -85,7 +100,7 @@
 	if c == Removed {
 		return
 	}
-	d.health.SetExcluded(now, e.health, c == Draining)
+	d.health.SetExcluded(now, e.health, c == Draining || c == Leaving)
 	d.refreshOnHealthChange(now)
 }
 
@@ -100,6 +115,8 @@
 	// Connections is the number of connections that this VM may hold to the
 	// endpoint; 0 means any number.
 	Connections int
+	// ResumesIn is the time until the end of the pause that the endpoint asked for.
+	ResumesIn time.Duration
 	// RateLimit is the rate limit that the endpoint named last, and RateUsed the share of
 	// it that this VM used of late.
 	RateLimit daisyendpoint.RateLimit
@@ -110,18 +127,32 @@
 func (d *Dispatcher) Endpoints(now time.Time) []EndpointStatus {
 	status := make([]EndpointStatus, 0, len(d.endpoints))
 	for _, e := range d.endpoints {
-		status = append(status, EndpointStatus{
-			Address:     e.address,
-			Condition:   e.condition(now),
-			InFlight:    e.inFlight,
-			Spare:       e.spare,
-			Connections: e.declared.ConnectionShare(len(d.peers) + 1),
-			RateLimit:   e.rate.limit,
-			RateUsed:    e.rate.usedShare(now),
-		})
+		status = append(status, d.status(now, e))
 	}
 	return status
 }
 
+// Endpoint returns the status of a declared endpoint. It reports false for any other.
+func (d *Dispatcher) Endpoint(now time.Time, address netip.AddrPort) (EndpointStatus, bool) {
+	e := d.byAddress[address]
+	if e == nil || e.removed {
+		return EndpointStatus{Address: address, Condition: Removed}, false
+	}
+	return d.status(now, e), true
+}
+
+func (d *Dispatcher) status(now time.Time, e *endpoint) EndpointStatus {
+	return EndpointStatus{
+		Address:     e.address,
+		Condition:   e.condition(now),
+		InFlight:    e.inFlight,
+		Spare:       e.spare,
+		Connections: e.declared.ConnectionShare(len(d.peers) + 1),
+		ResumesIn:   max(e.pausedUntil.Sub(now), 0),
+		RateLimit:   e.rate.limit,
+		RateUsed:    e.rate.usedShare(now),
+	}
+}
+
 // Ranks returns the ranks of the current declaration, the most urgent first.
 func (d *Dispatcher) Ranks() []daisyrank.Rank { return d.service.Ranks }
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -108,6 +108,9 @@
 		})
 	}
 	s.owner.SetVMs(now, slices.Concat(vms, event.Leaving))
+	for _, e := range d.endpoints {
+		s.noteNotice(e)
+	}
 }
 
 func (s *slotSharing) endOwnership() {
@@ -278,6 +281,17 @@
 	}
 }
 
+// noteNotice tells the owner, if it is on this VM, what an endpoint asked for.
+func (s *slotSharing) noteNotice(e *endpoint) {
+	if s == nil || s.owner == nil {
+		return
+	}
+	s.owner.SetPause(e.address, e.pausedUntil)
+	if e.leaving {
+		s.owner.SetLeaving(e.address)
+	}
+}
+
 func (s *slotSharing) forgetRateLimit(e *endpoint) {
 	if s != nil {
 		s.borrower.ForgetRateLimit(e.address)
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -11,8 +11,8 @@
 )
 
 // Decision is an instruction to the driver of a Dispatcher. It is one of Send,
-// Deliver, Fail, Cancel, SendMessage, Probe, EndpointChanged, RateLimitChanged and
-// LendingChanged. Each request ends with exactly one Deliver or Fail, unless it is
+// Deliver, Fail, Cancel, SendMessage, Probe, EndpointChanged, EndpointNoticed,
+// RateLimitChanged and LendingChanged. Each request ends with exactly one Deliver or Fail, unless it is
 // abandoned.
 type Decision interface{ decision() }
 
@@ -80,6 +80,15 @@
 	Condition Condition
 }
 
+// EndpointNoticed reports what an endpoint asked for. It requires no action.
+type EndpointNoticed struct {
+	Endpoint netip.AddrPort
+	Instance daisyendpoint.Instance
+	Notice   daisyendpoint.Notice
+	// FromPeer is set if another VM told this one.
+	FromPeer bool
+}
+
 // RateLimitChanged reports a new rate limit of an endpoint. It requires no action.
 type RateLimitChanged struct {
 	Endpoint  netip.AddrPort
@@ -100,6 +109,7 @@
 
 func (LendingChanged) decision()   {}
 func (EndpointChanged) decision()  {}
+func (EndpointNoticed) decision()  {}
 func (RateLimitChanged) decision() {}
 func (Send) decision()             {}
 func (Deliver) decision()          {}
@@ -152,6 +162,9 @@
 	BudgetSpent
 	// NotRepeatable means that it is not safe or not possible to send the request again.
 	NotRepeatable
+	// AllPausing means that every endpoint asked for a pause that ends too late for the
+	// request.
+	AllPausing
 )
 
 // String returns the cause in kebab case.
@@ -171,6 +184,8 @@
 		return "budget-spent"
 	case NotRepeatable:
 		return "not-repeatable"
+	case AllPausing:
+		return "all-pausing"
 	}
 	return "unknown"
 }
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -30,6 +30,9 @@
 	Limits daisyqueue.Limits
 	// Budget limits retries and hedges; nil means PerVM with the default limits.
 	Budget Budget
+	// Departures are the incarnations of endpoints that are known to leave; nil means none.
+	// The dispatcher adds to them.
+	Departures *Departures
 }
 
 // DefaultLimits are the default limits on the waiting requests of one service on one VM.
@@ -53,8 +56,9 @@
 	free, trials []*endpoint
 	// spare is the number of further attempts that may start at the free endpoints.
 	spare int
-	// usable is the number of endpoints that are neither draining nor removed.
-	usable int
+	// usable is the number of endpoints that are neither draining, leaving nor removed, and
+	// paused the number of those that asked for a pause which has not ended.
+	usable, paused int
 	// roundRobinIndex is the index in endpoints that RoundRobin selected last.
 	roundRobinIndex int
 
@@ -65,8 +69,11 @@
 	budget        *daisybudget.Budget
 	// budgetPolicy determines the limits of budget from the number of live VMs.
 	budgetPolicy Budget
-	// peers are the other live VMs.
-	peers []daisyvm.Name
+	// departures has the incarnations of endpoints that said that they are going to stop.
+	departures *Departures
+	// peers are the other live VMs, and incarnations those of all live VMs.
+	peers        []daisyvm.Name
+	incarnations map[daisyvm.Name]daisyvm.Incarnation
 	// rateLimited is set if the endpoints' rate limits leave slots unused.
 	rateLimited bool
 	// leavingPeers is the number of other VMs in a planned stop, and silentSince has the
@@ -115,7 +122,11 @@
 	if options.Limits == (daisyqueue.Limits{}) {
 		options.Limits = DefaultLimits
 	}
+	if options.Departures == nil {
+		options.Departures = NewDepartures()
+	}
 	d := &Dispatcher{
+		departures:     options.Departures,
 		self:           options.Self.Name,
 		random:         options.Random,
 		policy:         options.Policy,
@@ -184,7 +195,7 @@
 	case ReportReceived:
 		d.handleReport(now, e)
 	case ProbeFailed:
-		d.handleProbeFailure(now, e.Endpoint)
+		d.handleProbeFailure(now, e)
 	case PeerMessage:
 		d.handlePeerMessage(now, e)
 	case ServiceChanged:
--- a/core/daisyroute/endpoint.go
+++ b/core/daisyroute/endpoint.go
@@ -34,6 +34,16 @@
 	// it reported draining or a request was misdirected. lastDrainingReport is the time
 	// at which it last reported draining.
 	drainingUntil, lastDrainingReport time.Time
+	// leaving is set once the declared incarnation has said that it is going to stop, at
+	// leavingSince.
+	leaving      bool
+	leavingSince time.Time
+	// pausedUntil is the end of the pause that the endpoint asked for, and paused is set if
+	// the endpoint is counted in the dispatcher's paused.
+	pausedUntil time.Time
+	paused      bool
+	// probed is the declaration of the endpoint when the last probe was sent.
+	probed daisyendpoint.Endpoint
 	// backoffUntil is the end of the backoff after shed requests.
 	backoffUntil time.Time
 	// consecutiveSheds is the number of shed requests since the last response.
@@ -55,10 +65,11 @@
 // refresh updates the lists, counts and timer after a change of the endpoint or when
 // its timer has expired.
 func (d *Dispatcher) refresh(now time.Time, e *endpoint) {
-	draining := e.removed || e.declared.Draining || now.Before(e.drainingUntil)
+	draining := e.removed || e.leaving || e.declared.Draining || now.Before(e.drainingUntil)
 	d.countUsable(e, !draining)
+	d.countPaused(e, !draining && e.pausing(now))
 	spare, trial := 0, false
-	if !draining && !now.Before(e.backoffUntil) {
+	if !draining && !e.paused && !now.Before(e.backoffUntil) {
 		spare, trial = d.spareAttempts(now, e)
 		spare, trial = d.limitRate(now, e, spare, trial)
 	}
@@ -130,6 +141,9 @@
 	if now.Before(e.backoffUntil) {
 		next = daisywake.Sooner(next, e.backoffUntil)
 	}
+	if e.pausing(now) {
+		next = daisywake.Sooner(next, e.pausedUntil)
+	}
 	if !e.removed {
 		next = daisywake.Sooner(next, d.nextByRate(now, e))
 		if s, ok := e.health.State().(daisyhealth.Ejected); ok && now.Before(s.NextTrial) {
--- a/core/daisyroute/endpoint_test.go
+++ b/core/daisyroute/endpoint_test.go
@@ -90,7 +90,7 @@
 	seconds := 0
 	for !usedEndpoints(h)[0] {
 		for _, p := range ofType[daisyroute.Probe](h.advance(time.Second)) {
-			h.handle(daisyroute.ProbeFailed(p))
+			h.handle(daisyroute.ProbeFailed{Endpoint: p.Endpoint})
 		}
 		seconds++
 	}
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -45,6 +45,8 @@
 	// RateLimit is the rate limit that the endpoint named in its response; nil if the
 	// response says nothing about it.
 	RateLimit daisyendpoint.RateLimit
+	// Notice is what the endpoint asked for in its response; nil means nothing.
+	Notice daisyendpoint.Notice
 }
 
 // AttemptReleased means that the transfer of the response body has ended, completely
@@ -59,10 +61,16 @@
 type ReportReceived struct {
 	Endpoint netip.AddrPort
 	Report   daisyendpoint.Report
+	// Notice is what the endpoint asked for in its answer to a probe; nil means nothing.
+	Notice daisyendpoint.Notice
 }
 
 // ProbeFailed means that an endpoint did not answer a probe with a load report.
-type ProbeFailed struct{ Endpoint netip.AddrPort }
+type ProbeFailed struct {
+	Endpoint netip.AddrPort
+	// Notice is what the endpoint asked for in its answer, if it gave one.
+	Notice daisyendpoint.Notice
+}
 
 // PeerMessage contains a message from another VM about the service.
 type PeerMessage struct {
--- a/core/daisyroute/probe.go
+++ b/core/daisyroute/probe.go
@@ -26,6 +26,7 @@
 	}
 	wasDraining := now.Before(e.drainingUntil)
 	probed := e.probeTarget.Pending()
+	d.noteProbeNotice(now, e, event.Notice)
 	d.recordReport(now, e, event.Report)
 	d.noteRateLimit(now, e, event.Report.RateLimit)
 	if probed {
@@ -48,17 +49,20 @@
 		e.lastDrainingReport = now
 		e.drainingUntil = now.Add(drainingTTL)
 	}
-	d.probes.SetSuspect(e.probeTarget, report.Draining)
+	d.probes.SetSuspect(e.probeTarget, report.Draining || e.leaving)
 	d.refresh(now, e)
 }
 
 // handleProbeFailure extends the draining of an endpoint that reported it: it has
 // probably stopped.
-func (d *Dispatcher) handleProbeFailure(now time.Time, address netip.AddrPort) {
-	e := d.byAddress[address]
+func (d *Dispatcher) handleProbeFailure(now time.Time, event ProbeFailed) {
+	e := d.byAddress[event.Endpoint]
 	if e == nil || e.removed {
 		return
 	}
+	if event.Notice != nil {
+		d.noteProbeNotice(now, e, event.Notice)
+	}
 	d.probes.RecordFailure(e.probeTarget)
 	d.sharing.noteProbeFailure(now, e)
 	if now.Before(e.drainingUntil) && now.Before(e.lastDrainingReport.Add(maxUnansweredDraining)) {
@@ -78,6 +82,10 @@
 }
 
 func (d *Dispatcher) handlePeerMessage(now time.Time, event PeerMessage) {
+	if m, ok := event.Message.(daisymessage.EndpointLeaving); ok && m.Service == d.service.ID {
+		d.noteLeaving(now, m.Endpoint, true)
+		return
+	}
 	m, ok := event.Message.(daisymessage.EndpointNews)
 	if !ok {
 		d.receiveCreditMessage(now, event.From, event.Message)
@@ -98,7 +106,7 @@
 	}
 	for t := d.probes.Due(now); t != nil; t = d.probes.Due(now) {
 		e := d.byAddress[t.Address()]
-		if !e.rate.bucket.Allows(now) {
+		if !e.rate.bucket.Allows(now) || e.pausing(now) {
 			d.probes.Skip(now, t)
 			continue
 		}
@@ -111,6 +119,7 @@
 func (d *Dispatcher) newProbe(now time.Time, address netip.AddrPort) Probe {
 	if e := d.byAddress[address]; e != nil {
 		e.rate.countUse(now)
+		e.probed = e.declared
 	}
 	return Probe{Endpoint: address}
 }
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -19,6 +19,7 @@
 	if a.declared.SameIncarnation(a.endpoint.declared) {
 		d.noteRateLimit(now, a.endpoint, event.RateLimit)
 	}
+	d.noteNotice(now, a.declared.Identity(), event.Notice)
 	d.attemptTimers.Remove(a.timerIndex)
 	if o, ok := event.Outcome.(daisyrequest.Answered); ok {
 		a.answered = true
@@ -138,6 +139,9 @@
 		return
 	}
 	r.reason = Retry
+	if d.failForPause(now, r) {
+		return
+	}
 	d.queue.Push(now, &r.item)
 }
 
@@ -225,7 +229,7 @@
 	switch cause {
 	case QueueFull, CannotFinish:
 		return daisyrequest.Overloaded{RetryAfter: retryAfter}
-	case NoneUsable, AttemptsSpent, BudgetSpent, NotRepeatable, Expired:
+	case NoneUsable, AttemptsSpent, BudgetSpent, NotRepeatable, AllPausing, Expired:
 	}
 	return daisyrequest.NoEndpoint{RetryAfter: retryAfter}
 }
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -53,6 +53,7 @@
 		d.forgetIncarnation(now, e)
 	}
 	e.declared = declared
+	e.leaving = e.leaving || d.departures.contains(declared.Identity())
 	e.slots = declared.Slots
 	if e.removed {
 		e.removed = false
@@ -77,6 +78,7 @@
 	e.removed = true
 	e.report = daisyendpoint.Report{}
 	e.drainingUntil, e.backoffUntil, e.consecutiveSheds = time.Time{}, time.Time{}, 0
+	e.leaving, e.pausedUntil = false, time.Time{}
 	d.forgetRateLimit(e)
 }
 
@@ -96,6 +98,7 @@
 func (d *Dispatcher) changePeers(now time.Time, event PeersChanged) {
 	vms := event.VMs
 	d.trackSilentVMs(now, event)
+	arrived := d.arrivedVMs(vms)
 	d.peers = d.peers[:0]
 	for _, v := range vms {
 		if v.Name != d.self {
@@ -113,6 +116,9 @@
 	}
 	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
 	d.ownsService = !ok || owner.Name == d.self
+	if d.ownsService {
+		d.introduceLeaving(arrived)
+	}
 	for _, e := range d.endpoints {
 		d.refresh(now, e)
 	}
--- a/io/daisycontroller/inbox.go
+++ b/io/daisycontroller/inbox.go
@@ -96,6 +96,8 @@
 		r.Route.Receive(from, m.Grant.Service, m)
 	case daisymessage.EndpointNews:
 		r.Route.Receive(from, m.Service, m)
+	case daisymessage.EndpointLeaving:
+		r.Route.Receive(from, m.Service, m)
 	case daisymessage.StopWanted:
 		r.Stopper.RequestStop(m.By)
 	}
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -193,7 +193,7 @@
 			Introduced: m.Introduced,
 		})
 	case daisymessage.SnapshotWanted, daisymessage.SnapshotGiven, daisymessage.CreditReport,
-		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.RowsWanted, daisymessage.RowsGiven,
+		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.RowsWanted, daisymessage.RowsGiven,
 		daisymessage.StopWanted:
 	}
 }
--- a/io/daisycontroller/outage_test.go
+++ b/io/daisycontroller/outage_test.go
@@ -20,8 +20,8 @@
 
 type idleProber struct{}
 
-func (idleProber) Probe(context.Context, daisyservice.Service, netip.AddrPort) (daisyendpoint.Report, error) {
-	return daisyendpoint.Report{At: time.Now(), Slots: 3}, nil
+func (idleProber) Probe(context.Context, daisyservice.Service, netip.AddrPort) (daisyendpoint.Report, daisyendpoint.Notice, error) {
+	return daisyendpoint.Report{At: time.Now(), Slots: 3}, nil, nil
 }
 
 // serveOne routes one request whose endpoint answers immediately. It reports whether
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -29,8 +29,9 @@
 
 // Prober requests load reports from endpoints.
 type Prober interface {
-	// Probe asks an endpoint of a service for its load.
-	Probe(ctx context.Context, service daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, error)
+	// Probe asks an endpoint of a service for its load. The notice is what the
+	// endpoint asked for in its answer, also if that is no report.
+	Probe(ctx context.Context, service daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, daisyendpoint.Notice, error)
 }
 
 // RouteOptions are the dependencies and settings of a Route controller.
@@ -63,6 +64,8 @@
 	lastRequestID atomic.Uint64
 	// activeRequests counts the requests of all services that have begun and not ended.
 	activeRequests atomic.Int64
+	// departures has those of each service that was ever declared, guarded by changeMu.
+	departures map[daisyservice.ID]*daisyroute.Departures
 	// configured is set once Apply has been called.
 	configured atomic.Bool
 	probes     *probePool
@@ -75,7 +78,7 @@
 	if options.Policy == nil {
 		options.Policy = daisyroute.Credits{Overcommit: 1}
 	}
-	c := &Route{options: options, probes: newProbePool(options.Prober, options.Metrics)}
+	c := &Route{options: options, departures: make(map[daisyservice.ID]*daisyroute.Departures), probes: newProbePool(options.Prober, options.Metrics)}
 	c.shards.Store(&map[daisyservice.ID]*routeShard{})
 	return c
 }
@@ -120,6 +123,11 @@
 		s.changeService(service)
 		return
 	}
+	departures := c.departures[service.ID]
+	if departures == nil {
+		departures = daisyroute.NewDepartures()
+		c.departures[service.ID] = departures
+	}
 	random := rand.New(rand.NewPCG(c.options.Seed, uint64(len(shards))))
 	dispatcher := daisyroute.NewDispatcher(daisyroute.Options{
 		Self:    c.options.Self,
@@ -127,6 +135,8 @@
 		Policy:  c.options.Policy,
 		Budget:  c.options.Budget,
 		Random:  random,
+
+		Departures: departures,
 	})
 	s := newRouteShard(c, service, dispatcher)
 	s.handle(c.peers)
@@ -236,6 +246,8 @@
 	// RateLimit is the rate limit that the endpoint named; nil if its response says
 	// nothing about it.
 	RateLimit daisyendpoint.RateLimit
+	// Notice is what the endpoint asked for in its response; nil means nothing.
+	Notice daisyendpoint.Notice
 }
 
 // Resolve reports the result of an attempt.
--- a/io/daisycontroller/route_probe.go
+++ b/io/daisycontroller/route_probe.go
@@ -90,9 +90,9 @@
 func (p *probePool) run(next probe) {
 	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
 	defer cancel()
-	report, err := p.prober.Probe(ctx, next.service, next.endpoint)
+	report, notice, err := p.prober.Probe(ctx, next.service, next.endpoint)
 	p.metrics.Probe(next.service.ID, err == nil)
-	next.shard.finishProbe(next.endpoint, report, err)
+	next.shard.finishProbe(next.endpoint, report, notice, err)
 }
 
 func (p *probePool) close() {
--- a/io/daisycontroller/route_probe_test.go
+++ b/io/daisycontroller/route_probe_test.go
@@ -22,11 +22,11 @@
 	running, maxRunning, ended int
 }
 
-func (p *hangingProber) Probe(ctx context.Context, _ daisyservice.Service, _ netip.AddrPort) (daisyendpoint.Report, error) {
+func (p *hangingProber) Probe(ctx context.Context, _ daisyservice.Service, _ netip.AddrPort) (daisyendpoint.Report, daisyendpoint.Notice, error) {
 	p.begin()
 	<-ctx.Done()
 	p.end()
-	return daisyendpoint.Report{}, ctx.Err()
+	return daisyendpoint.Report{}, nil, ctx.Err()
 }
 
 func (p *hangingProber) begin() {
@@ -73,12 +73,12 @@
 	answered chan struct{}
 }
 
-func (p *partlyHangingProber) Probe(ctx context.Context, s daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, error) {
+func (p *partlyHangingProber) Probe(ctx context.Context, s daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, daisyendpoint.Notice, error) {
 	if endpoint != s.Endpoints[0].Address {
 		return p.hangingProber.Probe(ctx, s, endpoint)
 	}
 	close(p.answered)
-	return daisyendpoint.Report{}, nil
+	return daisyendpoint.Report{}, nil, nil
 }
 
 // The owner of slots probes endpoints just before it sends work to them. Of 100 endpoints
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -134,7 +134,7 @@
 	if r.Endpoint.IsValid() {
 		s.applyLocked(daisyroute.ReportReceived{Endpoint: r.Endpoint, Report: r.Report})
 	}
-	s.handleLocked(daisyroute.AttemptResolved{Attempt: r.Attempt, Outcome: r.Outcome, Resendable: r.Resendable, RateLimit: r.RateLimit})
+	s.handleLocked(daisyroute.AttemptResolved{Attempt: r.Attempt, Outcome: r.Outcome, Resendable: r.Resendable, RateLimit: r.RateLimit, Notice: r.Notice})
 }
 
 func (s *routeShard) release(event daisyroute.AttemptReleased) {
@@ -155,15 +155,15 @@
 }
 
 // finishProbe handles the result of a probe; report is valid only when err is nil.
-func (s *routeShard) finishProbe(endpoint netip.AddrPort, report daisyendpoint.Report, err error) {
+func (s *routeShard) finishProbe(endpoint netip.AddrPort, report daisyendpoint.Report, notice daisyendpoint.Notice, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.outstandingProbes, endpoint)
 	if err != nil {
-		s.handleLocked(daisyroute.ProbeFailed{Endpoint: endpoint})
+		s.handleLocked(daisyroute.ProbeFailed{Endpoint: endpoint, Notice: notice})
 		return
 	}
-	s.handleLocked(daisyroute.ReportReceived{Endpoint: endpoint, Report: report})
+	s.handleLocked(daisyroute.ReportReceived{Endpoint: endpoint, Report: report, Notice: notice})
 }
 
 // handleLocked handles an event and resets the timer. The caller must hold s.mu.
@@ -199,6 +199,8 @@
 		s.probe(d.Endpoint)
 	case daisyroute.EndpointChanged:
 		s.logChange(d)
+	case daisyroute.EndpointNoticed:
+		s.logNotice(d)
 	case daisyroute.RateLimitChanged:
 		s.logRateLimit(d)
 	case daisyroute.LendingChanged:
@@ -224,6 +226,19 @@
 	}
 }
 
+func (s *routeShard) logNotice(noticed daisyroute.EndpointNoticed) {
+	if service := s.service.Load(); service != nil {
+		s.route.options.Metrics.EndpointNotice(service.ID, noticed.Notice)
+		s.route.options.Log.Write(daisylog.EndpointNoticed{
+			Service:  service.ID,
+			Endpoint: noticed.Endpoint,
+			Instance: noticed.Instance,
+			Notice:   noticed.Notice,
+			FromPeer: noticed.FromPeer,
+		})
+	}
+}
+
 func (s *routeShard) logRateLimit(change daisyroute.RateLimitChanged) {
 	if service := s.service.Load(); service != nil {
 		s.route.options.Metrics.SetRateLimit(service.ID, change.Endpoint, change.RateLimit)
--- a/io/daisycontroller/route_work.go
+++ b/io/daisycontroller/route_work.go
@@ -2,7 +2,6 @@
 
 import (
 	"daisyyoke/core/daisyconfig"
-	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
@@ -34,45 +33,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.dispatcher.Endpoints(now()) {
-		if e.Condition != daisyroute.Draining && e.Condition != daisyroute.Removed {
+		switch e.Condition {
+		case daisyroute.Draining, daisyroute.Leaving, daisyroute.Removed:
+		case daisyroute.InUse, daisyroute.Ramping, daisyroute.EjectedSlow, daisyroute.EjectedFaulty, daisyroute.Pausing:
 			return true
 		}
 	}
 	return false
 }
 
-// EndpointWork returns the number of attempts that this VM has in flight at an endpoint,
-// and the condition of the endpoint as seen by this VM.
-func (c *Route) EndpointWork(id daisyconfig.EndpointID) (inFlight int, condition string) {
+// EndpointStatus returns the state of an endpoint as seen by this VM, which is
+// daisyroute.Removed for an unknown one.
+func (c *Route) EndpointStatus(id daisyconfig.EndpointID) daisyroute.EndpointStatus {
 	s := c.shard(id.Service)
 	if s == nil {
-		return 0, daisyroute.Removed.String()
+		return daisyroute.EndpointStatus{Address: id.Address, Condition: daisyroute.Removed}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range s.dispatcher.Endpoints(now()) {
-		if e.Address == id.Address {
-			return e.InFlight, e.Condition.String()
-		}
-	}
-	return 0, daisyroute.Removed.String()
-}
-
-// EndpointRate returns the rate limit of an endpoint, nil if unknown, and the share of it
-// that this VM used of late.
-func (c *Route) EndpointRate(id daisyconfig.EndpointID) (limit daisyendpoint.RateLimit, used float64) {
-	s := c.shard(id.Service)
-	if s == nil {
-		return nil, 0
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.dispatcher.Endpoints(now()) {
-		if e.Address == id.Address {
-			return e.RateLimit, e.RateUsed
-		}
-	}
-	return nil, 0
+	status, _ := s.dispatcher.Endpoint(now(), id.Address)
+	return status
 }
 
 // Services returns the services in force.
--- a/io/daisyctl/daisyendpointcmd/list.go
+++ b/io/daisyctl/daisyendpointcmd/list.go
@@ -54,9 +54,9 @@
 	if o.JSON.Requested() {
 		return o.JSON.Print(o.Streams, endpoints)
 	}
-	t := o.Streams.NewTable("FLEET", "SERVICE", "ADDRESS", "AVAILABILITY ZONE", "SLOTS", "IN FLIGHT", "RATE LIMIT", "RATE USED", "STATE")
+	t := o.Streams.NewTable("FLEET", "SERVICE", "ADDRESS", "AVAILABILITY ZONE", "SLOTS", "IN FLIGHT", "RATE LIMIT", "RATE USED", "PAUSE", "STATE")
 	for _, e := range endpoints {
-		t.AddRow(e.Fleet, e.Service, e.Address.String(), e.Zone, strconv.Itoa(e.Slots), strconv.Itoa(e.InFlight), rateLimit(e), rateUsed(e), colorizeState(o.Streams, e.State))
+		t.AddRow(e.Fleet, e.Service, e.Address.String(), e.Zone, strconv.Itoa(e.Slots), strconv.Itoa(e.InFlight), rateLimit(e), rateUsed(e), pause(e), colorizeState(o.Streams, e.State))
 	}
 	return t.Flush()
 }
@@ -75,6 +75,13 @@
 	return strconv.FormatFloat(100*e.RateUsed, 'f', 0, 64) + "%"
 }
 
+func pause(e daisyoperator.Endpoint) string {
+	if e.Pause == "0s" {
+		return "-"
+	}
+	return e.Pause
+}
+
 func colorizeState(s *daisyterminal.Streams, state string) string {
 	if state == "in-use" {
 		return s.Colorize(daisyterminal.Success, state)
--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -238,7 +238,7 @@
 	return daisyrequest.Canceled{}
 }
 
-// readLoad adds the rate limit and the load report of the endpoint to
+// readLoad adds the notice, the rate limit and the load report of the endpoint to
 // resolution, if response has them. A misdirected request was answered by another endpoint.
 func (a *attempt) readLoad(response *http.Response, resolution *daisycontroller.Resolution) {
 	if response == nil {
@@ -248,6 +248,7 @@
 	switch resolution.Outcome.(type) {
 	case daisyrequest.Answered, daisyrequest.Shed:
 		resolution.RateLimit = dialect.RateLimit(response.Header)
+		resolution.Notice = dialect.Notice(time.Now(), response.StatusCode, response.Header)
 	case daisyrequest.Misdirected, daisyrequest.NotSent, daisyrequest.BrokenOff, daisyrequest.TimedOut, daisyrequest.Canceled:
 	}
 	report, ok := dialect.Load(time.Now(), response.Header)
--- a/io/daisyforward/dialect.go
+++ b/io/daisyforward/dialect.go
@@ -41,6 +41,9 @@
 	// RateLimit returns the rate limit that an endpoint named in the header of a response
 	// to a request; nil if the response does not say whether there is one.
 	RateLimit(header http.Header) daisyendpoint.RateLimit
+	// Notice returns what the endpoint asks for in a response with this status and header,
+	// which arrived at now; nil means nothing.
+	Notice(now time.Time, status int, header http.Header) daisyendpoint.Notice
 	daisyproblem.Writer
 }
 
@@ -121,6 +124,12 @@
 	return report, err == nil
 }
 
+// Notice returns Leaving if Daisy-Load says so, and else the pause that the Retry-After of
+// a 503 asks for.
+func (n *Native) Notice(now time.Time, status int, header http.Header) daisyendpoint.Notice {
+	return daisyload.ParseNotice(now, status, header)
+}
+
 // RateLimit returns the limit in Daisy-Load.
 func (n *Native) RateLimit(header http.Header) daisyendpoint.RateLimit {
 	report, _ := n.Load(time.Time{}, header)
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -272,6 +272,6 @@
 		x.ticket.Resolve(daisycontroller.Resolution{Attempt: d.Attempt, Outcome: daisyrequest.NotSent{Cause: errCanceled}})
 	case daisyroute.Cancel:
 		x.cancel(d)
-	case daisyroute.Deliver, daisyroute.Fail, daisyroute.SendMessage, daisyroute.Probe, daisyroute.EndpointChanged:
+	case daisyroute.Deliver, daisyroute.Fail, daisyroute.SendMessage, daisyroute.Probe, daisyroute.EndpointChanged, daisyroute.EndpointNoticed:
 	}
 }
--- a/io/daisyload/endless_test.go
+++ b/io/daisyload/endless_test.go
@@ -40,7 +40,7 @@
 			defer cancel()
 			service := daisyservice.Service{ID: daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"}}
 			// The report may have arrived before the part that does not end.
-			_, _ = daisyload.NewProber(pool).Probe(ctx, service, server.Address())
+			_, _, _ = daisyload.NewProber(pool).Probe(ctx, service, server.Address())
 			for range 10_000 {
 				if server.Broken() == 1 {
 					break
--- a/io/daisyload/load.go
+++ b/io/daisyload/load.go
@@ -13,10 +13,11 @@
 
 // Header is the name of the header field that carries a load report, an RFC 9651 dictionary:
 //
-//	Daisy-Load: in-flight=2, slots=3, draining=?0, rate-limit=1.5
+//	Daisy-Load: in-flight=2, slots=3, draining=?0, rate-limit=1.5, leaving=?0
 //
 // The optional rate-limit is the number of requests per second that the endpoint accepts
-// from all VMs together. Without it, the endpoint has no limit.
+// from all VMs together. Without it, the endpoint has no limit. With leaving=?1 the endpoint
+// says that it is going to stop and cannot be used again before it has restarted.
 const Header = "Daisy-Load"
 
 // maxCount limits the numbers in a report, so that sums of false reports do not overflow.
--- a/io/daisyload/load_test.go
+++ b/io/daisyload/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
@@ -95,12 +96,34 @@
 		defer pool.Close()
 		service := daisyservice.Service{ID: daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"}, Protocol: protocol}
 		for range 2 {
-			report, err := daisyload.NewProber(pool).Probe(context.Background(), service, server.Address())
+			report, _, err := daisyload.NewProber(pool).Probe(context.Background(), service, server.Address())
 			assert.NilError(t, err)
 			assert.Equal(t, report.Slots, 3)
 			assert.Assert(t, report.Draining)
 		}
-		_, err := daisyload.NewProber(pool).Probe(context.Background(), service, netip.MustParseAddrPort("127.0.0.1:1"))
+		_, _, err := daisyload.NewProber(pool).Probe(context.Background(), service, netip.MustParseAddrPort("127.0.0.1:1"))
 		assert.Assert(t, errorx.IsOfType(err, daisyerror.Unavailable), "%v", err)
 	}
 }
+
+func TestParseNotice(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		header http.Header
+		want   daisyendpoint.Notice
+	}{
+		{"nothing", 200, http.Header{"Daisy-Load": {"in-flight=0, slots=3"}}, nil},
+		{"leaving", 200, http.Header{"Daisy-Load": {"in-flight=0, slots=3, leaving=?1"}}, daisyendpoint.Leaving{}},
+		{"leaving alone", 200, http.Header{"Daisy-Load": {"leaving"}}, daisyendpoint.Leaving{}},
+		{"not leaving", 200, http.Header{"Daisy-Load": {"in-flight=0, slots=3, leaving=?0"}}, nil},
+		{"leaving as a number", 200, http.Header{"Daisy-Load": {"in-flight=0, slots=3, leaving=1"}}, nil},
+		{"leaving and a pause", 503, http.Header{"Daisy-Load": {"leaving=?1"}, "Retry-After": {"2"}}, daisyendpoint.Leaving{}},
+		{"pause", 503, http.Header{"Retry-After": {"2"}}, daisyendpoint.Pausing{For: 2 * time.Second, Asked: 2 * time.Second}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, daisyload.ParseNotice(now, c.status, c.header), c.want)
+		})
+	}
+}
--- a/io/daisyload/probe.go
+++ b/io/daisyload/probe.go
@@ -25,7 +25,7 @@
 // Probe requests the load report of one endpoint of a service. It has no timeout other
 // than that of ctx. It fails with daisyerror.Unavailable, daisyerror.Unknown or, for a
 // response without a valid report, daisyerror.InvalidRequest.
-func (p *Prober) Probe(ctx context.Context, service daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, error) {
+func (p *Prober) Probe(ctx context.Context, service daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, daisyendpoint.Notice, error) {
 	r := (&http.Request{
 		Method: http.MethodGet,
 		URL:    &url.URL{Scheme: "http", Host: endpoint.String(), Path: ProbePath},
@@ -34,13 +34,16 @@
 	}).WithContext(ctx)
 	response, err := p.pool.RoundTrip(r, daisyconnection.Target{Address: endpoint, Protocol: service.Protocol})
 	if err != nil {
-		return daisyendpoint.Report{}, err
+		return daisyendpoint.Report{}, nil, err
 	}
 	// The body is not used. One read drains an empty or short body, so that the connection can be reused.
 	_, _ = response.Body.Read(make([]byte, 1))
 	_ = response.Body.Close()
+	now := time.Now()
+	notice := ParseNotice(now, response.StatusCode, response.Header)
 	if response.StatusCode >= http.StatusInternalServerError {
-		return daisyendpoint.Report{}, daisyerror.Unavailable.New("%v answered the probe with %d", endpoint, response.StatusCode)
+		return daisyendpoint.Report{}, notice, daisyerror.Unavailable.New("%v answered the probe with %d", endpoint, response.StatusCode)
 	}
-	return Parse(time.Now(), response.Header[Header])
+	report, err := Parse(now, response.Header[Header])
+	return report, notice, err
 }
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -128,6 +128,22 @@
 	Condition string `json:"condition"`
 }
 
+type noticedRecord struct {
+	commonFields
+	Fleet    string `json:"fleet"`
+	Service  string `json:"service"`
+	Endpoint string `json:"endpoint"`
+	Instance string `json:"instance,omitempty"`
+	// Notice is "leaving", "pausing" or "malformed".
+	Notice string `json:"notice"`
+	// Pause is how long nothing is sent, and Asked how long the endpoint asked for.
+	Pause string `json:"pause,omitempty"`
+	Asked string `json:"asked,omitempty"`
+	// Text is what could not be understood.
+	Text     string `json:"text,omitempty"`
+	FromPeer bool   `json:"from-peer"`
+}
+
 type rateLimitRecord struct {
 	commonFields
 	Fleet    string `json:"fleet"`
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -12,8 +12,8 @@
 )
 
 // Line is one line of the log. It is one of Sent, AttemptFailed, Answered, Refused,
-// Rejected, Abandoned, Canceled, EndpointChanged, RateLimitChanged, Probed and
-// LendingChanged, or a message of Logger.
+// Rejected, Abandoned, Canceled, EndpointChanged, EndpointNoticed, RateLimitChanged,
+// Probed and LendingChanged, or a message of Logger.
 type Line interface{ line() }
 
 // Subject identifies the request that a decision concerns.
@@ -132,6 +132,16 @@
 	Condition string
 }
 
+// EndpointNoticed records what an endpoint asked for in an answer.
+type EndpointNoticed struct {
+	Service  daisyservice.ID
+	Endpoint netip.AddrPort
+	Instance daisyendpoint.Instance
+	Notice   daisyendpoint.Notice
+	// FromPeer reports whether another VM told this one.
+	FromPeer bool
+}
+
 // RateLimitChanged records that the rate limit of an endpoint changed.
 type RateLimitChanged struct {
 	Service   daisyservice.ID
@@ -169,6 +179,7 @@
 func (Abandoned) line()        {}
 func (Canceled) line()         {}
 func (EndpointChanged) line()  {}
+func (EndpointNoticed) line()  {}
 func (RateLimitChanged) line() {}
 func (Probed) line()           {}
 func (LendingChanged) line()   {}
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -29,6 +29,8 @@
 	case EndpointChanged:
 		l.encode(&changedRecord{commonFields: l.commonFields(e, "endpoint changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Endpoint: n.Endpoint.String(), Condition: n.Condition})
+	case EndpointNoticed:
+		l.encode(n.record(l.commonFields(e, "endpoint notice")))
 	case RateLimitChanged:
 		l.encode(&rateLimitRecord{commonFields: l.commonFields(e, "endpoint rate limit changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Endpoint: n.Endpoint.String(), RateLimit: perSecond(n.RateLimit), VMs: n.VMs, FromPeer: n.FromPeer})
@@ -66,6 +68,26 @@
 	return r
 }
 
+func (n EndpointNoticed) record(c commonFields) *noticedRecord {
+	r := &noticedRecord{
+		commonFields: c,
+		Fleet:        string(n.Service.Fleet),
+		Service:      n.Service.Name,
+		Endpoint:     n.Endpoint.String(),
+		Instance:     string(n.Instance),
+		FromPeer:     n.FromPeer,
+	}
+	switch x := n.Notice.(type) {
+	case daisyendpoint.Leaving:
+		r.Notice = "leaving"
+	case daisyendpoint.Pausing:
+		r.Notice, r.Pause, r.Asked = "pausing", x.For.String(), x.Asked.String()
+	case daisyendpoint.Malformed:
+		r.Notice, r.Text = "malformed", x.Text
+	}
+	return r
+}
+
 func (n Sent) record(c commonFields) *sentRecord {
 	r := &sentRecord{
 		commonFields:  c,
--- a/io/daisymetric/message.go
+++ b/io/daisymetric/message.go
@@ -6,6 +6,8 @@
 const (
 	reportsSent     = `daisyyoke_service_messages_total{direction="sent",kind="credit-report"}`
 	grantsSent      = `daisyyoke_service_messages_total{direction="sent",kind="credit-grant"}`
+	leavingSent     = `daisyyoke_service_messages_total{direction="sent",kind="endpoint-leaving"}`
+	leavingReceived = `daisyyoke_service_messages_total{direction="received",kind="endpoint-leaving"}`
 	newsSent        = `daisyyoke_service_messages_total{direction="sent",kind="endpoint-news"}`
 	reportsReceived = `daisyyoke_service_messages_total{direction="received",kind="credit-report"}`
 	grantsReceived  = `daisyyoke_service_messages_total{direction="received",kind="credit-grant"}`
@@ -14,15 +16,15 @@
 
 // MessageSent counts a message about a service that was sent to another VM.
 func (m *Metrics) MessageSent(message daisymessage.Message) {
-	m.countMessage(message, reportsSent, grantsSent, newsSent)
+	m.countMessage(message, reportsSent, grantsSent, newsSent, leavingSent)
 }
 
 // MessageReceived counts a message about a service that was received from another VM.
 func (m *Metrics) MessageReceived(message daisymessage.Message) {
-	m.countMessage(message, reportsReceived, grantsReceived, newsReceived)
+	m.countMessage(message, reportsReceived, grantsReceived, newsReceived, leavingReceived)
 }
 
-func (m *Metrics) countMessage(message daisymessage.Message, report, grant, news string) {
+func (m *Metrics) countMessage(message daisymessage.Message, report, grant, news, leaving string) {
 	if m == nil {
 		return
 	}
@@ -33,6 +35,8 @@
 		m.counter(grant).Inc()
 	case daisymessage.EndpointNews:
 		m.counter(news).Inc()
+	case daisymessage.EndpointLeaving:
+		m.counter(leaving).Inc()
 	case daisymessage.Heartbeat, daisymessage.SnapshotWanted, daisymessage.SnapshotGiven,
 		daisymessage.RowsWanted, daisymessage.RowsGiven, daisymessage.StopWanted:
 		// These messages concern no service; package daisypeer counts them.
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -123,6 +123,22 @@
 	}).Inc()
 }
 
+// EndpointNotice counts what endpoints of a service asked for.
+func (m *Metrics) EndpointNotice(service daisyservice.ID, notice daisyendpoint.Notice) {
+	if m == nil {
+		return
+	}
+	kind := "malformed"
+	switch notice.(type) {
+	case daisyendpoint.Leaving:
+		kind = "leaving"
+	case daisyendpoint.Pausing:
+		kind = "pausing"
+	case daisyendpoint.Malformed:
+	}
+	m.counter(fmt.Sprintf(`daisyyoke_endpoint_notices_total{fleet=%q,service=%q,kind=%q}`, string(service.Fleet), service.Name, kind)).Inc()
+}
+
 // FilterResponse counts a request to which the filter chain responded with this HTTP status.
 func (m *Metrics) FilterResponse(status int) {
 	if m != nil {
--- a/io/daisyoperator/document.go
+++ b/io/daisyoperator/document.go
@@ -93,11 +93,14 @@
 	// it that the answering VM used of late.
 	RateLimit *float64 `json:"rate-limit"`
 	RateUsed  float64  `json:"rate-used"`
+	// Pause is how much longer the answering VM sends nothing to the endpoint, because it
+	// asked for that; "0s" without a pause.
+	Pause string `json:"pause"`
 }
 
 // EndpointFields are the JSON field names of Endpoint.
 var EndpointFields = []string{
-	"fleet", "service", "address", "availability-zone", "slots", "connections", "in-flight", "state", "rate-limit", "rate-used",
+	"fleet", "service", "address", "availability-zone", "slots", "connections", "in-flight", "state", "rate-limit", "rate-used", "pause",
 }
 
 // EndpointRequest identifies an endpoint to drain or to resume.
--- a/io/daisyoperator/handler_test.go
+++ b/io/daisyoperator/handler_test.go
@@ -16,6 +16,7 @@
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisycontroller"
@@ -40,10 +41,15 @@
 
 type fakeVM struct{ drained []daisyvm.Name }
 
-func (f *fakeVM) ServiceWork(daisyservice.ID) (int, int)            { return 2, 1 }
-func (f *fakeVM) EndpointWork(daisyconfig.EndpointID) (int, string) { return 1, "in-use" }
-func (f *fakeVM) EndpointRate(daisyconfig.EndpointID) (daisyendpoint.RateLimit, float64) {
-	return daisyendpoint.Limited{Interval: 500 * time.Millisecond}, 0.25
+func (f *fakeVM) ServiceWork(daisyservice.ID) (int, int) { return 2, 1 }
+func (f *fakeVM) EndpointStatus(daisyconfig.EndpointID) daisyroute.EndpointStatus {
+	return daisyroute.EndpointStatus{
+		Condition: daisyroute.InUse,
+		InFlight:  1,
+		ResumesIn: 1500 * time.Millisecond,
+		RateLimit: daisyendpoint.Limited{Interval: 500 * time.Millisecond},
+		RateUsed:  0.25,
+	}
 }
 func (f *fakeVM) ListVMs() []daisyoperator.VM { return []daisyoperator.VM{{Name: "vm-1", Revision: 1}} }
 func (f *fakeVM) Valid(token string) bool     { return token == "secret" }
--- a/io/daisyoperator/operations.go
+++ b/io/daisyoperator/operations.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyplan"
+	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 )
@@ -35,10 +37,8 @@
 // Work provides the number of requests and attempts in progress on this VM.
 type Work interface {
 	ServiceWork(id daisyservice.ID) (inFlight, waiting int)
-	EndpointWork(id daisyconfig.EndpointID) (inFlight int, state string)
-	// EndpointRate returns the rate limit of an endpoint, nil if unknown, and the share of
-	// it that this VM used of late.
-	EndpointRate(id daisyconfig.EndpointID) (limit daisyendpoint.RateLimit, used float64)
+	// EndpointStatus returns the state of an endpoint as seen by the VM.
+	EndpointStatus(id daisyconfig.EndpointID) daisyroute.EndpointStatus
 }
 
 // Membership lists the VMs and starts their planned stops.
@@ -191,7 +191,7 @@
 	list := []Endpoint{}
 	for _, s := range o.services() {
 		for _, e := range s.Endpoints {
-			inFlight, state := o.Work.EndpointWork(daisyconfig.EndpointID{Service: s.ID, Address: e.Address})
+			status := o.Work.EndpointStatus(daisyconfig.EndpointID{Service: s.ID, Address: e.Address})
 			document := Endpoint{
 				Fleet:       string(s.ID.Fleet),
 				Service:     s.ID.Name,
@@ -199,13 +199,13 @@
 				Zone:        e.Zone.String(),
 				Slots:       e.Slots,
 				Connections: e.Connections,
-				InFlight:    inFlight,
-				State:       state,
+				InFlight:    status.InFlight,
+				State:       status.Condition.String(),
+				Pause:       status.ResumesIn.Round(time.Millisecond).String(),
 			}
-			limit, used := o.Work.EndpointRate(daisyconfig.EndpointID{Service: s.ID, Address: e.Address})
-			if l, ok := limit.(daisyendpoint.Limited); ok {
+			if l, ok := status.RateLimit.(daisyendpoint.Limited); ok {
 				perSecond := l.PerSecond()
-				document.RateLimit, document.RateUsed = &perSecond, used
+				document.RateLimit, document.RateUsed = &perSecond, status.RateUsed
 			}
 			list = append(list, document)
 		}
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -53,6 +53,8 @@
 		m = daisymessage.CreditGrant{Grant: r.grant(x.CreditGrant)}
 	case *daisywire.Frame_EndpointNews:
 		m = r.news(now, x.EndpointNews)
+	case *daisywire.Frame_EndpointLeaving:
+		m = r.leaving(x.EndpointLeaving)
 	case *daisywire.Frame_RowsWanted:
 		m = daisymessage.RowsWanted{Topic: r.topic(x.RowsWanted.GetTopic()), After: daisyfeed.Version(x.RowsWanted.GetAfter()), Era: daisyfeed.Era(x.RowsWanted.GetEra())}
 	case *daisywire.Frame_RowsGiven:
@@ -253,6 +255,17 @@
 	}
 }
 
+func (r *fieldReader) leaving(w *daisywire.EndpointLeaving) daisymessage.EndpointLeaving {
+	return daisymessage.EndpointLeaving{
+		Service: decodeServiceID(w.GetService()),
+		Endpoint: daisyendpoint.Identity{
+			Address:  r.address(w.GetAddress()),
+			Instance: daisyendpoint.Instance(w.GetInstance()),
+			Started:  w.GetStartedMilliseconds(),
+		},
+	}
+}
+
 func (r *fieldReader) topic(number uint32) daisyfeed.Topic {
 	if number >= uint32(daisyfeed.Topics) {
 		r.fail("unknown topic %d", number)
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -55,6 +55,8 @@
 		return &daisywire.Frame{Message: &daisywire.Frame_CreditGrant{CreditGrant: encodeGrant(m.Grant)}}
 	case daisymessage.EndpointNews:
 		return &daisywire.Frame{Message: &daisywire.Frame_EndpointNews{EndpointNews: encodeNews(now, m)}}
+	case daisymessage.EndpointLeaving:
+		return &daisywire.Frame{Message: &daisywire.Frame_EndpointLeaving{EndpointLeaving: encodeLeaving(m)}}
 	case daisymessage.RowsWanted:
 		w := &daisywire.RowsWanted{Topic: uint32(m.Topic), After: uint64(m.After), Era: uint64(m.Era)}
 		return &daisywire.Frame{Message: &daisywire.Frame_RowsWanted{RowsWanted: w}}
@@ -267,6 +269,15 @@
 	return w
 }
 
+func encodeLeaving(m daisymessage.EndpointLeaving) *daisywire.EndpointLeaving {
+	return &daisywire.EndpointLeaving{
+		Service:             encodeServiceID(m.Service),
+		Address:             encodeAddress(m.Endpoint.Address),
+		Instance:            string(m.Endpoint.Instance),
+		StartedMilliseconds: m.Endpoint.Started,
+	}
+}
+
 func encodeNews(now time.Time, m daisymessage.EndpointNews) *daisywire.EndpointNews {
 	return &daisywire.EndpointNews{
 		Service:         encodeServiceID(m.Service),
--- a/io/daisystand/endpoint.go
+++ b/io/daisystand/endpoint.go
@@ -124,6 +124,10 @@
 	if !e.waitUnfrozen(r) {
 		panic(http.ErrAbortHandler)
 	}
+	if faults := e.currentFaults(); faults.ShedAll && faults.Pause > 0 {
+		e.writeShed(w)
+		return
+	}
 	e.setLoadHeader(w)
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -194,6 +198,9 @@
 func (e *Endpoint) writeShed(w http.ResponseWriter) {
 	e.add(&e.counts.Shed, 1)
 	e.setLoadHeader(w)
+	if pause := e.currentFaults().Pause; pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+	}
 	w.Header().Set("Daisy-Run", "not-run")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -249,13 +256,16 @@
 
 func (e *Endpoint) setLoadHeader(w http.ResponseWriter) {
 	e.mu.Lock()
-	inFlight, draining, rateLimit := e.inFlight, e.faults.Draining, e.faults.RateLimit
+	inFlight, draining, leaving, rateLimit := e.inFlight, e.faults.Draining, e.faults.Leaving, e.faults.RateLimit
 	e.mu.Unlock()
 	flag := "?0"
 	if draining {
 		flag = "?1"
 	}
 	load := "in-flight=" + strconv.Itoa(inFlight) + ", slots=" + strconv.Itoa(e.options.Slots) + ", draining=" + flag
+	if leaving {
+		load += ", leaving=?1"
+	}
 	if rateLimit > 0 {
 		load += ", rate-limit=" + strconv.FormatFloat(rateLimit, 'f', 3, 64)
 	}
--- a/io/daisystand/endpoint_codec.go
+++ b/io/daisystand/endpoint_codec.go
@@ -24,6 +24,8 @@
 	FailFast  bool    `json:"fail-fast,omitempty"`
 	ShedAll   bool    `json:"shed-all,omitempty"`
 	Draining  bool    `json:"draining,omitempty"`
+	Leaving   bool    `json:"leaving,omitempty"`
+	Pause     string  `json:"pause,omitempty"`
 	Break     string  `json:"break,omitempty"`
 	Freeze    bool    `json:"freeze,omitempty"`
 	RateLimit float64 `json:"rate-limit,omitempty"`
--- a/io/daisystand/endpoint_decode.go
+++ b/io/daisystand/endpoint_decode.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"time"
 
 	"daisyyoke/core/daisyerror"
 )
@@ -25,13 +26,30 @@
 	if err != nil {
 		return Faults{}, err
 	}
+	pause, err := parsePause(d.Pause)
+	if err != nil {
+		return Faults{}, err
+	}
 	return Faults{
 		Slow:      d.Slow,
 		FailFast:  d.FailFast,
 		ShedAll:   d.ShedAll,
 		Draining:  d.Draining,
+		Leaving:   d.Leaving,
+		Pause:     pause,
 		Break:     point,
 		Freeze:    d.Freeze,
 		RateLimit: d.RateLimit,
 	}, nil
 }
+
+func parsePause(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	pause, err := time.ParseDuration(text)
+	if err != nil || pause < 0 {
+		return 0, daisyerror.InvalidRequest.New("pause %q: want a duration of at least 0s", text)
+	}
+	return pause, nil
+}
--- a/io/daisystand/faults.go
+++ b/io/daisystand/faults.go
@@ -1,6 +1,9 @@
 package daisystand
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // Faults are the faults injected into an endpoint. The zero value injects none.
 type Faults struct {
@@ -12,6 +15,11 @@
 	ShedAll bool
 	// Draining is the draining flag in the load reports.
 	Draining bool
+	// Leaving is the leaving flag in the load reports.
+	Leaving bool
+	// Pause is the Retry-After of shed requests and, while ShedAll, of refused probes; 0
+	// names none.
+	Pause time.Duration
 	// Break is the point at which the connection or stream is aborted.
 	Break BreakPoint
 	// Freeze blocks every request and probe until it is cleared.
