Give each availability zone of a large service an owner of its own

Cause: the owner of a service handles four messages and a decision for each request. At 123 VMs and 328 endpoints that took up its 0.4 of a core; lookups waited for credits, not for slots (p50 1.2 s for work of 0.32 s). Change: from 96 endpoints on, credits on demand are lent by a VM of each zone for the endpoints there. A request asks its own zone first and one more for each 15 ms that it waits; waiting requests are divided among the owners that are asked.

--- a/core/daisycredit/bench_test.go
+++ b/core/daisycredit/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 )
@@ -33,7 +34,7 @@
 	for i := range vms {
 		r.vms = append(r.vms, daisyvm.VM{Name: daisyvm.Name(fmt.Sprint("vm-", i)), Incarnation: 1})
 	}
-	chosen, _ := ChooseOwner(r.service.ID, r.vms)
+	chosen, _ := ChooseOwner(r.service.ID, daisyfleet.ZoneID{}, r.vms)
 	r.ownerName = chosen.Name
 	r.owner = NewOwner(r.now, OwnerOptions{Self: chosen, Service: r.service, Lending: OnDemand{}})
 	for _, v := range r.vms {
--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/core/daisywake"
@@ -37,9 +38,11 @@
 	self    daisyvm.VM
 	lending Lending
 	service daisyservice.Service
-	vms     int
-	owner   daisyvm.VM
-	term    Term
+	// zone is the availability zone of the endpoints of service, if these are of one zone only.
+	zone  daisyfleet.ZoneID
+	vms   int
+	owner daisyvm.VM
+	term  Term
 	// latestTerms has the latest term with each owner; older terms are not entered again.
 	latestTerms map[daisyvm.Name]Term
 	// termEnded is when the last term ended, while no new owner has answered. The
@@ -73,7 +76,14 @@
 // NewBorrower returns a Borrower in fallback mode. Until SetVMs or SetShare is called,
 // its share is all slots, as if its VM were the only one.
 func NewBorrower(self daisyvm.VM, service daisyservice.Service, lending Lending) *Borrower {
+	return NewZoneBorrower(self, service, daisyfleet.ZoneID{}, lending)
+}
+
+// NewZoneBorrower is like NewBorrower for the endpoints of a service in one availability
+// zone, which have an owner of their own.
+func NewZoneBorrower(self daisyvm.VM, service daisyservice.Service, zone daisyfleet.ZoneID, lending Lending) *Borrower {
 	b := &Borrower{
+		zone:        zone,
 		self:        self,
 		lending:     lending,
 		vms:         1,
@@ -123,7 +133,7 @@
 // changes, the borrower asks the new one for a term.
 func (b *Borrower) SetVMs(now time.Time, vms []daisyvm.VM) {
 	b.SetShare(len(vms))
-	owner, ok := ChooseOwner(b.service.ID, vms)
+	owner, ok := ChooseOwner(b.service.ID, b.zone, vms)
 	if !ok || owner.Name == b.owner.Name && owner.Incarnation == b.owner.Incarnation {
 		return
 	}
@@ -436,7 +446,7 @@
 // Flush returns the report that is due at now, if any.
 func (b *Borrower) Flush(now time.Time) (Report, bool) {
 	b.checkTimeouts(now)
-	r := Report{Service: b.service.ID, Term: b.term, Acknowledged: b.receivedSequence}
+	r := Report{Service: b.service.ID, Zone: b.zone, Term: b.term, Acknowledged: b.receivedSequence}
 	switch {
 	case b.owner.Name == "":
 		return Report{}, false
--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -13,6 +13,7 @@
 	"net/netip"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 )
@@ -66,7 +67,10 @@
 // Report is a message from a borrower to the owner.
 type Report struct {
 	Service daisyservice.ID
-	Term    Term
+	// Zone is the availability zone whose endpoints the message is about; the zero value
+	// means all endpoints of the service.
+	Zone daisyfleet.ZoneID
+	Term Term
 	// Sequence is the number of the report, or 0 if it only acknowledges.
 	Sequence uint64
 	// Acknowledged is the sequence number of the latest Grant that arrived.
@@ -92,7 +96,9 @@
 // Grant is a message from the owner to a borrower.
 type Grant struct {
 	Service daisyservice.ID
-	Term    Term
+	// Zone is as in Report.
+	Zone daisyfleet.ZoneID
+	Term Term
 	// Sequence is the number of the grant, or 0 if it only acknowledges.
 	Sequence uint64
 	// Acknowledged is the sequence number of the latest Report that arrived.
--- a/core/daisycredit/credit_test.go
+++ b/core/daisycredit/credit_test.go
@@ -77,7 +77,7 @@
 			live = append(live, v)
 		}
 	}
-	owner, _ := ChooseOwner(c.service.ID, live)
+	owner, _ := ChooseOwner(c.service.ID, daisyfleet.ZoneID{}, live)
 	for i, v := range c.vms {
 		if c.dead[v.Name] {
 			continue
@@ -415,8 +415,8 @@
 	moved := 0
 	for i := range 600 {
 		id := daisyservice.ID{Fleet: "vigia-lar", Name: fmt.Sprint("s", i)}
-		before, _ := ChooseOwner(id, vms)
-		after, _ := ChooseOwner(id, vms[1:])
+		before, _ := ChooseOwner(id, daisyfleet.ZoneID{}, vms)
+		after, _ := ChooseOwner(id, daisyfleet.ZoneID{}, vms[1:])
 		if before.Name != vms[0].Name {
 			assert.Equal(t, before.Name, after.Name)
 			continue
--- a/core/daisycredit/example_test.go
+++ b/core/daisycredit/example_test.go
@@ -7,6 +7,7 @@
 
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
@@ -22,7 +23,7 @@
 	}
 	vms := []daisyvm.VM{{Name: "vm-1", Incarnation: 1}, {Name: "vm-2", Incarnation: 1}}
 	now := time.Unix(0, 0)
-	ownerVM, _ := daisycredit.ChooseOwner(service.ID, vms)
+	ownerVM, _ := daisycredit.ChooseOwner(service.ID, daisyfleet.ZoneID{}, vms)
 	owner := daisycredit.NewOwner(now, daisycredit.OwnerOptions{Self: ownerVM, Service: service})
 	owner.SetVMs(now, vms)
 	borrowers := make(map[daisyvm.Name]*daisycredit.Borrower)
--- a/core/daisycredit/on_demand_test.go
+++ b/core/daisycredit/on_demand_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyvm"
 )
 
@@ -42,7 +43,7 @@
 		c.waiting = append(c.waiting, 0)
 		c.owners = append(c.owners, nil)
 	}
-	chosen, _ := ChooseOwner(c.service.ID, c.vms)
+	chosen, _ := ChooseOwner(c.service.ID, daisyfleet.ZoneID{}, c.vms)
 	c.owner = NewOwner(c.now, OwnerOptions{Self: chosen, Service: c.service, Lending: OnDemand{}})
 	c.owner.SetVMs(c.now, c.vms)
 	c.owners[c.index(chosen.Name)] = c.owner
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/core/daisywake"
@@ -38,6 +39,9 @@
 type OwnerOptions struct {
 	Self    daisyvm.VM
 	Service daisyservice.Service
+	// Zone is the availability zone of the endpoints of Service, if the owner owns those
+	// of one zone only.
+	Zone daisyfleet.ZoneID
 	// LastTerm is the number of the last term of an earlier Owner of the service on
 	// this VM: term numbers only increase within an incarnation.
 	LastTerm uint64
@@ -428,7 +432,7 @@
 			grants = append(grants, AddressedGrant{To: a.vm.Name, Grant: o.newGrant(now, a)})
 		case a.timer.ackDue(now):
 			a.timer.recordAck(now)
-			ack := Grant{Service: o.service.ID, Term: a.term, Acknowledged: a.sequence}
+			ack := Grant{Service: o.service.ID, Zone: o.options.Zone, Term: a.term, Acknowledged: a.sequence}
 			grants = append(grants, AddressedGrant{To: a.vm.Name, Grant: ack})
 		default:
 			continue
@@ -451,6 +455,7 @@
 func (o *Owner) newGrant(now time.Time, a *account) Grant {
 	g := Grant{
 		Service:      o.service.ID,
+		Zone:         o.options.Zone,
 		Term:         a.term,
 		Acknowledged: a.sequence,
 		Target:       uint32(max(0, a.creditTarget)),
--- a/core/daisymeasure/event.go
+++ b/core/daisymeasure/event.go
@@ -183,7 +183,7 @@
 	if to == nil || to == from {
 		return
 	}
-	sm.tally.recordMessage(sm, t.Message)
+	sm.tally.recordMessage(sm, from.Name, to.Name, t.Message)
 	if sm.linkRandom.Float64() < sm.scenario.MessageLoss || sm.partitioned && from.partitionSide != to.partitionSide {
 		return
 	}
--- a/core/daisymeasure/tally.go
+++ b/core/daisymeasure/tally.go
@@ -9,6 +9,7 @@
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
+	"daisyyoke/core/daisyvm"
 )
 
 // Tally is the result of a run. Ranks does not count requests that arrive during
@@ -22,6 +23,10 @@
 	Probes   int
 	Messages int
 	Bytes    int
+	// CrossZoneSends counts the attempts at an endpoint in another zone than the VM's.
+	CrossZoneSends int
+	// messagesByVM counts the messages that each VM sent or received.
+	messagesByVM map[daisyvm.Name]int
 	// Duplicated, Lost, Mismatched and RanAfterNotRun count violations that must
 	// never occur: a request that is not idempotent and was started twice, a request
 	// that never ended, an outcome for another request or for one that had ended, and
@@ -69,7 +74,18 @@
 // still open before the call counts as lost.
 const maxLateness = time.Second
 
-func newTally() *Tally { return &Tally{Sends: make(map[daisyroute.Reason]int)} }
+func newTally() *Tally {
+	return &Tally{Sends: make(map[daisyroute.Reason]int), messagesByVM: make(map[daisyvm.Name]int)}
+}
+
+// BusiestVMMessages returns how many messages the VM with the most of them sent or received.
+func (t *Tally) BusiestVMMessages() int {
+	most := 0
+	for _, n := range t.messagesByVM {
+		most = max(most, n)
+	}
+	return most
+}
 
 func (t *Tally) recordCall(c *call) {
 	if c.afterWarmup {
@@ -80,6 +96,9 @@
 
 func (t *Tally) recordSend(sm *Simulation, a *attempt, reason daisyroute.Reason) {
 	t.Sends[reason]++
+	if a.vm.Zone != a.endpoint.Zone {
+		t.CrossZoneSends++
+	}
 	t.sends = append(t.sends, sendRecord{offset: sm.now.Sub(sm.start), service: a.call.service.index, endpoint: a.endpoint.Address})
 }
 
@@ -126,8 +145,10 @@
 	}
 }
 
-func (t *Tally) recordMessage(sm *Simulation, m daisymessage.Message) {
+func (t *Tally) recordMessage(sm *Simulation, from, to daisyvm.Name, m daisymessage.Message) {
 	t.Messages++
+	t.messagesByVM[from]++
+	t.messagesByVM[to]++
 	if sm.scenario.MessageSize != nil {
 		t.Bytes += sm.scenario.MessageSize(m)
 	}
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -15,12 +15,14 @@
 const defaultRetryAfter = time.Second
 
 func (d *Dispatcher) handleArrival(now time.Time, event RequestArrived) {
-	d.sharing.noteArrival(now, event.Request.Rank)
 	q := event.Request
 	if d.requests[q.ID] != nil {
 		return
 	}
 	q.Rank = min(max(q.Rank, 0), daisyrank.Index(len(d.service.Ranks)-1))
+	if q.Rank == 0 {
+		d.lastUrgent = now
+	}
 	r := d.pool.newRequest(q)
 	d.requests[r.ID] = r
 	switch {
@@ -49,8 +51,10 @@
 		r.expected = v.Expected
 		d.fail(now, r, causeOf(v.Cause), v.RetryAfter)
 	case daisyqueue.Displaced[*request]:
+		d.noteWaiting(now, r)
 		d.fail(now, v.Item.Value, QueueFull, v.RetryAfter)
 	case daisyqueue.Admitted[*request]:
+		d.noteWaiting(now, r)
 	}
 }
 
@@ -178,7 +182,8 @@
 	a.charge = d.queue.Started(now, a.rank)
 	a.endpoint.inFlight++
 	d.countSend(now, a.endpoint, a.trial)
-	d.sharing.take(a.endpoint)
+	a.sharing = a.endpoint.sharing
+	a.sharing.take(a)
 	d.health.Sent(now, a.endpoint.health)
 	d.refresh(now, a.endpoint)
 	d.scheduleCheck(now, a)
--- a/core/daisyroute/condition.go
+++ b/core/daisyroute/condition.go
@@ -89,7 +89,7 @@
 	if c != e.lastCondition {
 		e.lastCondition = c
 		d.updateExclusion(now, e, c)
-		d.sharing.setRestricted(now, e, c != InUse && c != Ramping)
+		e.sharing.setRestricted(now, e, c != InUse && c != Ramping)
 		d.emit(EndpointChanged{Endpoint: e.address, Condition: c})
 	}
 }
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -6,6 +6,7 @@
 
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
@@ -36,21 +37,29 @@
 // borrower on the same VM while one event is handled.
 const maxExchanges = 8
 
-// slotSharing is the part of a Dispatcher that shares slots with other VMs, through
-// credits or even shares. Its nil value shares nothing.
+// slotSharing shares the slots of a group of endpoints with other VMs, through credits or
+// even shares: all endpoints of the service, or those of one availability zone. Its nil
+// value shares nothing.
 type slotSharing struct {
 	self   daisyvm.VM
 	policy Credits
 	// even is set if each VM uses an even share and no VM owns the slots.
-	even     bool
+	even bool
+	// zone is the availability zone of the endpoints, or zero.
+	zone     daisyfleet.ZoneID
 	borrower *daisycredit.Borrower
 	// owner is nil while another VM owns the slots.
 	owner *daisycredit.Owner
+	// service is the service with the endpoints that the owner lends, which a VM that
+	// divides the service in another way may still ask for.
+	service daisyservice.Service
 	// lastTerm is the number of the last term of the previous owner on this VM.
 	lastTerm uint64
 	demand   []daisycredit.Demand
-	// lastUrgent is the time at which a request of the most urgent rank last arrived.
-	lastUrgent time.Time
+	// inFlight is the number of attempts of each rank at the endpoints.
+	inFlight []int
+	// endpoints is the number of endpoints that this VM uses through the group.
+	endpoints int
 	// changed is set if credits were gained or lost since the endpoints were last
 	// refreshed.
 	changed bool
@@ -60,12 +69,12 @@
 	reportedFallback bool
 }
 
-// newSlotSharing returns the slotSharing for the policy, or nil if the policy uses
-// neither credits nor even shares.
-func newSlotSharing(options Options) *slotSharing {
+// newSlotSharing returns the slotSharing for a group of endpoints of the service, or nil
+// if the policy uses neither credits nor even shares.
+func newSlotSharing(self daisyvm.VM, policy Policy, service daisyservice.Service, zone daisyfleet.ZoneID) *slotSharing {
 	// A new borrower is in fallback mode until an owner has answered.
-	s := &slotSharing{self: options.Self, reportedFallback: true}
-	switch p := options.Policy.(type) {
+	s := &slotSharing{self: self, zone: zone, service: service, reportedFallback: true}
+	switch p := policy.(type) {
 	case Credits:
 		s.policy = p
 	case EvenShares:
@@ -76,14 +85,13 @@
 	if s.policy.Lending == nil {
 		s.policy.Lending = daisycredit.InAdvance{}
 	}
-	s.borrower = daisycredit.NewBorrower(options.Self, options.Service, s.policy.Lending)
+	s.borrower = daisycredit.NewZoneBorrower(self, service, zone, s.policy.Lending)
 	return s
 }
 
 // setVMs updates the live VMs, and starts or ends this VM's ownership of the slots.
-func (d *Dispatcher) setVMs(now time.Time, event PeersChanged) {
+func (d *Dispatcher) setVMs(now time.Time, s *slotSharing, event PeersChanged) {
 	vms := event.VMs
-	s := d.sharing
 	if s == nil {
 		return
 	}
@@ -93,7 +101,7 @@
 		return
 	}
 	s.borrower.SetVMs(now, vms)
-	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
+	owner, ok := daisycredit.ChooseOwner(d.service.ID, s.zone, vms)
 	if !ok || owner.Name != s.self.Name {
 		s.endOwnership()
 		return
@@ -101,7 +109,8 @@
 	if s.owner == nil {
 		s.owner = daisycredit.NewOwner(now, daisycredit.OwnerOptions{
 			Self:       s.self,
-			Service:    d.service,
+			Service:    s.service,
+			Zone:       s.zone,
 			LastTerm:   s.lastTerm,
 			Lending:    s.policy.Lending,
 			Overcommit: s.policy.Overcommit,
@@ -122,70 +131,71 @@
 
 // receiveCreditMessage handles a credit message from another VM.
 func (d *Dispatcher) receiveCreditMessage(now time.Time, from daisyvm.Name, message daisymessage.Message) {
-	s := d.sharing
-	if s == nil {
-		return
-	}
 	switch m := message.(type) {
 	case daisymessage.CreditReport:
-		if s.owner != nil {
+		if s := d.sharingOf(now, m.Report.Zone); s != nil && s.owner != nil {
 			s.owner.Receive(now, from, m.Report)
 		}
 	case daisymessage.CreditGrant:
-		s.borrower.Receive(now, from, m.Grant)
-		d.learnRateLimits(now, m.Grant)
-		s.changed = true
+		if s := d.sharingOf(now, m.Grant.Zone); s != nil {
+			s.borrower.Receive(now, from, m.Grant)
+			d.learnRateLimits(now, s, m.Grant)
+			s.changed = true
+		}
 	}
 }
 
-// exchangeCredits updates the demand, delivers the credit messages between borrower
-// and owner on this VM, emits those to other VMs, and sends the waiting requests
+// exchangeCredits updates the demand, delivers the credit messages between borrowers
+// and owners on this VM, emits those to other VMs, and sends the waiting requests
 // for which there are credits now.
 func (d *Dispatcher) exchangeCredits(now time.Time) {
-	s := d.sharing
-	if s == nil {
+	if len(d.sharings) == 0 {
 		return
 	}
-	s.setDemand(now, d)
-	for range maxExchanges {
-		if !d.flushCredits(now) {
-			break
+	d.setDemands(now)
+	changed := false
+	for _, s := range d.sharings {
+		for range maxExchanges {
+			if !d.flushCredits(now, s) {
+				break
+			}
 		}
+		d.reportLending(s)
+		changed = d.refreshShared(now, s) || changed
+	}
+	if changed {
+		d.dispatchWaiting(now)
+		d.setDemands(now)
 	}
-	d.reportLending()
+}
+
+// refreshShared refreshes the endpoints of a group if its credits have changed, and
+// reports whether they have.
+func (d *Dispatcher) refreshShared(now time.Time, s *slotSharing) bool {
 	nearLimit := s.borrower.NearShareLimit()
 	if !s.changed && !s.wasNearLimit && !nearLimit {
-		return
+		return false
 	}
 	s.changed, s.wasNearLimit = false, nearLimit
 	for _, e := range d.endpoints {
-		d.refresh(now, e)
+		if e.sharing == s {
+			d.refresh(now, e)
+		}
 	}
-	d.dispatchWaiting(now)
-	s.setDemand(now, d)
+	return true
 }
 
-// reportLending emits LendingChanged when the borrower enters or leaves fallback mode.
-func (d *Dispatcher) reportLending() {
-	s := d.sharing
-	if inFallback := s.borrower.InFallback(); inFallback != s.reportedFallback {
+// reportLending emits LendingChanged when a borrower enters or leaves fallback mode.
+func (d *Dispatcher) reportLending(s *slotSharing) {
+	if inFallback := s.borrower.InFallback(); inFallback != s.reportedFallback && s.endpoints > 0 {
 		s.reportedFallback = inFallback
-		d.emit(LendingChanged{Owner: s.borrower.Owner().Name, InFallback: inFallback})
+		d.emit(LendingChanged{Owner: s.borrower.Owner().Name, Zone: s.zone, InFallback: inFallback})
 	}
 }
 
-func (s *slotSharing) setDemand(now time.Time, d *Dispatcher) {
-	s.demand = s.demand[:0]
-	for r := range d.service.Ranks {
-		s.demand = append(s.demand, d.Demand(daisyrank.Index(r)))
-	}
-	s.borrower.SetDemand(now, s.demand)
-}
-
 // flushCredits delivers or emits the reports, grants and probes that are due. It reports
 // whether a message was delivered within this VM, which may make another one due.
-func (d *Dispatcher) flushCredits(now time.Time) (more bool) {
-	s := d.sharing
+func (d *Dispatcher) flushCredits(now time.Time, s *slotSharing) (more bool) {
 	inFallback := s.borrower.InFallback()
 	if r, ok := s.borrower.Flush(now); ok {
 		to := s.borrower.Owner().Name
@@ -208,7 +218,7 @@
 	for _, l := range s.owner.Flush(now) {
 		if l.To == s.self.Name {
 			s.borrower.Receive(now, l.To, l.Grant)
-			d.learnRateLimits(now, l.Grant)
+			d.learnRateLimits(now, s, l.Grant)
 			s.changed, more = true, true
 			continue
 		}
@@ -228,26 +238,31 @@
 	return daisywake.Sooner(wake, s.owner.NextWake())
 }
 
-func (s *slotSharing) changeService(now time.Time, service daisyservice.Service) {
-	if s == nil {
-		return
-	}
+// changeService sets the endpoints that the borrower uses and those that the owner lends.
+func (s *slotSharing) changeService(now time.Time, used, lent daisyservice.Service) {
 	s.changed = true
-	s.borrower.SetService(now, service)
+	s.service, s.endpoints = lent, len(used.Endpoints)
+	s.borrower.SetService(now, used)
 	if s.owner != nil {
-		s.owner.SetService(now, service)
+		s.owner.SetService(now, lent)
 	}
 }
 
-func (s *slotSharing) take(e *endpoint) {
-	if s != nil {
-		s.borrower.Take(e.address)
+func (s *slotSharing) take(a *attempt) {
+	if s == nil {
+		return
+	}
+	for len(s.inFlight) <= int(a.rank) {
+		s.inFlight = append(s.inFlight, 0)
 	}
+	s.inFlight[a.rank]++
+	s.borrower.Take(a.endpoint.address)
 }
 
-func (s *slotSharing) release(now time.Time, e *endpoint) {
+func (s *slotSharing) release(now time.Time, a *attempt) {
 	if s != nil {
-		s.borrower.Release(now, e.address)
+		s.inFlight[a.rank]--
+		s.borrower.Release(now, a.endpoint.address)
 	}
 }
 
@@ -312,19 +327,12 @@
 // of the most urgent rank, so that a waiting request of the given rank may not use it. A
 // request that has been sent cannot be preempted when a more urgent one arrives.
 func (d *Dispatcher) reservesLastCredit(now time.Time, rank daisyrank.Index) bool {
-	if d.sharing == nil || rank == 0 || d.spare > 1 {
+	if len(d.sharings) == 0 || rank == 0 || d.spare > 1 {
 		return false
 	}
 	if lendsOnDemand(d.policy) {
 		// The owner considers the ranks when it lends.
 		return false
 	}
-	return now.Sub(d.sharing.lastUrgent) < urgentReserveTime
-}
-
-// noteArrival records the arrival time of requests of the most urgent rank.
-func (s *slotSharing) noteArrival(now time.Time, rank daisyrank.Index) {
-	if s != nil && rank == 0 {
-		s.lastUrgent = now
-	}
+	return now.Sub(d.lastUrgent) < urgentReserveTime
 }
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyvm"
@@ -103,7 +104,9 @@
 // owner responds, is in fallback mode and starts attempts without credits, up to an
 // even share of the slots. It requires no action.
 type LendingChanged struct {
-	Owner      daisyvm.Name
+	Owner daisyvm.Name
+	// Zone is the availability zone of the endpoints; zero means all of the service.
+	Zone       daisyfleet.ZoneID
 	InFallback bool
 }
 
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -40,11 +40,20 @@
 
 // Dispatcher routes the requests of one service on one VM.
 type Dispatcher struct {
-	self    daisyvm.Name
+	self    daisyvm.VM
 	service daisyservice.Service
 	random  *rand.Rand
 	policy  Policy
-	sharing *slotSharing
+	// sharings are the groups of endpoints whose slots are shared with other VMs, in the
+	// order in which they are asked for credits.
+	sharings []*slotSharing
+	// zoned is set if the endpoints of each availability zone are a group.
+	zoned bool
+	// waitingOrder has the requests in the order in which they began to wait. Those that
+	// no longer wait are removed later.
+	waitingOrder []waiting
+	// lastUrgent is the time at which a request of the most urgent rank last arrived.
+	lastUrgent time.Time
 	// started is set at the first event, which starts the probe schedule.
 	started bool
 
@@ -73,6 +82,7 @@
 	departures *Departures
 	// peers are the other live VMs, and incarnations those of all live VMs.
 	peers        []daisyvm.Name
+	vms          PeersChanged
 	incarnations map[daisyvm.Name]daisyvm.Incarnation
 	// rateLimited is set if the endpoints' rate limits leave slots unused.
 	rateLimited bool
@@ -102,6 +112,8 @@
 	// needs no event.
 	endpointTimers *daisyheap.Heap[*endpoint]
 
+	// lastEvent is the time of the last event.
+	lastEvent time.Time
 	// nextWake is the last result of NextWake, or zero after a pause of this VM was
 	// detected. resumedAt is the time at which the end of the last pause was detected.
 	nextWake, resumedAt time.Time
@@ -127,7 +139,7 @@
 	}
 	d := &Dispatcher{
 		departures:     options.Departures,
-		self:           options.Self.Name,
+		self:           options.Self,
 		random:         options.Random,
 		policy:         options.Policy,
 		byAddress:      make(map[netip.AddrPort]*endpoint),
@@ -143,7 +155,6 @@
 		attemptTimers:  daisyheap.New[*attempt](daisyheap.Earliest),
 		endpointTimers: daisyheap.New[*endpoint](daisyheap.Earliest),
 	}
-	d.sharing = newSlotSharing(options)
 	d.changeService(time.Time{}, options.Service)
 	return d
 }
@@ -171,6 +182,7 @@
 // Handle processes an event that happened at now and returns the decisions to carry
 // out, in order. They are valid until the next call. Time must not go back.
 func (d *Dispatcher) Handle(now time.Time, event Event) []Decision {
+	d.lastEvent = now
 	clear(d.decisions)
 	d.decisions = d.decisions[:0]
 	d.start(now)
@@ -200,7 +212,6 @@
 		d.handlePeerMessage(now, e)
 	case ServiceChanged:
 		d.changeService(now, e.Service)
-		d.sharing.changeService(now, e.Service)
 	case PeersChanged:
 		d.changePeers(now, e)
 	case TimePassed:
@@ -238,7 +249,10 @@
 	check, _, _ := d.attemptTimers.First()
 	timer, _, _ := d.endpointTimers.First()
 	wake = daisywake.Sooner(wake, daisywake.Sooner(check, timer))
-	wake = daisywake.Sooner(wake, d.sharing.wake())
+	for _, s := range d.sharings {
+		wake = daisywake.Sooner(wake, s.wake())
+	}
+	wake = daisywake.Sooner(wake, d.nextZoneWake())
 	if d.ownsService && !lendsOnDemand(d.policy) {
 		wake = daisywake.Sooner(wake, d.probes.NextWake())
 	}
--- a/core/daisyroute/endpoint.go
+++ b/core/daisyroute/endpoint.go
@@ -17,8 +17,10 @@
 	slots    int
 	// removed is set if the endpoint is no longer declared; health and probeTarget
 	// are nil then.
-	removed     bool
-	health      *daisyhealth.Endpoint
+	removed bool
+	health  *daisyhealth.Endpoint
+	// sharing is the group in which the slots are shared with other VMs; nil if they are not.
+	sharing     *slotSharing
 	probeTarget *daisyprobe.Target
 	inFlight    int
 	// usable is set if the endpoint is counted in the dispatcher's usable.
--- a/core/daisyroute/handover_test.go
+++ b/core/daisyroute/handover_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
@@ -16,7 +17,7 @@
 
 // ownerOf returns the VM that owns the slots of a service.
 func ownerOf(service daisyservice.ID, vms []daisyvm.VM) daisyvm.VM {
-	owner, _ := daisycredit.ChooseOwner(service, vms)
+	owner, _ := daisycredit.ChooseOwner(service, daisyfleet.ZoneID{}, vms)
 	return owner
 }
 
--- a/core/daisyroute/notice.go
+++ b/core/daisyroute/notice.go
@@ -99,7 +99,7 @@
 	}
 	if e != nil {
 		e.leaving, e.leavingSince = true, now
-		d.sharing.noteNotice(e)
+		e.sharing.noteNotice(e)
 		d.probes.SetSuspect(e.probeTarget, true)
 		d.refresh(now, e)
 	}
@@ -115,7 +115,7 @@
 	incarnations := make(map[daisyvm.Name]daisyvm.Incarnation, len(vms))
 	for _, v := range vms {
 		incarnations[v.Name] = v.Incarnation
-		if known, ok := d.incarnations[v.Name]; v.Name != d.self && (!ok || known != v.Incarnation) {
+		if known, ok := d.incarnations[v.Name]; v.Name != d.self.Name && (!ok || known != v.Incarnation) {
 			arrived = append(arrived, v.Name)
 		}
 	}
@@ -144,7 +144,7 @@
 	}
 	e.pausedUntil = until
 	d.emit(EndpointNoticed{Endpoint: e.address, Instance: from.Instance, Notice: pause})
-	d.sharing.noteNotice(e)
+	e.sharing.noteNotice(e)
 	d.refresh(now, e)
 	d.failWaitingForPause(now)
 }
--- a/core/daisyroute/policy.go
+++ b/core/daisyroute/policy.go
@@ -71,7 +71,7 @@
 	case Random, RoundRobin, LeastOfTwo:
 		return e.slots
 	case Credits, EvenShares:
-		return e.inFlight + d.sharing.borrower.Idle(e.address)
+		return e.inFlight + e.sharing.borrower.Idle(e.address)
 	}
 	return e.slots
 }
--- a/core/daisyroute/probe.go
+++ b/core/daisyroute/probe.go
@@ -43,7 +43,7 @@
 	e.report = report
 	e.inFlightAtReport = e.inFlight
 	e.probeTarget.RecordUpdate(now)
-	d.sharing.noteReport(now, e, report)
+	e.sharing.noteReport(now, e, report)
 	e.drainingUntil = time.Time{}
 	if report.Draining {
 		e.lastDrainingReport = now
@@ -64,7 +64,7 @@
 		d.noteProbeNotice(now, e, event.Notice)
 	}
 	d.probes.RecordFailure(e.probeTarget)
-	d.sharing.noteProbeFailure(now, e)
+	e.sharing.noteProbeFailure(now, e)
 	if now.Before(e.drainingUntil) && now.Before(e.lastDrainingReport.Add(maxUnansweredDraining)) {
 		e.drainingUntil = now.Add(drainingTTL)
 		d.refresh(now, e)
--- a/core/daisyroute/rate.go
+++ b/core/daisyroute/rate.go
@@ -75,14 +75,14 @@
 	if e.removed || limit == nil {
 		return
 	}
-	d.sharing.noteRateLimit(now, e, limit)
+	e.sharing.noteRateLimit(now, e, limit)
 	d.applyRateLimit(now, e, limit, false)
 }
 
 // forgetRateLimit discards the rate limit of the endpoint that used the address before.
 func (d *Dispatcher) forgetRateLimit(e *endpoint) {
 	e.rate = rateState{}
-	d.sharing.forgetRateLimit(e)
+	e.sharing.forgetRateLimit(e)
 }
 
 // updateRateShare sets this VM's share of the rate of an endpoint. The phase is random,
@@ -123,7 +123,7 @@
 	d.leavingPeers = 0
 	for _, v := range event.Leaving {
 		present[v.Name] = true
-		if v.Name != d.self {
+		if v.Name != d.self.Name {
 			d.leavingPeers++
 		}
 	}
@@ -139,10 +139,10 @@
 
 // usesOwnRate reports whether attempts need this VM's own share of an endpoint's rate,
 // because no owner lends a credit for each.
-func (d *Dispatcher) usesOwnRate() bool {
+func (d *Dispatcher) usesOwnRate(e *endpoint) bool {
 	switch d.policy.(type) {
 	case Credits:
-		return d.sharing.borrower.InFallback()
+		return e.sharing.borrower.InFallback()
 	case Random, RoundRobin, LeastOfTwo, EvenShares:
 	}
 	return true
@@ -151,12 +151,12 @@
 // limitRate lowers the result of spareAttempts to what the endpoint's rate limit allows.
 func (d *Dispatcher) limitRate(now time.Time, e *endpoint, spare int, trial bool) (limited int, limitedTrial bool) {
 	if e.rate.bucket.Allows(now) {
-		if e.rate.limited() && d.usesOwnRate() {
+		if e.rate.limited() && d.usesOwnRate(e) {
 			spare = min(spare, 1)
 		}
 		return spare, trial
 	}
-	if d.usesOwnRate() {
+	if d.usesOwnRate(e) {
 		spare = 0
 	}
 	return spare, false
@@ -165,7 +165,7 @@
 // nextByRate returns when this VM's share of an endpoint's rate allows the next request,
 // or the zero time if it does not limit it now.
 func (d *Dispatcher) nextByRate(now time.Time, e *endpoint) time.Time {
-	if e.rate.bucket.Allows(now) || !d.usesOwnRate() && !e.ejected() {
+	if e.rate.bucket.Allows(now) || !d.usesOwnRate(e) && !e.ejected() {
 		return time.Time{}
 	}
 	return e.rate.bucket.Next(now)
@@ -174,7 +174,7 @@
 // countSend counts an attempt against the rate limit of its endpoint.
 func (d *Dispatcher) countSend(now time.Time, e *endpoint, trial bool) {
 	e.rate.countUse(now)
-	if trial || d.usesOwnRate() {
+	if trial || d.usesOwnRate(e) {
 		e.rate.bucket.Take(now)
 	}
 }
@@ -210,18 +210,20 @@
 	return nil
 }
 
-// updateSilentVMs tells the owner on this VM how many VMs fell silent recently.
+// updateSilentVMs tells the owners on this VM how many VMs fell silent recently.
 func (d *Dispatcher) updateSilentVMs(now time.Time) {
-	if s := d.sharing; s != nil && s.owner != nil {
-		s.owner.SetSilentVMs(now, d.rateSharers(now)-len(d.peers)-1-d.leavingPeers)
+	for _, s := range d.sharings {
+		if s.owner != nil {
+			s.owner.SetSilentVMs(now, d.rateSharers(now)-len(d.peers)-1-d.leavingPeers)
+		}
 	}
 }
 
 // learnRateLimits applies the rate limits that the borrower has learned from a grant.
-func (d *Dispatcher) learnRateLimits(now time.Time, grant daisycredit.Grant) {
+func (d *Dispatcher) learnRateLimits(now time.Time, s *slotSharing, grant daisycredit.Grant) {
 	for _, g := range grant.Granted {
 		if e := d.byAddress[g.Endpoint]; e != nil && !e.removed {
-			d.applyRateLimit(now, e, d.sharing.borrower.RateLimit(g.Endpoint), true)
+			d.applyRateLimit(now, e, s.borrower.RateLimit(g.Endpoint), true)
 		}
 	}
 }
--- a/core/daisyroute/request.go
+++ b/core/daisyroute/request.go
@@ -75,6 +75,8 @@
 type attempt struct {
 	id       daisyrequest.AttemptID
 	endpoint *endpoint
+	// sharing is the group from which the attempt has its credit.
+	sharing *slotSharing
 	// declared is the declaration of the endpoint when the attempt was sent.
 	declared daisyendpoint.Endpoint
 	rank     daisyrank.Index
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -15,7 +15,7 @@
 	}
 	d.withdrawHedge(a)
 	d.recordOutcome(now, a, event.Outcome)
-	d.sharing.noteOutcome(now, a.endpoint, event.Outcome)
+	a.endpoint.sharing.noteOutcome(now, a.endpoint, event.Outcome)
 	if a.declared.SameIncarnation(a.endpoint.declared) {
 		d.noteRateLimit(now, a.endpoint, event.RateLimit)
 	}
@@ -58,7 +58,7 @@
 	d.attemptTimers.Remove(a.timerIndex)
 	d.queue.Ended(now, a.rank, now.Sub(a.sent), a.charge)
 	e.inFlight--
-	d.sharing.release(now, e)
+	a.sharing.release(now, a)
 	d.refresh(now, e)
 	if e.removed && e.inFlight == 0 {
 		delete(d.byAddress, e.address)
@@ -143,6 +143,7 @@
 		return
 	}
 	d.queue.Push(now, &r.item)
+	d.noteWaiting(now, r)
 }
 
 // mayRetry reports whether the request may be sent again, and otherwise the cause.
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -5,6 +5,7 @@
 
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisyservice"
 )
@@ -23,6 +24,7 @@
 
 func (d *Dispatcher) changeService(now time.Time, service daisyservice.Service) {
 	d.service = service
+	d.updateZoned(len(service.Endpoints))
 	d.queue.SetRanks(service.Ranks)
 	for len(d.hedgesWaiting) < len(service.Ranks) {
 		d.hedgesWaiting = append(d.hedgesWaiting, 0)
@@ -34,6 +36,7 @@
 		kept[e] = true
 		d.endpoints = append(d.endpoints, e)
 	}
+	d.changeSharings(now)
 	d.updateEvenShare()
 	for _, e := range d.byAddress {
 		if !kept[e] && !e.removed {
@@ -55,6 +58,7 @@
 	e.declared = declared
 	e.leaving = e.leaving || d.departures.contains(declared.Identity())
 	e.slots = declared.Slots
+	d.share(now, e)
 	if e.removed {
 		e.removed = false
 		e.health = d.health.Join(e.slots, d.started)
@@ -101,21 +105,24 @@
 	arrived := d.arrivedVMs(vms)
 	d.peers = d.peers[:0]
 	for _, v := range vms {
-		if v.Name != d.self {
+		if v.Name != d.self.Name {
 			d.peers = append(d.peers, v.Name)
 		}
 	}
 	d.updateEvenShare()
 	d.budget.SetLimits(d.budgetPolicy.limits(len(d.peers) + 1))
-	d.setVMs(now, event)
+	d.vms = event
+	for _, s := range d.sharings {
+		d.setVMs(now, s, event)
+	}
 	d.updateSilentVMs(now)
 	for _, e := range d.endpoints {
 		if e.rate.limited() {
 			d.updateRateShare(now, e)
 		}
 	}
-	owner, ok := daisycredit.ChooseOwner(d.service.ID, vms)
-	d.ownsService = !ok || owner.Name == d.self
+	owner, ok := daisycredit.ChooseOwner(d.service.ID, daisyfleet.ZoneID{}, vms)
+	d.ownsService = !ok || owner.Name == d.self.Name
 	if d.ownsService {
 		d.introduceLeaving(arrived)
 	}
--- /dev/null
+++ b/core/daisyroute/zone.go
@@ -0,0 +1,205 @@
+package daisyroute
+
+import (
+	"slices"
+	"time"
+
+	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
+	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
+)
+
+const (
+	// minZonedEndpoints is the number of endpoints from which those of each availability
+	// zone have an owner of their own: four messages for each request are more than the
+	// VM of a single owner can handle. Below maxWholeEndpoints one owner has all of them
+	// again.
+	minZonedEndpoints = 96
+	maxWholeEndpoints = 64
+	// zoneWait is how long a request waits for a credit before the owner of one more
+	// availability zone is asked: several round trips within a zone, and a probe.
+	zoneWait = 15 * time.Millisecond
+)
+
+// waiting is a request that began to wait.
+type waiting struct {
+	request daisyrequest.ID
+	since   time.Time
+}
+
+// updateZoned decides whether the endpoints of each availability zone have an owner of
+// their own. VMs that decide differently for a while ask different owners, which may
+// lend the same slots; the reports of the endpoints bound the excess.
+func (d *Dispatcher) updateZoned(endpoints int) {
+	switch {
+	case !lendsOnDemand(d.policy) || endpoints < maxWholeEndpoints:
+		d.zoned = false
+	case endpoints >= minZonedEndpoints:
+		d.zoned = true
+	}
+}
+
+// groupZone returns the zone of the group that an endpoint is in.
+func (d *Dispatcher) groupZone(zone daisyfleet.ZoneID) daisyfleet.ZoneID {
+	if d.zoned {
+		return zone
+	}
+	return daisyfleet.ZoneID{}
+}
+
+// sharingOf returns the group of a zone, which it creates if needed, or nil if the
+// policy shares nothing.
+func (d *Dispatcher) sharingOf(now time.Time, zone daisyfleet.ZoneID) *slotSharing {
+	for _, s := range d.sharings {
+		if s.zone == zone {
+			return s
+		}
+	}
+	none := d.service
+	none.Endpoints = nil
+	s := newSlotSharing(d.self, d.policy, none, zone)
+	if s == nil {
+		return nil
+	}
+	d.sharings = append(d.sharings, s)
+	d.orderSharings()
+	s.changeService(now, none, inZone(d.service, zone))
+	if len(d.vms.VMs) > 0 {
+		d.setVMs(now, s, d.vms)
+	}
+	return s
+}
+
+// inZone returns a service with its endpoints in a zone, or with all if the zone is zero.
+func inZone(service daisyservice.Service, zone daisyfleet.ZoneID) daisyservice.Service {
+	if zone == (daisyfleet.ZoneID{}) {
+		return service
+	}
+	service.Endpoints = slices.DeleteFunc(slices.Clone(service.Endpoints), func(e daisyendpoint.Endpoint) bool { return e.Zone != zone })
+	return service
+}
+
+// orderSharings puts the group of this VM's zone first and the others in an order that
+// differs between VMs, so that what does not fit in one zone is spread over the others.
+func (d *Dispatcher) orderSharings() {
+	slices.SortFunc(d.sharings, func(a, b *slotSharing) int {
+		switch d.self.Zone {
+		case a.zone:
+			return -1
+		case b.zone:
+			return 1
+		}
+		return daisyvm.CompareByOwnerHash(string(d.self.Name), daisyvm.Name(a.zone.String()), daisyvm.Name(b.zone.String()))
+	})
+}
+
+// share puts an endpoint in its group.
+func (d *Dispatcher) share(now time.Time, e *endpoint) {
+	s := d.sharingOf(now, d.groupZone(e.declared.Zone))
+	if s == e.sharing {
+		return
+	}
+	e.sharing = s
+	c := e.lastCondition
+	s.setRestricted(now, e, c != InUse && c != Ramping)
+}
+
+// changeSharings tells the groups which endpoints they have.
+func (d *Dispatcher) changeSharings(now time.Time) {
+	for _, s := range d.sharings {
+		used := d.service
+		used.Endpoints = nil
+		for _, e := range d.endpoints {
+			if e.sharing == s {
+				used.Endpoints = append(used.Endpoints, e.declared)
+			}
+		}
+		s.changeService(now, used, inZone(d.service, s.zone))
+	}
+}
+
+// noteWaiting records when a request began to wait.
+func (d *Dispatcher) noteWaiting(now time.Time, r *request) {
+	if d.zoned {
+		d.waitingOrder = append(d.waitingOrder, waiting{request: r.ID, since: now})
+	}
+}
+
+// waitingSince returns since when the request that has waited the longest waits; the zero
+// time means that none waits.
+func (d *Dispatcher) waitingSince() time.Time {
+	for len(d.waitingOrder) > 0 {
+		first := d.waitingOrder[0]
+		if r := d.requests[first.request]; r != nil && r.item.Queued() {
+			return first.since
+		}
+		d.waitingOrder = d.waitingOrder[1:]
+	}
+	return time.Time{}
+}
+
+// zonesAsked returns how many groups are asked for credits for the waiting requests, and
+// when one more is asked; the zero time means never.
+func (d *Dispatcher) zonesAsked(now time.Time) (asked int, next time.Time) {
+	groups := 0
+	for _, s := range d.sharings {
+		if s.endpoints > 0 {
+			groups++
+		}
+	}
+	since := d.waitingSince()
+	if groups <= 1 || since.IsZero() {
+		return 1, time.Time{}
+	}
+	asked = 1 + int(now.Sub(since)/zoneWait)
+	if asked >= groups {
+		return groups, time.Time{}
+	}
+	return asked, since.Add(time.Duration(asked) * zoneWait)
+}
+
+// nextZoneWake returns when one more group is asked.
+func (d *Dispatcher) nextZoneWake() time.Time {
+	if !d.zoned || d.waitingSince().IsZero() {
+		return time.Time{}
+	}
+	_, next := d.zonesAsked(d.lastEvent)
+	return next
+}
+
+// setDemands divides the waiting requests evenly among the groups that are asked.
+func (d *Dispatcher) setDemands(now time.Time) {
+	asked, _ := d.zonesAsked(now)
+	position := 0
+	for _, s := range d.sharings {
+		share := 0
+		if s.endpoints > 0 {
+			if position < asked {
+				share = asked
+			}
+			position++
+		}
+		s.setDemand(now, d, share)
+	}
+}
+
+// setDemand sets the demand of a group to one part of the waiting requests out of a number
+// of parts, or to none of them if that is 0.
+func (s *slotSharing) setDemand(now time.Time, d *Dispatcher, parts int) {
+	s.demand = s.demand[:0]
+	for r := range d.service.Ranks {
+		demand := daisycredit.Demand{}
+		if parts > 0 {
+			demand.Waiting = (d.Demand(daisyrank.Index(r)).Waiting + uint32(parts) - 1) / uint32(parts)
+		}
+		if r < len(s.inFlight) {
+			demand.InFlight = uint32(s.inFlight[r])
+		}
+		s.demand = append(s.demand, demand)
+	}
+	s.borrower.SetDemand(now, s.demand)
+}
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -254,7 +254,7 @@
 
 func (s *routeShard) logLending(change daisyroute.LendingChanged) {
 	if service := s.service.Load(); service != nil {
-		s.route.options.Log.Write(daisylog.LendingChanged{Service: service.ID, Owner: change.Owner, InFallback: change.InFallback})
+		s.route.options.Log.Write(daisylog.LendingChanged{Service: service.ID, Owner: change.Owner, Zone: change.Zone, InFallback: change.InFallback})
 	}
 }
 
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -167,6 +167,7 @@
 	Fleet      string `json:"fleet"`
 	Service    string `json:"service"`
 	Owner      string `json:"owner"`
+	Zone       string `json:"availability-zone,omitempty"`
 	InFallback bool   `json:"guessing"`
 }
 
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
@@ -164,6 +165,8 @@
 type LendingChanged struct {
 	Service daisyservice.ID
 	Owner   daisyvm.Name
+	// Zone is the availability zone of the endpoints; zero means all of the service.
+	Zone daisyfleet.ZoneID
 	// InFallback reports whether this VM is in fallback mode because the owner does not respond.
 	InFallback bool
 }
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -39,7 +39,7 @@
 			Endpoint: n.Endpoint.String()})
 	case LendingChanged:
 		l.encode(&lendingRecord{commonFields: l.commonFields(e, "lending changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
-			Owner: string(n.Owner), InFallback: n.InFallback})
+			Owner: string(n.Owner), Zone: n.Zone.Zone, InFallback: n.InFallback})
 	case message:
 		// A log has nowhere to report that its own output fails.
 		_, _ = l.output.Write(n.text)
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"math"
 	"net/netip"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -191,6 +192,7 @@
 		Term:         decodeTerm(w.GetTerm()),
 		Sequence:     w.GetSequence(),
 		Demand:       decodeDemand(w.GetDemand()),
+		Zone:         decodeServiceZone(w.GetService(), w.GetZone()),
 		Acknowledged: w.GetAcknowledged(),
 	}
 	for _, h := range w.GetHeld() {
@@ -224,6 +226,7 @@
 		Term:         decodeTerm(w.GetTerm()),
 		Sequence:     w.GetSequence(),
 		Target:       w.GetTarget(),
+		Zone:         decodeServiceZone(w.GetService(), w.GetZone()),
 		Acknowledged: w.GetAcknowledged(),
 	}
 	for _, x := range w.GetGranted() {
@@ -237,6 +240,17 @@
 	return grant
 }
 
+// decodeServiceZone is the inverse of encodeServiceZone.
+func decodeServiceZone(service *daisywire.ServiceID, zone string) daisyfleet.ZoneID {
+	if zone == "" {
+		return daisyfleet.ZoneID{}
+	}
+	if fleet, name, ok := strings.Cut(zone, "/"); ok {
+		return daisyfleet.ZoneID{Fleet: daisyfleet.Name(fleet), Zone: name}
+	}
+	return daisyfleet.ZoneID{Fleet: daisyfleet.Name(service.GetFleet()), Zone: zone}
+}
+
 func (r *fieldReader) news(now time.Time, w *daisywire.EndpointNews) daisymessage.EndpointNews {
 	age := max(0, time.Duration(w.GetAgeMicroseconds())*time.Microsecond)
 	return daisymessage.EndpointNews{
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -219,6 +219,7 @@
 		Term:         encodeTerm(r.Term),
 		Sequence:     r.Sequence,
 		Demand:       encodeDemand(r.Demand),
+		Zone:         encodeServiceZone(r.Service, r.Zone),
 		Acknowledged: r.Acknowledged,
 	}
 	for _, h := range r.Held {
@@ -256,6 +257,7 @@
 		Term:         encodeTerm(g.Term),
 		Sequence:     g.Sequence,
 		Target:       g.Target,
+		Zone:         encodeServiceZone(g.Service, g.Zone),
 		Acknowledged: g.Acknowledged,
 	}
 	for _, x := range g.Granted {
@@ -269,6 +271,15 @@
 	return w
 }
 
+// encodeServiceZone returns the name of an availability zone of the service's fleet,
+// FLEET/NAME for one of another fleet, and "" for none.
+func encodeServiceZone(service daisyservice.ID, zone daisyfleet.ZoneID) string {
+	if zone.Fleet == service.Fleet || zone == (daisyfleet.ZoneID{}) {
+		return zone.Zone
+	}
+	return zone.String()
+}
+
 func encodeLeaving(m daisymessage.EndpointLeaving) *daisywire.EndpointLeaving {
 	return &daisywire.EndpointLeaving{
 		Service:             encodeServiceID(m.Service),
