--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -133,11 +133,11 @@
 func (d *Dispatcher) receiveCreditMessage(now time.Time, from daisyvm.Name, message daisymessage.Message) {
 	switch m := message.(type) {
 	case daisymessage.CreditReport:
-		if s := d.sharingOf(now, m.Report.Zone); s != nil && s.owner != nil {
+		if s := d.sharingAsked(now, m.Report.Zone); s != nil && s.owner != nil {
 			s.owner.Receive(now, from, m.Report)
 		}
 	case daisymessage.CreditGrant:
-		if s := d.sharingOf(now, m.Grant.Zone); s != nil {
+		if s := d.sharingAsked(now, m.Grant.Zone); s != nil {
 			s.borrower.Receive(now, from, m.Grant)
 			d.learnRateLimits(now, s, m.Grant)
 			s.changed = true
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -74,6 +74,15 @@
 	return s
 }
 
+// sharingAsked returns the group that a message from another VM is about, or nil if the
+// service has no endpoint in its zone.
+func (d *Dispatcher) sharingAsked(now time.Time, zone daisyfleet.ZoneID) *slotSharing {
+	if zone != (daisyfleet.ZoneID{}) && !slices.ContainsFunc(d.endpoints, func(e *endpoint) bool { return e.declared.Zone == zone }) {
+		return nil
+	}
+	return d.sharingOf(now, zone)
+}
+
 // inZone returns a service with its endpoints in a zone, or with all if the zone is zero.
 func inZone(service daisyservice.Service, zone daisyfleet.ZoneID) daisyservice.Service {
 	if zone == (daisyfleet.ZoneID{}) {
@@ -120,6 +129,10 @@
 		}
 		s.changeService(now, used, inZone(d.service, s.zone))
 	}
+	for _, e := range d.endpoints {
+		// The owner has forgotten an endpoint that was removed for a while.
+		e.sharing.noteNotice(e)
+	}
 }
 
 // noteWaiting records when a request began to wait.
