Ignore rows that were overtaken by a later full set

Cause: a VM that has just started knows no removals. A full set of rows that a peer behind others or a slow read of the store delivered late brought back endpoints that had left; a VM that reads the store only now and then used them for up to two minutes. Change: a full set as of an earlier version than is known is ignored, and so is a change of an unknown row from before the last full set. Measured: TestLateRowsDoNotBringBackARemovedOne fails in its three cases without it.

--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -421,6 +421,10 @@
 // applyAll applies a full set of rows as of a version. Known rows that are missing from it
 // were removed by then; they are kept for the grace period if retain is set.
 func (f *Follower) applyAll(now time.Time, rows []Row, asOf Version, retain bool) {
+	if f.eraComplete && asOf < f.last {
+		// Later rows overtook the set on the way. It would bring back those removed since.
+		return
+	}
 	present := make(map[string]bool, len(rows))
 	changed := !f.eraComplete
 	for _, r := range rows {
@@ -445,7 +449,9 @@
 	before := f.last
 	changed := false
 	for _, r := range rows {
-		changed = f.apply(now, r, retain) || changed
+		if !f.removedByFullSet(r) {
+			changed = f.apply(now, r, retain) || changed
+		}
 	}
 	if changed {
 		f.emit(Publish{})
@@ -453,6 +459,13 @@
 	return f.last > before
 }
 
+// removedByFullSet reports whether a row was removed before a full set of rows was received,
+// or before its tombstone was pruned.
+func (f *Follower) removedByFullSet(row Row) bool {
+	_, known := f.rows[row.Key]
+	return !known && !row.Removed && row.Version <= f.prunedUpTo
+}
+
 // apply applies one change unless a later one of the same row is known, and reports
 // whether the result of Rows has changed. If retain is set, a removed row is kept until
 // the grace period ends.
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -116,6 +116,28 @@
 	assert.Equal(t, h.follower.Rows()[0].Version, daisyfeed.Version(8))
 }
 
+// A VM that has just started knows no removals. Rows that were read before a removal, and
+// that arrive after a full set without the row, must not bring it back.
+func TestLateRowsDoNotBringBackARemovedOne(t *testing.T) {
+	before := []daisyfeed.Row{row("a", 3), row("left", 7)}
+	cases := map[string]daisyfeed.Event{
+		"full set of a peer that is behind": daisyfeed.ChangesReceived{From: "vm-2", Changes: daisyfeed.Changes{Rows: before, Last: 8, Complete: true}},
+		"changes of a peer that is behind":  daisyfeed.ChangesReceived{From: "vm-2", Changes: daisyfeed.Changes{Rows: before[1:], After: 5, Last: 7}},
+		"slow answer of the store":          daisyfeed.RowsRead{Rows: before, AsOf: 8},
+	}
+	for name, late := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.handle(daisyfeed.ChangesReceived{From: "vm-1", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{row("a", 3), row("b", 10)}, Last: 10, Complete: true}})
+			h.handle(late)
+			assert.DeepEqual(t, h.keys(), []string{"a", "b"})
+			assert.Equal(t, h.follower.Last(), daisyfeed.Version(10))
+			h.handle(daisyfeed.ChangesReceived{From: "vm-1", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{row("left", 12)}, After: 10, Last: 12}})
+			assert.DeepEqual(t, h.keys(), []string{"a", "b", "left"})
+		})
+	}
+}
+
 func TestLostHistoryTriggersFullRead(t *testing.T) {
 	h := newHarness(t)
 	h.readFirstRows()
