Count answered requests off the limit of a VM

Cause: the end of a delivered answer removed the request without counting it off. After 20,000 answers a VM let one request of each service wait, and refused the others; where credits are lent on demand every request waits. Change: one function removes a ticket and counts it off.

--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -103,6 +103,11 @@
 func (s *routeShard) removeTicket(id daisyrequest.ID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.removeTicketLocked(id)
+}
+
+// removeTicketLocked removes the ticket of a request that has ended. The caller must hold s.mu.
+func (s *routeShard) removeTicketLocked(id daisyrequest.ID) {
 	if s.tickets[id] != nil {
 		delete(s.tickets, id)
 		s.route.activeRequests.Add(-1)
@@ -149,7 +154,7 @@
 func (s *routeShard) finish(id daisyrequest.ID, event daisyroute.AttemptReleased) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.tickets, id)
+	s.removeTicketLocked(id)
 	delete(s.attempts, event.Attempt)
 	s.handleLocked(event)
 }
