Serve requests that were sent before a planned stop closed their connection

Cause: a shutdown closed the listener and all connections without requests at once. What callers had sent by then, on established connections that were not accepted yet or on kept ones, was reset without an answer. Change: the pipeline accepts what is in the backlog, for 20 ms, and serves requests that arrive within 50 ms; a response that had begun before the stop no longer closes its connection unannounced in that time. Measured: TestShutdownServesRequestOnItsWay and TestShutdownAcceptsPendingConnections fail without it; TestShutdownWaitsForStreamedBody guards the new deadline.

--- a/io/daisycaller/connection.go
+++ b/io/daisycaller/connection.go
@@ -27,6 +27,10 @@
 	// lingerTimeout is the time that a caller whose request was rejected has to read the
 	// response, since closing a connection with unread bytes resets it.
 	lingerTimeout = 200 * time.Millisecond
+	// pendingRequestTime is how long a connection without requests stays open when the
+	// server shuts down, for a request that its caller has sent and that was not read yet.
+	// It is longer than a round trip to callers.
+	pendingRequestTime = 50 * time.Millisecond
 )
 
 // connection is one caller's connection. Its requests are handled concurrently and
@@ -45,9 +49,12 @@
 	unfinished []*responseWriter
 	// notFull is signaled when a response is finished or the connection is closing.
 	notFull *sync.Cond
-	// closing is true once no further request is accepted; receiving is true while a
-	// request has been read only in part.
-	closing, receiving bool
+	// closing is true once no further request is accepted; waiting is true while the first
+	// byte of a request is awaited, and receiving while a request has been read only in part.
+	closing, waiting, receiving bool
+	// closeAt is when no further request is accepted; the zero time means that the
+	// connection stays open.
+	closeAt time.Time
 }
 
 func newConnection(p *Pipeline, conn net.Conn) *connection {
@@ -108,28 +115,42 @@
 		return false
 	}
 	for {
-		_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		c.beginWait(limits)
 		_, err := c.reader.Peek(1)
 		c.mu.Lock()
+		c.waiting = false
+		c.closing = c.closing || !c.closeAt.IsZero() && !time.Now().Before(c.closeAt)
 		closing, unfinished := c.closing, len(c.unfinished)
 		c.receiving = err == nil && !closing
 		c.mu.Unlock()
 		switch {
-		case closing:
+		case closing && unfinished > 0:
 			c.awaitDisconnect()
 			return false
-		case err == nil:
+		case err == nil && !closing:
 			return true
 		case unfinished > 0 && errors.Is(err, os.ErrDeadlineExceeded):
 		default:
-			// The caller disconnected, so nobody reads the unfinished responses; or the idle
-			// timeout passed, and there are none.
+			// The caller disconnected, so nobody reads the unfinished responses; or there are
+			// none, and the idle timeout passed or the connection is to close.
 			c.cancel()
 			return false
 		}
 	}
 }
 
+// beginWait limits the wait for the next request, which begins.
+func (c *connection) beginWait(limits Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+	deadline := c.closeAt
+	if deadline.IsZero() {
+		deadline = time.Now().Add(limits.IdleTimeout)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+}
+
 // awaitDisconnect discards what the caller still sends until the connection ends, and
 // cancels the requests in flight if the caller disconnects before the last response is
 // finished.
@@ -251,19 +272,16 @@
 	c.notFull.Signal()
 }
 
-// closeGracefully stops accepting requests and closes the connection once its responses
-// are sent. A request that has arrived in part is still served, and its response closes
-// the connection: otherwise the caller could not tell that the request was not executed.
+// closeGracefully closes the connection once its responses are sent. A request that has
+// arrived in part, or arrives within pendingRequestTime, is still served: otherwise the caller
+// could not tell that it was not executed. The responses announce that the connection closes,
+// unless they have begun already.
 func (c *connection) closeGracefully() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.receiving {
-		return
-	}
-	c.closing = true
-	c.notFull.Signal()
-	if len(c.unfinished) == 0 {
-		_ = c.conn.Close()
+	c.closeAt = time.Now().Add(pendingRequestTime)
+	if c.waiting {
+		_ = c.conn.SetReadDeadline(c.closeAt)
 	}
 }
 
--- a/io/daisycaller/pipeline.go
+++ b/io/daisycaller/pipeline.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/net/netutil"
@@ -39,11 +40,17 @@
 	mu          sync.Mutex
 	closed      bool
 	connections map[*connection]struct{}
-	// connectionsDone waits for the connections, acceptDone for the goroutine that accepts them.
+	// connectionsDone waits for the connections. acceptDone is closed when the goroutine
+	// that accepts them has returned.
 	connectionsDone sync.WaitGroup
-	acceptDone      sync.WaitGroup
+	acceptDone      chan struct{}
+	accepts         sync.WaitGroup
 }
 
+// pendingAcceptTime is how long Shutdown accepts connections that the kernel has established
+// already: closing the listener resets them, with the requests that their callers have sent.
+const pendingAcceptTime = 20 * time.Millisecond
+
 // NewPipeline starts a server on the listener.
 func NewPipeline(options PipelineOptions) *Pipeline {
 	if options.Logger == nil {
@@ -54,11 +61,13 @@
 		handler:     options.Handler,
 		logger:      options.Logger,
 		connections: make(map[*connection]struct{}),
+		acceptDone:  make(chan struct{}),
 	}
 	p.limits.Store(&options.Limits)
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	limited := netutil.LimitListener(options.Listener, options.Limits.MaxConnections)
-	p.acceptDone.Go(func() {
+	p.accepts.Go(func() {
+		defer close(p.acceptDone)
 		for {
 			conn, err := limited.Accept()
 			if err != nil {
@@ -119,6 +128,7 @@
 // daisyerror.Unknown.
 func (p *Pipeline) Shutdown(ctx context.Context) error {
 	p.SetLeaving(true)
+	p.acceptPending()
 	_ = p.listener.Close()
 	p.mu.Lock()
 	for c := range p.connections {
@@ -142,6 +152,21 @@
 	return err
 }
 
+// acceptPending accepts what is left in the backlog of the listener.
+func (p *Pipeline) acceptPending() {
+	l, ok := p.listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || l.SetDeadline(time.Now().Add(pendingAcceptTime)) != nil {
+		return
+	}
+	// At the maximum number of connections, accepting goes on only when one is closed.
+	timer := time.NewTimer(2 * pendingAcceptTime)
+	defer timer.Stop()
+	select {
+	case <-p.acceptDone:
+	case <-timer.C:
+	}
+}
+
 // Close aborts the requests in flight and waits until all connections are closed.
 func (p *Pipeline) Close() {
 	p.mu.Lock()
@@ -152,6 +177,6 @@
 		_ = c.conn.Close()
 	}
 	p.mu.Unlock()
-	p.acceptDone.Wait()
+	p.accepts.Wait()
 	p.connectionsDone.Wait()
 }
--- a/io/daisycaller/pipeline_test.go
+++ b/io/daisycaller/pipeline_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -252,11 +253,7 @@
 func TestShutdownServesPartiallyReadRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		listener := newPipeListener()
-		p := daisycaller.NewPipeline(daisycaller.PipelineOptions{
-			Listener: listener,
-			Handler:  http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) }),
-			Limits:   daisycaller.DefaultLimits(),
-		})
+		p := newPathPipeline(listener)
 		c, serverSide := net.Pipe()
 		listener.conns <- serverSide
 		write(t, c, "GET /a HT")
@@ -271,3 +268,109 @@
 		assert.NilError(t, <-stopped)
 	})
 }
+
+// A request that its caller has sent on a kept connection before Shutdown closes it is
+// served, since its caller cannot know whether it was executed.
+func TestShutdownServesRequestOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := newPipeListener()
+		p := newPathPipeline(listener)
+		c, serverSide := net.Pipe()
+		listener.conns <- serverSide
+		r := bufio.NewReader(c)
+		write(t, c, requestA)
+		_, body, _ := read(t, r)
+		assert.Equal(t, body, "/a")
+		stopped := make(chan error, 1)
+		go func() { stopped <- p.Shutdown(t.Context()) }()
+		time.Sleep(16 * time.Millisecond)
+		write(t, c, requestB)
+		_, body, closes := read(t, r)
+		assert.Equal(t, body, "/b")
+		assert.Assert(t, closes)
+		assert.NilError(t, <-stopped)
+	})
+}
+
+// The body of a request that is read while Shutdown waits may take longer than the wait for
+// pending requests.
+func TestShutdownWaitsForStreamedBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const half = 80 << 10
+		listener := newPipeListener()
+		p := daisycaller.NewPipeline(daisycaller.PipelineOptions{
+			Listener: listener,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n, err := io.Copy(io.Discard, r.Body)
+				fmt.Fprint(w, n, err)
+			}),
+			Limits: daisycaller.DefaultLimits(),
+		})
+		c, serverSide := net.Pipe()
+		listener.conns <- serverSide
+		write(t, c, fmt.Sprintf("POST / HTTP/1.1\nHost: h\nContent-Length: %d\n\n%s", 2*half, strings.Repeat("x", half)))
+		stopped := make(chan error, 1)
+		go func() { stopped <- p.Shutdown(t.Context()) }()
+		time.Sleep(time.Second)
+		write(t, c, strings.Repeat("x", half))
+		_, body, closes := read(t, bufio.NewReader(c))
+		assert.Equal(t, body, fmt.Sprint(2*half, nil))
+		assert.Assert(t, closes)
+		assert.NilError(t, <-stopped)
+	})
+}
+
+func newPathPipeline(listener net.Listener) *daisycaller.Pipeline {
+	return daisycaller.NewPipeline(daisycaller.PipelineOptions{
+		Listener: listener,
+		Handler:  http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, r.URL.Path) }),
+		Limits:   daisycaller.DefaultLimits(),
+	})
+}
+
+// backlogListener is the listener of a busy process: it accepts nothing until a deadline is
+// set, and then what is in its backlog.
+type backlogListener struct {
+	pipeListener
+	deadline chan time.Time
+}
+
+func (l backlogListener) SetDeadline(t time.Time) error {
+	l.deadline <- t
+	close(l.deadline)
+	return nil
+}
+
+func (l backlogListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.deadline:
+	case <-l.closed.Done():
+		return nil, net.ErrClosed
+	}
+	select {
+	case c := <-l.conns:
+		return c, nil
+	default:
+		return nil, os.ErrDeadlineExceeded
+	}
+}
+
+// A connection that is established but not accepted yet when Shutdown begins is accepted,
+// and its request is served.
+func TestShutdownAcceptsPendingConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener := backlogListener{pipeListener: newPipeListener(), deadline: make(chan time.Time)}
+		c, serverSide := net.Pipe()
+		defer func() { _ = c.Close() }()
+		listener.conns <- serverSide
+		p := newPathPipeline(listener)
+		stopped := make(chan error, 1)
+		go func() { stopped <- p.Shutdown(t.Context()) }()
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		write(t, c, requestA)
+		_, body, closes := read(t, bufio.NewReader(c))
+		assert.Equal(t, body, "/a")
+		assert.Assert(t, closes)
+		assert.NilError(t, <-stopped)
+	})
+}
