--- a/io/daisyctl/daisyterminal/json.go
+++ b/io/daisyctl/daisyterminal/json.go
@@ -19,11 +19,46 @@
 	available []string
 }
 
+// jsonFlag is the name of the flag, and fieldsAnnotation the annotation of it that has the
+// field names which the command accepts.
+const (
+	jsonFlag         = "json"
+	fieldsAnnotation = "fields"
+)
+
 // AddFlag adds --json to a command; available are the field names that it accepts.
 func (j *JSONFlag) AddFlag(c *cobra.Command, available ...string) {
 	j.available = available
-	c.Flags().StringVar(&j.value, "json", "", "print JSON with all `FIELDS` or only those given: "+strings.Join(available, ","))
-	c.Flags().Lookup("json").NoOptDefVal = allFields
+	c.Flags().StringVar(&j.value, jsonFlag, "", "print JSON with all `FIELDS` or only those given: "+strings.Join(available, ","))
+	f := c.Flags().Lookup(jsonFlag)
+	f.NoOptDefVal = allFields
+	f.Annotations = map[string][]string{fieldsAnnotation: available}
+}
+
+// JoinFields returns the arguments of root with --json and a list of fields that follows it
+// as one argument: as the flag may stand alone, it takes a value only after "=".
+func JoinFields(root *cobra.Command, args []string) []string {
+	c, _, err := root.Find(args)
+	if err != nil {
+		return args
+	}
+	f := c.Flags().Lookup(jsonFlag)
+	if f == nil {
+		return args
+	}
+	available := f.Annotations[fieldsAnnotation]
+	isField := func(name string) bool { return slices.Contains(available, name) }
+	var joined []string
+	for i := 0; i < len(args); i++ {
+		// One field is enough, so that a misspelt one is reported as such.
+		if args[i] == "--"+jsonFlag && i+1 < len(args) && slices.ContainsFunc(strings.Split(args[i+1], ","), isField) {
+			joined = append(joined, args[i]+"="+args[i+1])
+			i++
+			continue
+		}
+		joined = append(joined, args[i])
+	}
+	return joined
 }
 
 // Requested reports whether --json was given.
--- a/io/daisyctl/daisyvmcmd/list.go
+++ b/io/daisyctl/daisyvmcmd/list.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"strconv"
 
 	"github.com/spf13/cobra"
 
+	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyctl/daisyfactory"
 	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyoperator"
@@ -15,6 +17,10 @@
 // ListOptions are the options of vm list.
 type ListOptions struct {
 	daisyfactory.JSONOptions
+	// Zone is the availability zone of the VMs to list, FLEET/NAME; empty lists all.
+	Zone string
+	// Limit is the maximum number of VMs to list; 0 lists all.
+	Limit int
 }
 
 // NewCmdList returns the command vm list; in tests, a non-nil runF replaces listRun.
@@ -24,23 +30,30 @@
 		Use:   "list",
 		Short: "List the entry VMs as seen by the queried VM",
 		Example: `  $ daisyctl vm list
-  $ daisyctl vm list --json=name,state,revision`,
+  $ daisyctl vm list --zone vigia-lar/lisboa-1 --limit 20
+  $ daisyctl vm list --json name,state,revision`,
 		Args: daisyfactory.ExactArgs(),
 		RunE: daisyfactory.Run(o, runF, listRun),
 	}
+	c.Flags().StringVarP(&o.Zone, "zone", "z", "", "list only the VMs of the availability zone `FLEET/NAME`")
+	c.Flags().IntVarP(&o.Limit, "limit", "L", 0, "list at most `N` VMs; 0 lists all")
 	o.JSON.AddFlag(c, daisyoperator.VMFields...)
 	return c
 }
 
 func listRun(ctx context.Context, o *ListOptions) error {
+	if o.Limit < 0 {
+		return daisyerror.InvalidSetting.New("--limit %d: want 0 or more", o.Limit)
+	}
 	client, err := o.OpenClient()
 	if err != nil {
 		return err
 	}
-	vms, err := client.ListVMs(ctx)
+	all, err := client.ListVMs(ctx)
 	if err != nil {
 		return err
 	}
+	vms := o.selectVMs(all)
 	if o.JSON.Requested() {
 		return o.JSON.Print(o.Streams, vms)
 	}
@@ -52,6 +65,21 @@
 	return t.Flush()
 }
 
+// selectVMs returns the VMs of the zone, at most the limit, and says how many it leaves out.
+func (o *ListOptions) selectVMs(all []daisyoperator.VM) []daisyoperator.VM {
+	vms := make([]daisyoperator.VM, 0, len(all))
+	for _, v := range all {
+		if o.Zone == "" || v.Zone == o.Zone {
+			vms = append(vms, v)
+		}
+	}
+	if o.Limit == 0 || len(vms) <= o.Limit {
+		return vms
+	}
+	fmt.Fprintf(o.Streams.Err, "Showing %d of %d VMs\n", o.Limit, len(vms))
+	return vms[:o.Limit]
+}
+
 // formatCallers returns an address as text, or "-" while it is not known.
 func formatCallers(address netip.AddrPort) string {
 	if !address.IsValid() {
--- a/io/daisyctl/root.go
+++ b/io/daisyctl/root.go
@@ -16,6 +16,7 @@
 	"daisyyoke/io/daisyctl/daisyplancmd"
 	"daisyyoke/io/daisyctl/daisyrequestcmd"
 	"daisyyoke/io/daisyctl/daisyservicecmd"
+	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyctl/daisyvmcmd"
 )
 
@@ -66,7 +67,7 @@
 	root.SetIn(f.Streams.In)
 	root.SetOut(f.Streams.Out)
 	root.SetErr(f.Streams.Err)
-	root.SetArgs(args)
+	root.SetArgs(daisyterminal.JoinFields(root, args))
 	if err := root.ExecuteContext(ctx); err != nil {
 		printError(f.Streams.Err, err)
 		return exitCode(err)
--- a/io/daisyctl/root_test.go
+++ b/io/daisyctl/root_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -77,6 +78,8 @@
 		{name: "unknown flag", invocation: invocation{args: []string{"plan", "list", "--loud"}}, code: ExitUsage, err: "--loud"},
 		{name: "missing argument", invocation: invocation{args: []string{"plan", "view"}}, code: ExitUsage, err: "want 1 arguments"},
 		{name: "unknown field", invocation: invocation{args: []string{"plan", "list", "--json=idd"}}, code: ExitUsage, err: `unknown field "idd"`},
+		{name: "unknown field without =", invocation: invocation{args: []string{"vm", "list", "--json", "name,stat"}}, code: ExitUsage, err: `unknown field "stat"`},
+		{name: "negative limit", invocation: invocation{args: []string{"vm", "list", "--limit", "-1"}}, code: ExitUsage, err: "--limit -1"},
 		{name: "confirm without a terminal", invocation: invocation{args: []string{"plan", "confirm", "p1"}}, code: ExitUsage, err: "--yes"},
 		{name: "bad endpoint address", invocation: invocation{args: []string{"endpoint", "drain", "here"}}, code: ExitUsage, err: "IP:PORT"},
 		{name: "bad intent", invocation: invocation{args: []string{"plan", "create", "-f", file}, status: 422, answer: problem("invalid-intent")}, code: ExitUsage, err: "why it failed"},
@@ -155,6 +158,23 @@
 	assert.Check(t, is.Contains(all.out, `"availability-zone": "f/b"`))
 }
 
+func TestVMListSelectsVMsOfALargeFleet(t *testing.T) {
+	var vms []string
+	for i := range 123 {
+		vms = append(vms, fmt.Sprintf(`{"name":"vm-%d","availability-zone":"f/%c","state":"live"}`, i, 'a'+i%6))
+	}
+	answer := "[" + strings.Join(vms, ",") + "]"
+	zone := runCommand(t, invocation{args: []string{"vm", "list", "--zone", "f/b"}, status: 200, answer: answer})
+	assert.Equal(t, strings.Count(zone.out, "\n"), 21)
+	assert.Equal(t, strings.Count(zone.out, "f/b"), 21)
+	first := runCommand(t, invocation{args: []string{"vm", "list", "--zone", "f/b", "--limit", "2", "--json", "name,state"}, status: 200, answer: answer})
+	assert.Equal(t, strings.Join(strings.Fields(first.out), ""), `[{"name":"vm-1","state":"live"},{"name":"vm-7","state":"live"}]`)
+	assert.Equal(t, first.err, "Showing 2 of 21 VMs\n")
+	all := runCommand(t, invocation{args: []string{"vm", "list", "--limit", "200", "--json"}, status: 200, answer: answer})
+	assert.Equal(t, strings.Count(all.out, `"name"`), 123)
+	assert.Equal(t, all.err, "")
+}
+
 func TestEveryCommandHasASummaryAndAnExample(t *testing.T) {
 	root := newRoot()
 	code := run(context.Background(), root, &daisyfactory.Factory{Streams: &daisyterminal.Streams{Out: &bytes.Buffer{}, Err: &bytes.Buffer{}}}, []string{"--help"})
