Let requests wait for the first configuration of a VM that just started

Cause: after a loss of power all VMs start at once, and all callers come back at once. A VM accepts their connections some hundred milliseconds before it has its first configuration, and answered 503 with a Retry-After of one second meanwhile: later than most targets. Change: within a second of the start of a VM, a request waits up to half a second for the configuration; after that second none waits. Route and Path share what tells when the first one was applied.

--- a/io/daisycontroller/path.go
+++ b/io/daisycontroller/path.go
@@ -11,6 +11,7 @@
 
 // Path keeps the routing table by host and path of the configuration in force.
 type Path struct {
+	*firstConfiguration
 	table atomic.Pointer[daisypath.Table]
 
 	mu sync.Mutex
@@ -21,7 +22,9 @@
 var _ Controller = (*Path)(nil)
 
 // NewPath returns a controller without routes; Apply sets them.
-func NewPath() *Path { return &Path{longestTimeouts: make(map[string]time.Duration)} }
+func NewPath() *Path {
+	return &Path{firstConfiguration: newFirstConfiguration(), longestTimeouts: make(map[string]time.Duration)}
+}
 
 func (c *Path) controller() {}
 
@@ -38,11 +41,9 @@
 		}
 	}
 	c.table.Store(daisypath.NewTable(routes))
+	c.noteApplied()
 }
 
-// Configured reports whether a configuration has been applied.
-func (c *Path) Configured() bool { return c.table.Load() != nil }
-
 // FindRoute returns the route for a host and a path, and reports whether there is one.
 func (c *Path) FindRoute(host, path string) (daisypath.Route, bool) {
 	table := c.table.Load()
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -55,6 +55,7 @@
 
 // Route keeps the routing state of all services, with one shard per (fleet, service).
 type Route struct {
+	*firstConfiguration
 	options RouteOptions
 	shards  atomic.Pointer[map[daisyservice.ID]*routeShard]
 	// changeMu serializes changes of the shard map and of peers; requests never lock it.
@@ -66,8 +67,6 @@
 	activeRequests atomic.Int64
 	// departures has those of each service that was ever declared, guarded by changeMu.
 	departures map[daisyservice.ID]*daisyroute.Departures
-	// configured is set once Apply has been called.
-	configured atomic.Bool
 	probes     *probePool
 }
 
@@ -78,7 +77,12 @@
 	if options.Policy == nil {
 		options.Policy = daisyroute.Credits{Overcommit: 1}
 	}
-	c := &Route{options: options, departures: make(map[daisyservice.ID]*daisyroute.Departures), probes: newProbePool(options.Prober, options.Metrics)}
+	c := &Route{
+		firstConfiguration: newFirstConfiguration(),
+		options:            options,
+		departures:         make(map[daisyservice.ID]*daisyroute.Departures),
+		probes:             newProbePool(options.Prober, options.Metrics),
+	}
 	c.shards.Store(&map[daisyservice.ID]*routeShard{})
 	return c
 }
@@ -115,7 +119,7 @@
 		}
 	}
 	c.shards.Store(&shards)
-	c.configured.Store(true)
+	c.noteApplied()
 }
 
 func (c *Route) applyService(shards map[daisyservice.ID]*routeShard, service daisyservice.Service) {
@@ -143,9 +147,6 @@
 	shards[service.ID] = s
 }
 
-// Configured reports whether a configuration has been applied.
-func (c *Route) Configured() bool { return c.configured.Load() }
-
 // FindService returns the declaration of a service that is in force, and reports
 // whether there is one.
 func (c *Route) FindService(id daisyservice.ID) (daisyservice.Service, bool) {
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -248,7 +248,7 @@
 		Filters: []daisyfilter.Filter{
 			daisyfilter.NewAdmit(maxRequests),
 			daisyfilter.RejectUnsupported{},
-			daisyfilter.AwaitConfiguration{Configuration: d.paths},
+			daisyfilter.AwaitConfiguration{Configuration: d.paths, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
 			daisyfilter.Match{Routes: d.paths, Services: d.routes, Reader: d.adapter.Dialect},
 		},
 	})
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -3,6 +3,7 @@
 import (
 	"net/url"
 	"os"
+	"time"
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyerror"
@@ -143,7 +144,7 @@
 			admit,
 			daisyfilter.RejectUnsupported{},
 			daisyfilter.Addresses{Source: d.members},
-			daisyfilter.AwaitConfiguration{Configuration: d.routes},
+			daisyfilter.AwaitConfiguration{Configuration: d.routes, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
 			daisyfilter.Identify{Services: d.routes},
 			daisyfilter.Classify{},
 		},
--- a/io/daisyfilter/await.go
+++ b/io/daisyfilter/await.go
@@ -8,24 +8,39 @@
 	"daisyyoke/io/daisyproblem"
 )
 
-// configurationRetryAfter is the Retry-After time if no configuration is in force.
-const configurationRetryAfter = time.Second
+const (
+	// configurationRetryAfter is the Retry-After time if no configuration is in force.
+	configurationRetryAfter = time.Second
+	// ConfigurationWait is how long after its start a VM lets requests wait for the first
+	// configuration. Within it, the platform or another VM has usually sent one.
+	ConfigurationWait = time.Second
+	// maxConfigurationWait is how long one request waits. Callers that go elsewhere early
+	// lose little.
+	maxConfigurationWait = 500 * time.Millisecond
+)
 
 // Configuration holds the configuration of the VM.
 type Configuration interface {
 	// Configured reports whether a configuration is in force.
 	Configured() bool
+	// Arrived is closed when the first configuration is in force.
+	Arrived() <-chan struct{}
 }
 
 // AwaitConfiguration rejects requests while no configuration is in force, because
 // a service that does not exist cannot then be distinguished from one whose
-// declaration has not arrived yet.
-type AwaitConfiguration struct{ Configuration Configuration }
+// declaration has not arrived yet. Just after the start of the VM, they wait for the first
+// configuration instead.
+type AwaitConfiguration struct {
+	Configuration Configuration
+	// Until is when requests no longer wait; the zero time means that they never do.
+	Until time.Time
+}
 
 func (AwaitConfiguration) filter() {}
 
-func (f AwaitConfiguration) apply() Verdict {
-	if f.Configuration.Configured() {
+func (f AwaitConfiguration) apply(call *Call) Verdict {
+	if f.Configuration.Configured() || f.wait(call) {
 		return Continue{}
 	}
 	return Reject{Problem: daisyproblem.Problem{
@@ -35,3 +50,20 @@
 		RetryAfter: configurationRetryAfter,
 	}}
 }
+
+// wait waits for the first configuration and reports whether it has arrived.
+func (f AwaitConfiguration) wait(call *Call) bool {
+	left := min(time.Until(f.Until), maxConfigurationWait)
+	if left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-f.Configuration.Arrived():
+		return true
+	case <-timer.C:
+	case <-call.HTTP.Context().Done():
+	}
+	return false
+}
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -142,7 +142,7 @@
 	case Addresses:
 		return f.apply(call)
 	case AwaitConfiguration:
-		return f.apply()
+		return f.apply(call)
 	case Identify:
 		return f.apply(call)
 	case Classify:
