Read the list of VMs the less often the more VMs there are

A VM that left read it, too. Change: from 9 VMs on, all together read the list as often as 8 do, but each VM once in 5 minutes; announcements each 5 minutes; none of it for a VM that leaves.

--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -49,8 +49,10 @@
 	// Spare may be nil for a VM without spare capacity.
 	Spare  SpareSource
 	Logger hclog.Logger
-	// ListInterval is the interval between reads of the platform's list; 0 means listInterval.
-	ListInterval time.Duration
+	// ListInterval is the interval between reads of the platform's list while there are few
+	// VMs; 0 means listInterval. It grows with the number of VMs up to MaxListInterval, which
+	// is ListInterval if it is 0.
+	ListInterval, MaxListInterval time.Duration
 	// AnswerTTL is how long callers may cache an answer; 0 means daisyvm.AnswerTTL.
 	AnswerTTL time.Duration
 	// Seed and the name of the VM together make the random choices reproducible.
@@ -123,6 +125,7 @@
 	if options.ListInterval == 0 {
 		options.ListInterval = listInterval
 	}
+	options.MaxListInterval = max(options.MaxListInterval, options.ListInterval)
 	c := &Member{
 		options:        options,
 		events:         make(chan daisyvm.MemberEvent, memberQueueSize),
--- a/io/daisycontroller/member_list.go
+++ b/io/daisycontroller/member_list.go
@@ -11,33 +11,59 @@
 	"daisyyoke/io/daisyplatform"
 )
 
-// watchList periodically announces this VM to the platform and reads the platform's
-// list. The announcement is repeated because the platform drops VMs that stop
-// announcing themselves.
+// watchList announces this VM to the platform and reads the platform's list, now and then.
+// The announcement is repeated because the platform drops VMs that stop announcing themselves.
 func (c *Member) watchList(random *rand.Rand) {
 	retryDelays := backoff.NewExponentialBackOff()
 	retryDelays.InitialInterval = 200 * time.Millisecond
 	retryDelays.MaxInterval = listInterval
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var lastRead time.Time
 	for {
+		due := true
 		select {
 		case <-timer.C:
+			due = lastRead.IsZero() || time.Since(lastRead) >= c.listReadInterval()
 		case <-c.announceSignal:
 		case <-c.ctx.Done():
 			return
 		}
-		c.announce(c.listedSelf())
-		if c.readList() {
-			retryDelays.Reset()
-			interval := c.options.ListInterval
-			timer.Reset(interval - time.Duration(random.Int64N(int64(interval/4))))
+		if due && !c.updateList() {
+			timer.Reset(retryDelays.NextBackOff())
 			continue
 		}
-		timer.Reset(retryDelays.NextBackOff())
+		if due {
+			lastRead = time.Now()
+		}
+		retryDelays.Reset()
+		interval := c.options.ListInterval
+		timer.Reset(interval - time.Duration(random.Int64N(int64(interval/4))))
 	}
 }
 
+// listReadInterval returns how long after a read of the list the next one is due. The number
+// of live VMs may have changed since the read.
+func (c *Member) listReadInterval() time.Duration {
+	live := 1
+	for _, m := range c.Table().Others {
+		if m.State == daisyvm.Live {
+			live++
+		}
+	}
+	// The timer fires up to a quarter of the interval early.
+	return daisyvm.ListReadInterval(c.options.ListInterval, c.options.MaxListInterval, live) * 3 / 4
+}
+
+// updateList announces this VM and then reads the list, so that of two VMs that start at the
+// same time at least one finds the other. It reports whether it succeeded. A VM that leaves
+// does not read the list.
+func (c *Member) updateList() bool {
+	self := c.listedSelf()
+	c.announce(self)
+	return self.Leaving || c.readList()
+}
+
 func (c *Member) listedSelf() daisyplatform.ListedVM {
 	v := c.options.Self
 	return daisyplatform.ListedVM{Name: v.Name, Zone: v.Zone, Peers: v.Peers, Leaving: c.currentStatus().Leaving}
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -34,9 +34,14 @@
 // continues to serve them for most of its grace period.
 const directoryMaxAge = 2 * time.Second
 
-// vmListInterval is the interval between reads of the list of VMs. It is long, because
-// every call to the platform's store has a cost.
-const vmListInterval = 30 * time.Second
+const (
+	// vmListInterval is the interval between reads of the list of VMs while there are few. It
+	// is long, because every call to the platform's store has a cost.
+	vmListInterval = 30 * time.Second
+	// maxVMListInterval limits the interval among many VMs. VMs are listed for three times
+	// as long after their last announcement.
+	maxVMListInterval = 5 * time.Minute
+)
 
 // settingsPollInterval is the interval between checks of the settings, which may change
 // without a signal.
@@ -208,8 +213,9 @@
 		AnswerTTL: min(directoryMaxAge, s.AnswerTTL),
 		// VMs discover each other through the seeds and notify each other of new VMs, so
 		// the list is needed less often.
-		ListInterval: vmListInterval,
-		Seed:         seed,
+		ListInterval:    vmListInterval,
+		MaxListInterval: maxVMListInterval,
+		Seed:            seed,
 	})
 	d.onClose(d.members.Close)
 	return nil
