--- a/io/daisypeer/links.go
+++ b/io/daisypeer/links.go
@@ -100,7 +100,8 @@
 	}
 	s.mu.Unlock()
 	for _, l := range links {
-		l.shutDown(daisyerror.Closed.New("links closed"))
+		// One after the other, peers that accept no data would delay the exit for long.
+		s.goroutines.Go(func() { l.shutDown(daisyerror.Closed.New("links closed")) })
 	}
 	s.goroutines.Wait()
 }
