Leave bursts of changes in the store to the first reader

Cause: both readers of the store asked for each change; VMs that start together took themselves for readers while they knew few others, and asked at once. Change: the second reader asks at most twice a second, and only for what it does not know; a reader that gets its first peers waits 250 ms for others.

--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -111,7 +111,9 @@
 	// Position is the index of this VM in an order of all VMs on which they agree.
 	Position int
 	Reader   bool
-	Peers    []daisyvm.Name
+	// Second reports whether this VM is a reader after another one.
+	Second bool
+	Peers  []daisyvm.Name
 }
 
 // PeerVersionKnown reports the latest change known to another VM.
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -22,9 +22,14 @@
 	peerRequestDelay = 150 * time.Millisecond
 	// peerRequestInterval is the time before a peer gets another request.
 	peerRequestInterval = 300 * time.Millisecond
-	// readerInterval is the time between two reads of a reader, so that changes in quick
-	// succession take one call.
-	readerInterval = 100 * time.Millisecond
+	// readerInterval is the time between two reads of the first reader, so that changes in
+	// quick succession take one call. The other reader gets them from the first one, and
+	// reads each secondReaderInterval in case the first one gets no replies.
+	readerInterval       = 100 * time.Millisecond
+	secondReaderInterval = 500 * time.Millisecond
+	// firstPeersDelay is how long after it has got its first peers a reader reads on. VMs
+	// that start together learn within that time that others are the readers.
+	firstPeersDelay = 250 * time.Millisecond
 	// rotationInterval is the time between two reads of the VMs that read in rotation in
 	// addition to the readers. If the store replies to neither reader, the readers notice
 	// only when their wait for changes ends, but a change has to reach all VMs within 2 s.
@@ -64,9 +69,10 @@
 	// heldKnown reports whether this VM knows what was in force before this era.
 	heldKnown bool
 
-	// reader reports whether this VM reads for its peers.
-	reader bool
-	peers  []daisyvm.Name
+	// reader reports whether this VM reads for its peers, and second whether another reader
+	// comes first.
+	reader, second bool
+	peers          []daisyvm.Name
 	// position is the index of this VM among all, which determines its turn in the rotation.
 	position int
 
@@ -228,18 +234,21 @@
 		f.emit(ReadRows{})
 		return
 	}
-	f.emit(AwaitChanges{After: f.readUpTo, Now: !f.reader})
+	// All changes up to the last known one are known, whoever sent them.
+	f.emit(AwaitChanges{After: max(f.readUpTo, f.last), Now: !f.reader})
 }
 
-// handleRoleChanged lets a VM that becomes a reader, or a reader that gets its first
-// peers, read at once, and moves a VM that is no longer a reader to the rotation.
+// handleRoleChanged lets a VM that becomes a reader read at once, and a reader that gets its
+// first peers soon, and moves a VM that is no longer a reader to the rotation.
 func (f *Follower) handleRoleChanged(now time.Time, e RoleChanged) {
 	firstPeers := len(f.peers) == 0 && len(e.Peers) > 0
-	f.peers, f.position = e.Peers, e.Position
+	f.peers, f.position, f.second = e.Peers, e.Position, e.Second
 	switch {
 	case !f.unavailableSince.IsZero():
-	case e.Reader && (!f.reader || firstPeers):
+	case e.Reader && !f.reader:
 		f.nextReadAt = time.Time{}
+	case e.Reader && firstPeers:
+		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(firstPeersDelay))
 	case !e.Reader && f.reader && f.complete:
 		f.nextReadAt = f.nextOwnRead(now)
 	}
@@ -317,9 +326,13 @@
 // meanwhile.
 func (f *Follower) storeAnswered(now time.Time, late bool) {
 	f.retryDelay = minRetryDelay
-	f.nextReadAt = now.Add(readerInterval)
-	if !f.reader {
+	switch {
+	case !f.reader:
 		f.nextReadAt = f.nextOwnRead(now)
+	case f.second:
+		f.nextReadAt = now.Add(secondReaderInterval)
+	default:
+		f.nextReadAt = now.Add(readerInterval)
 	}
 	if late || !f.unavailableSince.IsZero() {
 		f.graceUntil = now.Add(recoveryGrace)
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -272,6 +272,38 @@
 	assert.Assert(t, count(0, false) <= 90, "a reader during an outage")
 }
 
+// Changes in quick succession cost the calls of one reader: the second one gets them from the
+// first, and takes over within half a second if the first gets no replies.
+func TestSecondReaderLeavesBurstsOfChangesToTheFirst(t *testing.T) {
+	calls := func(second, passedOn bool) (count int, keys []string) {
+		h := newHarness(t)
+		h.handle(daisyfeed.RoleChanged{Reader: true, Second: second, Peers: []daisyvm.Name{"vm-1"}})
+		h.readFirstRows()
+		for version := daisyfeed.Version(6); version < 106; version++ {
+			change := []daisyfeed.Row{row("c", version)}
+			if passedOn {
+				h.handle(daisyfeed.ChangesReceived{From: "vm-1", Changes: daisyfeed.Changes{Rows: change, After: version - 1, Last: version}})
+			}
+			for _, await := range decisionsOf[daisyfeed.AwaitChanges](h.advance(100 * time.Millisecond)) {
+				count++
+				rows := change
+				if await.After >= version {
+					rows = nil
+				}
+				h.handle(daisyfeed.RowsChanged{Rows: rows, AsOf: version})
+			}
+		}
+		return count, h.keys()
+	}
+	first, _ := calls(false, false)
+	second, _ := calls(true, true)
+	alone, keys := calls(true, false)
+	assert.Assert(t, first >= 90, "%d calls of the first reader in 10 s", first)
+	assert.Assert(t, second <= 21, "%d calls of the second reader in 10 s", second)
+	assert.Assert(t, alone <= 21, "%d calls of the second reader in 10 s", alone)
+	assert.DeepEqual(t, keys, []string{"a", "b", "c"})
+}
+
 // A VM that has read all rows waits until it knows who the readers are.
 func TestOnlyReadersContinueAfterFirstRead(t *testing.T) {
 	peers := []daisyvm.Name{"vm-1", "vm-2"}
--- a/core/daisyfeed/readers.go
+++ b/core/daisyfeed/readers.go
@@ -55,13 +55,14 @@
 // Role returns this VM's role, and reports whether it has changed since the last call.
 func (r *Readers) Role() (RoleChanged, bool) {
 	r.selected = r.selectReaders()
-	role := RoleChanged{Reader: slices.Contains(r.selected, r.self), Peers: r.peers}
+	index := slices.Index(r.selected, r.self)
+	role := RoleChanged{Reader: index >= 0, Second: index > 0, Peers: r.peers}
 	for _, p := range r.peers {
 		if daisyvm.CompareByOwnerHash(readersKey, p, r.self) < 0 {
 			role.Position++
 		}
 	}
-	changed := role.Reader != r.lastRole.Reader || !slices.Equal(role.Peers, r.lastRole.Peers)
+	changed := role.Reader != r.lastRole.Reader || role.Second != r.lastRole.Second || !slices.Equal(role.Peers, r.lastRole.Peers)
 	r.lastRole = role
 	return role, changed
 }
