Spare a store in trouble the reads of VMs that are no readers

Change: a VM that is no reader tries again after 5 to 10 s. It gets what the readers learn, and becomes a reader again at once if these fail. One without rows tries on as before.

--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -14,6 +14,10 @@
 	// does not reply. Every call has a price, even a refused one.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
+	// otherRetryDelay is the shortest time between two such reads of a VM that is no reader,
+	// and half the longest: it gets what the readers learn, and a store in trouble is not
+	// read by all VMs.
+	otherRetryDelay = 5 * time.Second
 	// recoveryGrace is how long rows removed during an outage of the store are kept after
 	// it. Their writers write them again within 2 s, as the users' platform guarantees.
 	recoveryGrace = 2200 * time.Millisecond
@@ -244,7 +248,12 @@
 	firstPeers := len(f.peers) == 0 && len(e.Peers) > 0
 	f.peers, f.position, f.second = e.Peers, e.Position, e.Second
 	switch {
+	case !f.unavailableSince.IsZero() && e.Reader:
+		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(maxRetryDelay))
 	case !f.unavailableSince.IsZero():
+		if f.reader && f.complete {
+			f.nextReadAt = now.Add(f.otherRetryDelay())
+		}
 	case e.Reader && !f.reader:
 		f.nextReadAt = time.Time{}
 	case e.Reader && firstPeers:
@@ -346,12 +355,20 @@
 func (f *Follower) storeFailed(now time.Time) {
 	f.nextReadAt = now.Add(f.retryDelay)
 	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
+	if !f.reader && f.complete {
+		f.nextReadAt = now.Add(f.otherRetryDelay())
+	}
 	if f.unavailableSince.IsZero() {
 		f.unavailableSince = now
 		f.emit(StoreLost{})
 	}
 }
 
+// otherRetryDelay spreads the reads of the VMs that are no readers.
+func (f *Follower) otherRetryDelay() time.Duration {
+	return otherRetryDelay + otherRetryDelay*time.Duration(f.position)/time.Duration(len(f.peers)+1)
+}
+
 func (f *Follower) handlePeerVersion(now time.Time, e PeerVersionKnown) {
 	f.requestHeld(now, e)
 	if !f.precedes(e.Era, e.Last) {
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -272,6 +272,47 @@
 	assert.Assert(t, count(0, false) <= 90, "a reader during an outage")
 }
 
+// An outage of the store must not be read by all VMs, however many there are: those that are
+// no readers learn its end from the readers.
+func TestVMsThatAreNoReadersSpareAStoreInTrouble(t *testing.T) {
+	const vms = 123
+	peers := make([]daisyvm.Name, vms-1)
+	calls := 0
+	for position := range vms {
+		h := newHarness(t)
+		h.readFirstRows()
+		h.handle(daisyfeed.RoleChanged{Reader: position < 2, Second: position == 1, Position: position, Peers: peers})
+		h.advance(time.Second)
+		// Each VM has become a reader as those before it got no reply, and failed too.
+		if position >= 2 {
+			h.handle(daisyfeed.RoleChanged{Reader: true, Position: position, Peers: peers})
+		}
+		h.handle(daisyfeed.ReadFailed{})
+		h.handle(daisyfeed.RoleChanged{Reader: position < 2, Second: position == 1, Position: position, Peers: peers})
+		for end := h.now.Add(8 * time.Second); h.now.Before(end); {
+			for range decisionsOf[daisyfeed.AwaitChanges](h.advance(50 * time.Millisecond)) {
+				calls++
+				h.handle(daisyfeed.ReadFailed{})
+			}
+		}
+		h.handle(daisyfeed.ChangesReceived{From: "vm-1", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{row("c", 6)}, After: 2, Last: 6}})
+		assert.DeepEqual(t, h.keys(), []string{"a", "b", "c"})
+	}
+	assert.Assert(t, calls <= vms, "%d calls of %d VMs in an outage of 8 s", calls, vms)
+}
+
+// A VM that becomes a reader during an outage notices its end as soon as the readers before.
+func TestVMThatBecomesReaderInAnOutageReadsAgainSoon(t *testing.T) {
+	h := newHarness(t)
+	h.readFirstRows()
+	peers := make([]daisyvm.Name, 9)
+	h.handle(daisyfeed.RoleChanged{Position: 8, Peers: peers})
+	h.handle(daisyfeed.ReadFailed{})
+	assert.Equal(t, len(decisionsOf[daisyfeed.AwaitChanges](h.advance(2*time.Second))), 0)
+	h.handle(daisyfeed.RoleChanged{Reader: true, Peers: peers})
+	assert.Equal(t, len(decisionsOf[daisyfeed.AwaitChanges](h.advance(time.Second))), 1)
+}
+
 // Changes in quick succession cost the calls of one reader: the second one gets them from the
 // first, and takes over within half a second if the first gets no replies.
 func TestSecondReaderLeavesBurstsOfChangesToTheFirst(t *testing.T) {
