--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -14,10 +14,10 @@
 	// does not reply. Every call has a price, even a refused one.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
-	// otherRetryDelay is the shortest time between two such reads of a VM that is no reader,
-	// and half the longest: it gets what the readers learn, and a store in trouble is not
-	// read by all VMs.
-	otherRetryDelay = 5 * time.Second
+	// minStandbyRetryDelay is the shortest time between two such reads of a VM that is not a
+	// reader, and half the longest: it gets what the readers learn, and a store in trouble
+	// need not serve all VMs.
+	minStandbyRetryDelay = 5 * time.Second
 	// recoveryGrace is how long rows removed during an outage of the store are kept after
 	// it. Their writers write them again within 2 s, as the users' platform guarantees.
 	recoveryGrace = 2200 * time.Millisecond
@@ -252,7 +252,7 @@
 		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(maxRetryDelay))
 	case !f.unavailableSince.IsZero():
 		if f.reader && f.complete {
-			f.nextReadAt = now.Add(f.otherRetryDelay())
+			f.nextReadAt = now.Add(f.standbyRetryDelay())
 		}
 	case e.Reader && !f.reader:
 		f.nextReadAt = time.Time{}
@@ -356,7 +356,7 @@
 	f.nextReadAt = now.Add(f.retryDelay)
 	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
 	if !f.reader && f.complete {
-		f.nextReadAt = now.Add(f.otherRetryDelay())
+		f.nextReadAt = now.Add(f.standbyRetryDelay())
 	}
 	if f.unavailableSince.IsZero() {
 		f.unavailableSince = now
@@ -364,9 +364,9 @@
 	}
 }
 
-// otherRetryDelay spreads the reads of the VMs that are no readers.
-func (f *Follower) otherRetryDelay() time.Duration {
-	return otherRetryDelay + otherRetryDelay*time.Duration(f.position)/time.Duration(len(f.peers)+1)
+// standbyRetryDelay spreads the retries of the VMs that are not readers.
+func (f *Follower) standbyRetryDelay() time.Duration {
+	return minStandbyRetryDelay + minStandbyRetryDelay*time.Duration(f.position)/time.Duration(len(f.peers)+1)
 }
 
 func (f *Follower) handlePeerVersion(now time.Time, e PeerVersionKnown) {
