Keep the last slots of endpoints in use, and ask one owner for each request

Cause: whether last slots gain anything was told by how long credits are held. Long work fills endpoints, so that their last slots seemed slow while they were not; unused credits that other zones lent for the same request made the other slots seem fast. Once judged so, last slots got one trial a second, of a fiftieth of the weight: half of the slots of a service with two an endpoint stayed unused for minutes, and work was refused. Change: hold times are compared within a rank, and a trial weighs more the older the last one is; a last slot that costs nothing is as good as any other; waiting requests are divided among the owners of zones exactly, in turns of 60 ms.

--- a/core/daisycredit/eligibility.go
+++ b/core/daisycredit/eligibility.go
@@ -58,7 +58,8 @@
 		extra *= worstWaitFactor
 		wait *= worstWaitFactor
 	}
-	if extra > 0 && o.backlog >= extra {
+	// A last slot that is known to cost no extra time is as good as any other.
+	if known := slow || nearlyFull && o.otherHoldTimes.samples >= minHoldSamples; known && o.backlog >= extra {
 		return true
 	}
 	due := o.rankWaitingSince[o.grantRank]
--- a/core/daisycredit/holdtime.go
+++ b/core/daisycredit/holdtime.go
@@ -17,6 +17,10 @@
 	// that with one slot free, for its last slot to be used: all its requests take
 	// longer when it is full.
 	minFullGain = 1.1
+	// fullHoldAge is the time without a sample after which the mean hold time of last slots
+	// counts as much as the next sample. While last slots are not used except for trials,
+	// the mean would otherwise tell of the past for long.
+	fullHoldAge = 2 * time.Second
 	// holdHalfAge is the age of an endpoint's last sample at which its deviation from
 	// the mean of the service counts half; its weight is 1/(1+age/holdHalfAge).
 	holdHalfAge = 2 * time.Second
@@ -39,17 +43,28 @@
 	h.mean += time.Duration(max(weight, 1/float64(h.samples)) * float64(held-h.mean))
 }
 
+// addAged is like add, but a sample weighs more the older the last one is.
+func (h *holdStats) addAged(now time.Time, held time.Duration, weight float64) {
+	age := now.Sub(h.lastSample)
+	if h.samples > 0 {
+		weight = max(weight, float64(age)/float64(age+fullHoldAge))
+	}
+	h.add(now, held, weight)
+}
+
 // outstandingCredit is a credit that was granted and has not been returned.
 type outstandingCredit struct {
 	granted time.Time
+	// rank is the rank of the request for which the credit was granted.
+	rank int
 	// lastSlot reports whether the credit was the last free one of its endpoint.
 	lastSlot bool
 }
 
-// recordGrant records when a credit was granted.
-func (l *loan) recordGrant(now time.Time, lastSlot bool) {
+// recordGrant records when a credit was granted for a request of a rank.
+func (l *loan) recordGrant(now time.Time, rank int, lastSlot bool) {
 	l.lastGrant = now
-	l.outstanding = append(l.outstanding, outstandingCredit{granted: now, lastSlot: lastSlot})
+	l.outstanding = append(l.outstanding, outstandingCredit{granted: now, rank: rank, lastSlot: lastSlot})
 }
 
 // recordReturns records that credits were returned, and takes them to be those that
@@ -63,10 +78,11 @@
 		held := now.Sub(oldest.granted)
 		l.outstanding = l.outstanding[1:]
 		o.holdTimes.add(now, held, serviceHoldWeight)
+		comparable := o.comparableHoldTime(now, oldest.rank, held)
 		if oldest.lastSlot {
-			o.lastSlotHoldTimes.add(now, held, serviceHoldWeight)
+			o.lastSlotHoldTimes.addAged(now, comparable, serviceHoldWeight)
 		} else {
-			o.otherHoldTimes.add(now, held, serviceHoldWeight)
+			o.otherHoldTimes.add(now, comparable, serviceHoldWeight)
 		}
 		if e != nil {
 			e.holdTimes.add(now, held, endpointHoldWeight)
@@ -74,6 +90,20 @@
 	}
 }
 
+// comparableHoldTime returns a hold time as it would be if all ranks took equally long. Long
+// work of one rank fills endpoints, and would make last slots look slow.
+func (o *Owner) comparableHoldTime(now time.Time, rank int, held time.Duration) time.Duration {
+	for len(o.rankHoldTimes) <= rank {
+		o.rankHoldTimes = append(o.rankHoldTimes, holdStats{})
+	}
+	h := &o.rankHoldTimes[rank]
+	h.add(now, held, serviceHoldWeight)
+	if h.mean == 0 {
+		return held
+	}
+	return time.Duration(float64(held) * float64(o.holdTimes.mean) / float64(h.mean))
+}
+
 // holdTimeRatio returns the ratio of an endpoint's hold time to the mean of the
 // service. The deviation from 1 is weakened with the age of the endpoint's last sample.
 // If the result is below slowHoldRatio or not known, it is 1.
--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -174,7 +174,7 @@
 	if best.lentCredits >= best.Slots {
 		o.lastFullGrant = now
 	}
-	l.recordGrant(now, best.lentCredits >= best.Slots)
+	l.recordGrant(now, o.grantRank, best.lentCredits >= best.Slots)
 	l.changed = a.timer.nextSequence()
 	a.creditTarget = max(a.creditTarget, a.heldCredits)
 	a.addPending(1)
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -77,8 +77,10 @@
 	// retryAt is when to lend again after credits were withheld for lack of a good endpoint.
 	retryAt   time.Time
 	holdTimes holdStats
-	// lastSlotHoldTimes has the samples of credits for the last slots of endpoints, and
-	// otherHoldTimes those of the other credits.
+	// rankHoldTimes has the samples of the credits for requests of each rank.
+	rankHoldTimes []holdStats
+	// lastSlotHoldTimes has the comparable samples of credits for the last slots of
+	// endpoints, and otherHoldTimes those of the other credits.
 	lastSlotHoldTimes, otherHoldTimes holdStats
 	// lastFullGrant is when a credit for a last slot was last granted.
 	lastFullGrant time.Time
--- a/core/daisymeasure/zone_test.go
+++ b/core/daisymeasure/zone_test.go
@@ -53,6 +53,31 @@
 	assert.Check(t, x.CrossZoneSends*10 <= len(x.sends), "%d of %d sends go to another zone", x.CrossZoneSends, len(x.sends))
 }
 
+// TestLastSlotsStayInUse answers the load at which most slots are in use by work of different
+// lengths, on endpoints that do not slow down: last slots that seemed slow for a moment, since
+// long work had filled the endpoints, were left unused for good, and a third of the urgent
+// work was refused. It is played with one owner and with one for each zone.
+func TestLastSlotsStayInUse(t *testing.T) {
+	loads, seeds := []float64{0.7, 0.8, 0.95}, uint64(2)
+	if testing.Short() {
+		loads, seeds = loads[1:2], 1
+	}
+	for _, endpoints := range []int{90, 144} {
+		for _, load := range loads {
+			for seed := range seeds {
+				t.Run(fmt.Sprint(endpoints, " endpoints, load ", load, ", seed ", seed), func(t *testing.T) {
+					t.Parallel()
+					fleet := hundredsOfVMs(48)
+					fleet.Endpoints, fleet.SlotsPerEndpoint, fleet.Zones = []int{endpoints}, 2, 4
+					s := Scenario{Fleet: fleet, Load: mixedLoad(load), Duration: 2 * time.Second, Warmup: 500 * time.Millisecond, Seed: seed}
+					urgent := Run(s, onDemandRouting).Ranks[Urgent]
+					assert.Check(t, urgent.Useful*100 >= urgent.Offered*99, "%d of %d in time, %d refused", urgent.Useful, urgent.Offered, urgent.Refused)
+				})
+			}
+		}
+	}
+}
+
 // TestFullZoneOverflows answers a zone that loses most of its endpoints: its requests go to
 // the other zones instead of waiting until they fail.
 func TestFullZoneOverflows(t *testing.T) {
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -23,6 +23,8 @@
 	// zoneWait is how long a request waits for a credit before the owner of one more
 	// availability zone is asked: several round trips within a zone, and a probe.
 	zoneWait = 15 * time.Millisecond
+	// zoneTurn is how long each zone is then asked for a request that does not divide evenly.
+	zoneTurn = 60 * time.Millisecond
 )
 
 // waiting is a request that began to wait.
@@ -155,9 +157,10 @@
 	return time.Time{}
 }
 
-// zonesAsked returns how many groups are asked for credits for the waiting requests, and
-// when one more is asked; the zero time means never.
-func (d *Dispatcher) zonesAsked(now time.Time) (asked int, next time.Time) {
+// zonesAsked returns how many groups are asked for credits for the waiting requests, which
+// of them is asked for one more than others if the requests do not divide evenly, and when
+// that changes; the zero time means never.
+func (d *Dispatcher) zonesAsked(now time.Time) (asked, extra int, next time.Time) {
 	groups := 0
 	for _, s := range d.sharings {
 		if s.endpoints > 0 {
@@ -166,49 +169,59 @@
 	}
 	since := d.waitingSince()
 	if groups <= 1 || since.IsZero() {
-		return 1, time.Time{}
+		return 1, 0, time.Time{}
 	}
 	asked = 1 + int(now.Sub(since)/zoneWait)
-	if asked >= groups {
-		return groups, time.Time{}
+	if asked <= groups {
+		return asked, asked - 1, since.Add(time.Duration(asked) * zoneWait)
 	}
-	return asked, since.Add(time.Duration(asked) * zoneWait)
+	allAsked := since.Add(time.Duration(groups) * zoneWait)
+	turns := int(now.Sub(allAsked) / zoneTurn)
+	return groups, turns % groups, allAsked.Add(time.Duration(turns+1) * zoneTurn)
 }
 
-// nextZoneWake returns when one more group is asked.
+// nextZoneWake returns when another group is asked.
 func (d *Dispatcher) nextZoneWake() time.Time {
 	if !d.zoned || d.waitingSince().IsZero() {
 		return time.Time{}
 	}
-	_, next := d.zonesAsked(d.lastEvent)
+	_, _, next := d.zonesAsked(d.lastEvent)
 	return next
 }
 
-// setDemands divides the waiting requests evenly among the groups that are asked.
+// setDemands divides the waiting requests among the groups that are asked. A request is
+// asked for once: credits that come back unused occupy slots meanwhile.
 func (d *Dispatcher) setDemands(now time.Time) {
-	asked, _ := d.zonesAsked(now)
+	asked, extra, _ := d.zonesAsked(now)
 	position := 0
 	for _, s := range d.sharings {
-		share := 0
+		p := part{}
 		if s.endpoints > 0 {
 			if position < asked {
-				share = asked
+				p = part{of: asked, index: (position - extra + asked) % asked}
 			}
 			position++
 		}
-		s.setDemand(now, d, share)
+		s.setDemand(now, d, p)
 	}
 }
 
-// setDemand sets the demand of a group to one part of the waiting requests out of a number
-// of parts, or to none of them if that is 0.
-func (s *slotSharing) setDemand(now time.Time, d *Dispatcher, parts int) {
+// part is one of several parts of the waiting requests; the zero value is none. The parts
+// with the lowest indices have one request more if the requests do not divide evenly.
+type part struct{ index, of int }
+
+func (p part) share(requests uint32) uint32 {
+	if p.of == 0 {
+		return 0
+	}
+	return (requests + uint32(p.of-p.index) - 1) / uint32(p.of)
+}
+
+// setDemand sets the demand of a group to a part of the waiting requests.
+func (s *slotSharing) setDemand(now time.Time, d *Dispatcher, p part) {
 	s.demand = s.demand[:0]
 	for r := range d.service.Ranks {
-		demand := daisycredit.Demand{}
-		if parts > 0 {
-			demand.Waiting = (d.Demand(daisyrank.Index(r)).Waiting + uint32(parts) - 1) / uint32(parts)
-		}
+		demand := daisycredit.Demand{Waiting: p.share(d.Demand(daisyrank.Index(r)).Waiting)}
 		if r < len(s.inFlight) {
 			demand.InFlight = uint32(s.inFlight[r])
 		}
--- a/core/daisyroute/zone_test.go
+++ b/core/daisyroute/zone_test.go
@@ -80,6 +80,31 @@
 	assert.Equal(t, len(asked), len(zones))
 }
 
+// Guards against owners that lend for the same request: the credits that come back unused
+// occupy slots meanwhile.
+func TestWaitingRequestsAreAskedForOnce(t *testing.T) {
+	h, vms := newZonedHarness(t, 96)
+	h.startTerms(newZonedService(0).ID, vms)
+	asked := make(map[daisyfleet.ZoneID]uint32)
+	for i := range 40 {
+		var decisions []daisyroute.Decision
+		if i < 4 {
+			decisions = h.arrive(h.request(2))
+		}
+		for _, m := range ofType[daisyroute.SendMessage](append(decisions, h.advance(10*time.Millisecond)...)) {
+			if r, ok := m.Message.(daisymessage.CreditReport); ok && len(r.Report.Demand) > 0 {
+				asked[r.Report.Zone] = r.Report.Demand[2].Waiting
+			}
+		}
+		var sum uint32
+		for _, n := range asked {
+			sum += n
+		}
+		// One request may be on its way from one owner to the next.
+		assert.Assert(t, i < 8 || sum <= 5, "after %d ms %d credits are asked for 4 requests: %v", 10*(i+1), sum, asked)
+	}
+}
+
 // Guards against a service of some dozen endpoints that is divided, which leaves each zone
 // too few to choose from, and against one that is divided anew whenever an endpoint comes
 // or goes.
