Tell the owner when requests are asked for at another one

Cause: a borrower does not report requests that no longer wait, since they have started with the owner's credits; those that were moved to another owner have not, and got a second credit. Change: a moved demand is reported.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -351,6 +351,15 @@
 	}
 }
 
+// MoveDemand is like SetDemand when requests are asked for at another owner from now on: this
+// one has to be told, since it has lent nothing for those that are gone.
+func (b *Borrower) MoveDemand(now time.Time, demand []Demand) {
+	if !slices.Equal(demand, b.demand) {
+		b.timer.scheduleUpdateWithin(now, batchDelay)
+	}
+	b.SetDemand(now, demand)
+}
+
 // forgetServedDemand lowers the reported numbers of waiting requests to the current
 // ones. The requests that no longer wait have started, so the next one that waits is
 // reported at once, even if the number then equals one reported before.
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -55,7 +55,9 @@
 	service daisyservice.Service
 	// lastTerm is the number of the last term of the previous owner on this VM.
 	lastTerm uint64
-	demand   []daisycredit.Demand
+	// demand is the part of the waiting requests that the group is asked for.
+	part   part
+	demand []daisycredit.Demand
 	// inFlight is the number of attempts of each rank at the endpoints.
 	inFlight []int
 	// endpoints is the number of endpoints that this VM uses through the group.
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -219,6 +219,8 @@
 
 // setDemand sets the demand of a group to a part of the waiting requests.
 func (s *slotSharing) setDemand(now time.Time, d *Dispatcher, p part) {
+	moved := p != s.part
+	s.part = p
 	s.demand = s.demand[:0]
 	for r := range d.service.Ranks {
 		demand := daisycredit.Demand{Waiting: p.share(d.Demand(daisyrank.Index(r)).Waiting)}
@@ -227,5 +229,9 @@
 		}
 		s.demand = append(s.demand, demand)
 	}
+	if moved {
+		s.borrower.MoveDemand(now, s.demand)
+		return
+	}
 	s.borrower.SetDemand(now, s.demand)
 }
