--- /dev/null
+++ b/core/daisyfeed/schedule.go
@@ -0,0 +1,83 @@
+package daisyfeed
+
+import (
+	"time"
+
+	"daisyyoke/core/daisywake"
+)
+
+// handleRoleChanged lets a VM that becomes a reader read at once, and a reader that gets its
+// first peers soon, and moves a VM that is no longer a reader to the rotation.
+func (f *Follower) handleRoleChanged(now time.Time, e RoleChanged) {
+	firstPeers := len(f.peers) == 0 && len(e.Peers) > 0
+	f.peers, f.position, f.second = e.Peers, e.Position, e.Second
+	switch {
+	case !f.unavailableSince.IsZero() && e.Reader:
+		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(maxRetryDelay))
+	case !f.unavailableSince.IsZero():
+		if f.reader && f.complete {
+			f.nextReadAt = now.Add(f.standbyRetryDelay())
+		}
+	case e.Reader && !f.reader:
+		f.nextReadAt = time.Time{}
+	case e.Reader && firstPeers:
+		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(firstPeersDelay))
+	case !e.Reader && f.reader && f.complete:
+		f.nextReadAt = f.nextOwnRead(now)
+	}
+	f.reader = e.Reader
+}
+
+// nextOwnRead returns when a VM that is not a reader reads the store next.
+func (f *Follower) nextOwnRead(now time.Time) time.Time {
+	rotation := max(1, min(maxRotation, len(f.peers)+1-readerCount))
+	position := max(0, f.position-readerCount)
+	if position >= rotation {
+		return now.Add(standbyInterval)
+	}
+	round := time.Duration(rotation) * rotationInterval
+	at := now.Truncate(round).Add(time.Duration(position) * rotationInterval)
+	if !at.After(now) {
+		at = at.Add(round)
+	}
+	return at
+}
+
+// storeAnswered schedules the next read after a reply of the store and ends an outage. A
+// late reply starts the grace period too, because the store may have been unavailable
+// meanwhile.
+func (f *Follower) storeAnswered(now time.Time, late bool) {
+	f.retryDelay = minRetryDelay
+	switch {
+	case !f.reader:
+		f.nextReadAt = f.nextOwnRead(now)
+	case f.second:
+		f.nextReadAt = now.Add(secondReaderInterval)
+	default:
+		f.nextReadAt = now.Add(readerInterval)
+	}
+	if late || !f.unavailableSince.IsZero() {
+		f.graceUntil = now.Add(recoveryGrace)
+	}
+	if !f.unavailableSince.IsZero() {
+		f.emit(StoreRecovered{Outage: now.Sub(f.unavailableSince)})
+		f.unavailableSince = time.Time{}
+	}
+}
+
+func (f *Follower) storeFailed(now time.Time) {
+	f.nextReadAt = now.Add(f.retryDelay)
+	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
+	if !f.reader && f.complete {
+		f.nextReadAt = now.Add(f.standbyRetryDelay())
+	}
+	if f.unavailableSince.IsZero() {
+		f.unavailableSince = now
+		f.emit(StoreLost{})
+	}
+}
+
+// standbyRetryDelay spreads the retries of the VMs that are not readers.
+func (f *Follower) standbyRetryDelay() time.Duration {
+	return minStandbyRetryDelay + minStandbyRetryDelay*time.Duration(f.position)/time.Duration(len(f.peers)+1)
+}
