Let eight VMs go on trying a store that does not answer

A store that comes back to some of the others only was noticed after 5 to 10 s. Change: the first eight VMs, all of a small fleet, try every 0.8 s as before; beyond them each tries every 5 to 10 s.

--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -14,9 +14,11 @@
 	// does not reply. Every call has a price, even a refused one.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
-	// minStandbyRetryDelay is the shortest time between two such reads of a VM that is not a
-	// reader, and half the longest: it gets what the readers learn, and a store in trouble
-	// need not serve all VMs.
+	// maxRetryingVMs is how many VMs, the first in the order of the readers, go on reading a
+	// store that does not reply at that pace. It may reply to some VMs only, and of several
+	// one notices soon. minStandbyRetryDelay is the shortest time between two reads of the
+	// others, and half the longest: they get what the first ones learn.
+	maxRetryingVMs       = readerCount + maxRotation
 	minStandbyRetryDelay = 5 * time.Second
 	// recoveryGrace is how long rows removed during an outage of the store are kept after
 	// it. Their writers write them again within 2 s, as the users' platform guarantees.
--- a/core/daisyfeed/schedule.go
+++ b/core/daisyfeed/schedule.go
@@ -15,7 +15,7 @@
 	case !f.unavailableSince.IsZero() && e.Reader:
 		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(maxRetryDelay))
 	case !f.unavailableSince.IsZero():
-		if f.reader && f.complete {
+		if f.reader && f.retriesSeldom() {
 			f.nextReadAt = now.Add(f.standbyRetryDelay())
 		}
 	case e.Reader && !f.reader:
@@ -68,7 +68,7 @@
 func (f *Follower) storeFailed(now time.Time) {
 	f.nextReadAt = now.Add(f.retryDelay)
 	f.retryDelay = min(2*f.retryDelay, maxRetryDelay)
-	if !f.reader && f.complete {
+	if !f.reader && f.retriesSeldom() {
 		f.nextReadAt = now.Add(f.standbyRetryDelay())
 	}
 	if f.unavailableSince.IsZero() {
@@ -77,7 +77,11 @@
 	}
 }
 
-// standbyRetryDelay spreads the retries of the VMs that are not readers.
+// retriesSeldom reports whether this VM leaves it to others to notice that the store replies
+// again, unless it is a reader.
+func (f *Follower) retriesSeldom() bool { return f.complete && f.position >= maxRetryingVMs }
+
+// standbyRetryDelay spreads the retries of the VMs that retry seldom.
 func (f *Follower) standbyRetryDelay() time.Duration {
 	return minStandbyRetryDelay + minStandbyRetryDelay*time.Duration(f.position)/time.Duration(len(f.peers)+1)
 }
