--- a/io/daisycontroller/member_list_test.go
+++ b/io/daisycontroller/member_list_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,23 +41,26 @@
 // listingPlatform counts the reads of its list, which names VMs that are all live.
 type listingPlatform struct {
 	daisyplatform.VMs
-	reads, announcements int
+	reads, announcements atomic.Int64
 }
 
 func (p *listingPlatform) ListVMs(ctx context.Context) daisyplatform.Answer {
-	p.reads++
+	p.reads.Add(1)
 	return p.VMs.ListVMs(ctx)
 }
 
 func (p *listingPlatform) AnnounceVM(ctx context.Context, vm daisyplatform.ListedVM) daisyplatform.Answer {
-	p.announcements++
+	p.announcements.Add(1)
 	return p.VMs.AnnounceVM(ctx, vm)
 }
 
 // The calls of all VMs to the platform do not grow with their number, and a VM that leaves
 // does not read the list.
 func TestVMsReadThePlatformListTheLessOftenTheMoreThereAre(t *testing.T) {
-	for _, c := range []struct{ vms, reads int }{{4, 13}, {40, 3}, {123, 2}} {
+	for _, c := range []struct {
+		vms   int
+		reads int64
+	}{{4, 13}, {40, 3}, {123, 2}} {
 		synctest.Test(t, func(t *testing.T) {
 			platform := &listingPlatform{VMs: daisyplatform.NewEmbedded()}
 			self := daisyvm.VM{Name: "vm-1", Incarnation: 1, Peers: netip.MustParseAddrPort("127.0.0.1:7001")}
@@ -72,12 +76,12 @@
 				}
 				time.Sleep(time.Second)
 			}
-			assert.Assert(t, platform.reads <= c.reads && platform.reads > c.reads/2, "%d VMs: %d reads", c.vms, platform.reads)
-			before := *platform
+			reads, announcements := platform.reads.Load(), platform.announcements.Load()
+			assert.Assert(t, reads <= c.reads && reads > c.reads/2, "%d VMs: %d reads", c.vms, reads)
 			members.SetStopping(true, true)
 			synctest.Wait()
-			assert.Equal(t, platform.reads, before.reads)
-			assert.Equal(t, platform.announcements, before.announcements+1)
+			assert.Equal(t, platform.reads.Load(), reads)
+			assert.Equal(t, platform.announcements.Load(), announcements+1)
 		})
 	}
 }
