--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -4,8 +4,8 @@
 //	go test -json ./... | knownred KNOWN-RED.txt
 //
 // Each line of the list starts with PACKAGE.TEST and a tab; blank lines and lines that start
-// with # are skipped. The exit code is 1 if any other test fails, if a package fails without
-// a failing test, or if no test passes.
+// with # are skipped. The exit code is 1 if any other test fails, if a test was still running
+// when its process ended, if a package fails without a failing test, or if no test passes.
 package main
 
 import (
@@ -30,6 +30,8 @@
 	failed         map[string]bool
 	passed         map[string]bool
 	failedPackages map[string]bool
+	// running has the tests that have started and not ended.
+	running map[string]bool
 }
 
 func main() {
@@ -42,15 +44,20 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	rs := &results{
+	rs := newResults(known)
+	rs.readEvents(os.Stdin)
+	os.Exit(rs.report())
+}
+
+func newResults(known map[string]bool) *results {
+	return &results{
 		known:          known,
 		output:         make(map[string]*strings.Builder),
 		failed:         make(map[string]bool),
 		passed:         make(map[string]bool),
 		failedPackages: make(map[string]bool),
+		running:        make(map[string]bool),
 	}
-	rs.readEvents(os.Stdin)
-	os.Exit(rs.report())
 }
 
 func readList(name string) (map[string]bool, error) {
@@ -84,6 +91,14 @@
 
 func (rs *results) record(e event) {
 	key := e.Package + "." + e.Test
+	if e.Test != "" {
+		switch e.Action {
+		case "run":
+			rs.running[key] = true
+		case "pass", "fail", "skip":
+			delete(rs.running, key)
+		}
+	}
 	switch {
 	case e.Action == "output" && e.Test == "":
 		if !strings.HasPrefix(e.Output, "PASS") {
@@ -115,6 +130,10 @@
 		code = 1
 		fmt.Printf("FAILED: %s\n%s", k, rs.output[k])
 	}
+	for k := range rs.running {
+		code = 1
+		fmt.Printf("NOT FINISHED: %s\n%s", k, rs.output[k])
+	}
 	for p := range rs.failedPackages {
 		if !rs.hasFailedTest(p) {
 			code = 1
@@ -131,7 +150,7 @@
 		code = 1
 		fmt.Println("FAILED: no test passed")
 	}
-	fmt.Printf("%d passed, %d failed\n", len(rs.passed), len(rs.failed))
+	fmt.Printf("%d passed, %d failed\n", len(rs.passed), len(rs.failed)+len(rs.running))
 	return code
 }
 
