Accept a VM whose clock was set back before its restart

Change: what is heard directly from an earlier incarnation counts once the later one is dead; a borrower forgets the terms of an owner's later incarnation. Descriptions by others and old reports still bring nothing back.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -137,6 +137,10 @@
 	if !ok || owner.Name == b.owner.Name && owner.Incarnation == b.owner.Incarnation {
 		return
 	}
+	if last := b.latestTerms[owner.Name]; last.Incarnation > owner.Incarnation {
+		// The clock of the owner was set back before its restart, and its terms begin anew.
+		delete(b.latestTerms, owner.Name)
+	}
 	b.owner = owner
 	b.leaveTerm(now)
 	b.timer = messageTimer{interval: messageInterval}
--- a/core/daisycredit/credit_test.go
+++ b/core/daisycredit/credit_test.go
@@ -370,6 +370,23 @@
 	c.check(t, true)
 }
 
+func TestOwnerRestartedWithEarlierClockLends(t *testing.T) {
+	c := newCluster(3, 4)
+	c.run(200 * time.Millisecond)
+	owner := c.index(c.owner().options.Self.Name)
+	c.dead[c.vms[owner].Name] = true
+	c.updateVMs()
+	c.run(200 * time.Millisecond)
+	c.dead[c.vms[owner].Name] = false
+	c.vms[owner].Incarnation--
+	c.owners[owner], c.borrowers[owner] = nil, NewBorrower(c.vms[owner], c.service, InAdvance{})
+	c.updateVMs()
+	c.run(200 * time.Millisecond)
+	for _, b := range c.borrowers {
+		assert.Equal(t, b.term.Owner, c.vms[owner].Name, "%s has no term with the restarted owner", b.self.Name)
+	}
+}
+
 func TestPausedVMDiscardsIdleCredits(t *testing.T) {
 	c := newCluster(2, 4)
 	c.run(200 * time.Millisecond)
--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -148,6 +148,7 @@
 }
 
 func (s *Membership) handleHeartbeat(now time.Time, event HeartbeatArrived) []MemberDecision {
+	s.forgetDeadSuccessor(event.VM)
 	m, decisions := s.upsert(now, event.VM)
 	if m == nil || event.VM.Incarnation < m.VM.Incarnation || event.Sequence <= m.directSequence {
 		return decisions
@@ -194,6 +195,16 @@
 	m.RoundTrip += time.Duration(roundTripWeight * float64(sample-m.RoundTrip))
 }
 
+// forgetDeadSuccessor forgets the later incarnation of a VM that is heard directly if the
+// later one is dead: the clock of the VM was set back before its last restart, or the VM was
+// paused and outlived its replacement. Otherwise its heartbeats would be ignored for
+// ForgetAfter.
+func (s *Membership) forgetDeadSuccessor(vm VM) {
+	if m := s.members[vm.Name]; m != nil && vm.Incarnation < m.VM.Incarnation && m.down() {
+		s.forget(vm.Name)
+	}
+}
+
 // upsert adds a VM, or replaces the record of an earlier incarnation. The member is
 // nil if vm has this VM's own name; a later incarnation then supersedes this VM.
 func (s *Membership) upsert(now time.Time, vm VM) (*member, []MemberDecision) {
@@ -268,6 +279,7 @@
 }
 
 func (s *Membership) handleLinkOpened(now time.Time, vm VM) []MemberDecision {
+	s.forgetDeadSuccessor(vm)
 	m, decisions := s.upsert(now, vm)
 	if m == nil {
 		return decisions
--- a/core/daisyvm/members_test.go
+++ b/core/daisyvm/members_test.go
@@ -142,6 +142,30 @@
 	assert.Assert(t, found)
 }
 
+func TestVMIsHeardAfterRestartWithEarlierClock(t *testing.T) {
+	w := newWatcher()
+	before, after := vmAt("vm-2", 9, 2, "a"), vmAt("vm-2", 5, 2, "a")
+	w.advance(time.Second, daisyvm.HeartbeatArrived{VM: before, Sequence: 40})
+	w.members.Handle(w.now, daisyvm.LinkOpened{VM: after})
+	assert.Equal(t, w.members.All()[0].VM, before, "an earlier incarnation replaced one that was just heard")
+	for round := range 12 {
+		w.advance(daisyvm.HeartbeatInterval)
+		w.members.Handle(w.now, daisyvm.HeartbeatArrived{VM: after, Sequence: uint64(round + 1)})
+	}
+	assert.Equal(t, w.members.All()[0].VM, after)
+	assert.Equal(t, w.state(t, "vm-2"), daisyvm.Live)
+}
+
+func TestIntroductionsDoNotBringBackAnEarlierIncarnation(t *testing.T) {
+	w := newWatcher()
+	before, after := vmAt("vm-2", 5, 2, "a"), vmAt("vm-2", 9, 2, "a")
+	w.advance(time.Second, daisyvm.HeartbeatArrived{VM: after, Sequence: 1})
+	w.advance(2 * daisyvm.DeadAfter)
+	w.members.Handle(w.now, daisyvm.HeartbeatArrived{VM: vmAt("vm-3", 1, 3, "a"), Sequence: 1, Introduced: []daisyvm.VM{before}})
+	assert.Equal(t, w.members.All()[0].VM, after)
+	assert.Equal(t, w.state(t, "vm-2"), daisyvm.Dead)
+}
+
 func TestSilentVMsAreForgotten(t *testing.T) {
 	w := newWatcher()
 	left := daisyvm.Status{Leaving: true}
