Tell callers to return soon when only the retry budget is spent

Cause: a request that was shed and could not be retried for lack of budget was answered with Retry-After: 1 s, longer than most targets, although the caller's next request is a first attempt that needs no budget. Change: it may return after the first backoff, or after what waits if that takes longer.

--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -122,7 +122,7 @@
 		return len(d.skipped) < maxSkipped
 	}
 	if r.reason == Retry && !r.replacesUnsent && !d.budget.Take(now, daisybudget.Retry{}) {
-		d.fail(now, r, BudgetSpent, defaultRetryAfter)
+		d.fail(now, r, BudgetSpent, d.retryAfter(r.Rank, BudgetSpent))
 		return true
 	}
 	d.queue.Remove(now, &r.item)
--- a/core/daisyroute/outcome.go
+++ b/core/daisyroute/outcome.go
@@ -94,10 +94,14 @@
 // attempts of other VMs occupy its slots. The first backoff is a quarter of the median
 // response time of the most urgent rank; it doubles with each consecutive shed request.
 func (d *Dispatcher) backOff(now time.Time, e *endpoint) {
-	first := d.queue.ResponseTimes(0).Median() / 4
-	if first == 0 {
-		first = defaultShedBackoff
-	}
-	e.backoffUntil = now.Add(min(first<<min(e.consecutiveSheds, 10), maxShedBackoff))
+	e.backoffUntil = now.Add(min(d.firstBackoff()<<min(e.consecutiveSheds, 10), maxShedBackoff))
 	e.consecutiveSheds++
 }
+
+// firstBackoff returns the backoff after the first of consecutive shed requests.
+func (d *Dispatcher) firstBackoff() time.Duration {
+	if first := d.queue.ResponseTimes(0).Median() / 4; first > 0 {
+		return first
+	}
+	return defaultShedBackoff
+}
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -5,6 +5,7 @@
 
 	"daisyyoke/core/daisybudget"
 	"daisyyoke/core/daisyhealth"
+	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 )
 
@@ -135,7 +136,7 @@
 		return
 	}
 	if cause, ok := d.mayRetry(now, r, event); !ok {
-		d.fail(now, r, cause, defaultRetryAfter)
+		d.fail(now, r, cause, d.retryAfter(r.Rank, cause))
 		return
 	}
 	r.reason = Retry
@@ -146,6 +147,17 @@
 	d.noteWaiting(now, r)
 }
 
+// retryAfter returns when a caller should send a request again that may not be retried. A
+// spent budget says nothing about the endpoints: the caller's next request is a first
+// attempt, which needs no budget, so that it may come back as soon as a backoff is over and
+// what waits has been served.
+func (d *Dispatcher) retryAfter(rank daisyrank.Index, cause Cause) time.Duration {
+	if cause == BudgetSpent {
+		return max(d.queue.Wait(rank), d.firstBackoff())
+	}
+	return defaultRetryAfter
+}
+
 // mayRetry reports whether the request may be sent again, and otherwise the cause.
 func (d *Dispatcher) mayRetry(now time.Time, r *request, event AttemptResolved) (Cause, bool) {
 	if !event.Resendable || !repeatable(r, event.Outcome) {
--- a/core/daisyroute/retry_test.go
+++ b/core/daisyroute/retry_test.go
@@ -117,6 +117,35 @@
 	assert.Assert(t, refused >= 390, "%d refused", refused)
 }
 
+// TestCallersReturnSoonWhenTheRetryBudgetIsSpent has endpoints that shed half of all
+// requests: there a caller that returns later misses its target for nothing.
+func TestCallersReturnSoonWhenTheRetryBudgetIsSpent(t *testing.T) {
+	const responseTime = 40 * time.Millisecond
+	h := newHarness(t, newService(10, 50), nil)
+	h.warmUp(0, responseTime)
+	refused := 0
+	for i := range 400 {
+		h.advance(10 * time.Millisecond)
+		s := h.send(h.request(0))
+		if i%2 == 0 {
+			h.answer(s.Attempt, 200, responseTime)
+			continue
+		}
+		all := h.handle(daisyroute.AttemptResolved{Attempt: s.Attempt, Outcome: daisyrequest.Shed{}, Resendable: true})
+		for _, n := range ofType[daisyroute.Send](all) {
+			h.answer(n.Attempt, 200, responseTime)
+		}
+		for _, f := range ofType[daisyroute.Fail](all) {
+			assert.Equal(t, f.Cause, daisyroute.BudgetSpent)
+			failure, ok := f.Failure.(daisyrequest.NoEndpoint)
+			assert.Assert(t, ok, "%#v", f.Failure)
+			assert.Assert(t, failure.RetryAfter > 0 && failure.RetryAfter <= responseTime, "%v", failure.RetryAfter)
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 100, "%d refused", refused)
+}
+
 func TestAbandonedRequestOccupiesItsSlotUntilItsOutcome(t *testing.T) {
 	h := newHarness(t, newService(1, 1), nil)
 	s := h.send(h.request(0))
