Leave the first reads of the store to the seeds when all VMs start

Change: when the settings say that all machines start for the first time, VMs that are no seeds leave the first reads to the seeds, which they dial anyway, and get the rows from whom they hear of them; they read after 2 s if nobody had them. The list of VMs is read then only by who has found no other VM. After a loss of power all read at once, as callers wait.

--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -84,7 +84,9 @@
 
 	readInFlight bool
 	nextReadAt   time.Time
-	retryDelay   time.Duration
+	// awaitPeersUntil is until when the first read is left to peers; see AwaitPeers.
+	awaitPeersUntil time.Time
+	retryDelay      time.Duration
 	// unavailableSince is when the store stopped replying; zero while it replies.
 	unavailableSince time.Time
 	// graceUntil is the end of the grace period after the last outage.
@@ -122,6 +124,16 @@
 	return f
 }
 
+// AwaitPeers lets a follower without rows wait for those of a peer until the given time, and
+// read the store itself only then. When all VMs start at once, each would read the same rows
+// otherwise, and every call has a price.
+func (f *Follower) AwaitPeers(until time.Time) { f.awaitPeersUntil, f.nextReadAt = until, until }
+
+// awaitsPeers reports whether the first read is still left to peers.
+func (f *Follower) awaitsPeers(now time.Time) bool {
+	return !f.complete && f.readUpTo == 0 && now.Before(f.awaitPeersUntil)
+}
+
 // Rows returns the rows that are in force, sorted by key, including removed rows within
 // the grace period and those of the last era that hold.
 func (f *Follower) Rows() []Row {
@@ -357,8 +369,12 @@
 	}
 	switch {
 	case c.Complete:
+		awaited := f.awaitsPeers(now)
 		f.receiveHeld(now, c)
 		f.applyAll(now, c.Rows, c.Last, c.Grace > 0)
+		if awaited {
+			f.continueAfterPeer(now, c.Last)
+		}
 	case c.Era == f.era && f.eraComplete && c.After <= f.last:
 		f.applyChanges(now, c.Rows, c.Grace > 0)
 		f.last = max(f.last, c.Last)
@@ -367,6 +383,16 @@
 	}
 }
 
+// continueAfterPeer schedules the next read after the rows came from a peer in place of the
+// first read.
+func (f *Follower) continueAfterPeer(now time.Time, asOf Version) {
+	f.readUpTo = asOf
+	f.nextReadAt = f.nextOwnRead(now)
+	if f.reader {
+		f.nextReadAt = now.Add(delayAfterFirstRead)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/daisyfeed/schedule.go
+++ b/core/daisyfeed/schedule.go
@@ -6,12 +6,29 @@
 	"daisyyoke/core/daisywake"
 )
 
+// coldStartDelay is how long VMs that are no seeds leave their first read to others when the
+// whole system starts. Hundreds of VMs hear of the seeds' rows within about a second of
+// their links.
+const coldStartDelay = 2 * time.Second
+
+// FirstReadDelay returns how long a VM leaves its first read of the store to others. Only
+// when all VMs start for the first time is there time for it: after a loss of power, callers
+// wait. Seeds, which the others dial first, read at once.
+func FirstReadDelay(coldStart, seed bool) time.Duration {
+	if coldStart && !seed {
+		return coldStartDelay
+	}
+	return 0
+}
+
 // handleRoleChanged lets a VM that becomes a reader read at once, and a reader that gets its
 // first peers soon, and moves a VM that is no longer a reader to the rotation.
 func (f *Follower) handleRoleChanged(now time.Time, e RoleChanged) {
 	firstPeers := len(f.peers) == 0 && len(e.Peers) > 0
 	f.peers, f.position, f.second = e.Peers, e.Position, e.Second
 	switch {
+	case f.awaitsPeers(now):
+		// Who reads is not settled while VMs that start together learn of each other.
 	case !f.unavailableSince.IsZero() && e.Reader:
 		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(maxRetryDelay))
 	case !f.unavailableSince.IsZero():
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -88,6 +88,9 @@
 	// Appliers receive each new snapshot, in the order of the slice.
 	Appliers []Applier
 	Logger   hclog.Logger
+	// FirstReadDelay is how long the first read of the store is left to other VMs, which
+	// pass on what they read.
+	FirstReadDelay time.Duration
 }
 
 // Follow keeps the configuration and the endpoints of the platform's store in force.
@@ -136,6 +139,11 @@
 	}
 	c.followers[daisyfeed.Configuration] = daisyfeed.NewConfirmedFollower()
 	c.followers[daisyfeed.Endpoints] = daisyfeed.NewFollower()
+	if options.FirstReadDelay > 0 {
+		for _, f := range c.followers {
+			f.AwaitPeers(now().Add(options.FirstReadDelay))
+		}
+	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.wg.Go(c.run)
 	return c
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -53,6 +53,9 @@
 	// VMs; 0 means listInterval. It grows with the number of VMs up to MaxListInterval, which
 	// is ListInterval if it is 0.
 	ListInterval, MaxListInterval time.Duration
+	// FirstListDelay is how long after the start this VM first announces itself. It then
+	// reads the list only if it has found no other VM without it.
+	FirstListDelay time.Duration
 	// AnswerTTL is how long callers may cache an answer; 0 means daisyvm.AnswerTTL.
 	AnswerTTL time.Duration
 	// Seed and the name of the VM together make the random choices reproducible.
--- a/io/daisycontroller/member_list.go
+++ b/io/daisycontroller/member_list.go
@@ -17,13 +17,18 @@
 	retryDelays := backoff.NewExponentialBackOff()
 	retryDelays.InitialInterval = 200 * time.Millisecond
 	retryDelays.MaxInterval = listInterval
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(c.options.FirstListDelay)
 	defer timer.Stop()
 	var lastRead time.Time
 	for {
 		due := true
 		select {
 		case <-timer.C:
+			if lastRead.IsZero() && c.options.FirstListDelay > 0 && c.liveVMs() > 1 {
+				// Others were found without the list, and read it in their turn.
+				c.announce(c.listedSelf())
+				lastRead = time.Now()
+			}
 			due = lastRead.IsZero() || time.Since(lastRead) >= c.listReadInterval()
 		case <-c.announceSignal:
 		case <-c.ctx.Done():
@@ -45,14 +50,19 @@
 // listReadInterval returns how long after a read of the list the next one is due. The number
 // of live VMs may have changed since the read.
 func (c *Member) listReadInterval() time.Duration {
+	// The timer fires up to a quarter of the interval early.
+	return daisyvm.ListReadInterval(c.options.ListInterval, c.options.MaxListInterval, c.liveVMs()) * 3 / 4
+}
+
+// liveVMs returns the number of live VMs, including this one.
+func (c *Member) liveVMs() int {
 	live := 1
 	for _, m := range c.Table().Others {
 		if m.State == daisyvm.Live {
 			live++
 		}
 	}
-	// The timer fires up to a quarter of the interval early.
-	return daisyvm.ListReadInterval(c.options.ListInterval, c.options.MaxListInterval, live) * 3 / 4
+	return live
 }
 
 // updateList announces this VM and then reads the list, so that of two VMs that start at the
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyfeed"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisystop"
 	"daisyyoke/core/daisyvm"
@@ -215,12 +217,18 @@
 		// the list is needed less often.
 		ListInterval:    vmListInterval,
 		MaxListInterval: maxVMListInterval,
+		FirstListDelay:  d.firstReadDelay(),
 		Seed:            seed,
 	})
 	d.onClose(d.members.Close)
 	return nil
 }
 
+// firstReadDelay returns how long this VM leaves the first reads of the store to others.
+func (d *Managed) firstReadDelay() time.Duration {
+	return daisyfeed.FirstReadDelay(d.settings.ColdStart && len(d.settings.Seeds) > 0, slices.Contains(d.settings.Seeds, d.settings.Peers))
+}
+
 // connectSeeds connects to the given VMs, except this one.
 func (d *Managed) connectSeeds(seeds []netip.AddrPort) {
 	for _, a := range seeds {
@@ -306,6 +314,8 @@
 		Member:   d.members,
 		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.paths, d.members, managedReadiness{d}},
 		Logger:   d.logger,
+
+		FirstReadDelay: d.firstReadDelay(),
 	})
 	d.onClose(follow.Close)
 	d.follower.Store(follow)
--- a/io/daisysetting/managed.go
+++ b/io/daisysetting/managed.go
@@ -23,6 +23,8 @@
 	// some of the other VMs.
 	Peers netip.AddrPort
 	Seeds []netip.AddrPort
+	// ColdStart is set if all VMs start at the same time for the first time.
+	ColdStart bool
 	// Metrics is the listen address for metrics; the zero value for none.
 	Metrics netip.AddrPort
 	// Store is the address of the platform's store.
