Take a late heartbeat of an earlier incarnation for what it is

Change: an earlier incarnation counts once it has opened a link after the later one was last heard; a handshake shows that its process lives.

--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -93,6 +93,9 @@
 	// for descriptions sent to this VM.
 	firstHeardOrder uint64
 	describedUpTo   uint64
+	// earlierLinked is the earlier incarnation that has opened a link since this one was last
+	// heard directly; 0 means none.
+	earlierLinked Incarnation
 }
 
 // NewMembership returns the membership of a VM that knows only itself. All random
@@ -160,6 +163,7 @@
 	}
 	m.directSequence = event.Sequence
 	m.DirectAt = now
+	m.earlierLinked = 0
 	m.heardThisRound = true
 	m.directLeaving = event.Status.Leaving
 	if event.Sequence < m.sequence {
@@ -195,12 +199,12 @@
 	m.RoundTrip += time.Duration(roundTripWeight * float64(sample-m.RoundTrip))
 }
 
-// forgetDeadSuccessor forgets the later incarnation of a VM that is heard directly if the
-// later one is dead: the clock of the VM was set back before its last restart, or the VM was
-// paused and outlived its replacement. Otherwise its heartbeats would be ignored for
-// ForgetAfter.
+// forgetDeadSuccessor forgets the later incarnation of a VM if that one is dead and the
+// earlier one has opened a link since it was last heard: the clock of the VM was set back
+// before its restart, or the VM was paused and outlived its replacement. Otherwise its
+// heartbeats would be ignored for ForgetAfter. Without a link, a heartbeat may be a late one.
 func (s *Membership) forgetDeadSuccessor(vm VM) {
-	if m := s.members[vm.Name]; m != nil && vm.Incarnation < m.VM.Incarnation && m.down() {
+	if m := s.members[vm.Name]; m != nil && m.down() && m.earlierLinked > 0 && m.earlierLinked == vm.Incarnation {
 		s.forget(vm.Name)
 	}
 }
@@ -279,6 +283,9 @@
 }
 
 func (s *Membership) handleLinkOpened(now time.Time, vm VM) []MemberDecision {
+	if m := s.members[vm.Name]; m != nil && vm.Incarnation < m.VM.Incarnation {
+		m.earlierLinked = vm.Incarnation
+	}
 	s.forgetDeadSuccessor(vm)
 	m, decisions := s.upsert(now, vm)
 	if m == nil {
