Keep a share of the retry budget for VMs that fell silent

Cause: a VM divided the shared reserve by the VMs that it heard, so that a VM cut off from the others had all of it: with a third of 123 VMs cut off from each other, 41 times the budget could have been spent. Change: silent VMs keep their share for 30 s, as they do for rate limits, and so do those in a planned stop.

--- a/core/daisyroute/budget.go
+++ b/core/daisyroute/budget.go
@@ -12,7 +12,8 @@
 // PerVM applies the same limits to each VM, however many there are.
 type PerVM struct{ Limits daisybudget.Limits }
 
-// Shared divides the reserves of the limits evenly between the live VMs.
+// Shared divides the reserves of the limits evenly between the VMs that may send: the live
+// ones, and for a while those that fell silent, since they may only be cut off.
 type Shared struct{ Limits daisybudget.Limits }
 
 func (b PerVM) limits(int) daisybudget.Limits { return b.Limits }
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -76,8 +76,10 @@
 	healthChanges uint64
 	probes        *daisyprobe.Schedule
 	budget        *daisybudget.Budget
-	// budgetPolicy determines the limits of budget from the number of live VMs.
-	budgetPolicy Budget
+	// budgetPolicy determines the limits of budget from the number of VMs that share it,
+	// which was last budgetSharers.
+	budgetPolicy  Budget
+	budgetSharers int
 	// departures has the incarnations of endpoints that said that they are going to stop.
 	departures *Departures
 	// peers are the other live VMs, and incarnations those of all live VMs.
--- a/core/daisyroute/rate.go
+++ b/core/daisyroute/rate.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// silentShareTime is how long the rate limits of endpoints keep a share for a VM that
+	// silentShareTime is how long rate limits and budgets keep a share for a VM that
 	// is no longer heard of without having left as planned: it may be alive and cut off.
 	silentShareTime = 30 * time.Second
 	// rateUseTime is the time over which the used share of a rate is averaged.
@@ -62,7 +62,7 @@
 	e.rate.limit = limit
 	d.updateRateShare(now, e)
 	if changed {
-		d.emit(RateLimitChanged{Endpoint: e.address, RateLimit: limit, VMs: d.rateSharers(now), FromPeer: fromPeer})
+		d.emit(RateLimitChanged{Endpoint: e.address, RateLimit: limit, VMs: d.sharers(now), FromPeer: fromPeer})
 	}
 	if wasLimited || e.rate.limited() {
 		d.updateEvenShare()
@@ -97,12 +97,12 @@
 	if !e.rate.limited() {
 		phase = d.random.Float64()
 	}
-	e.rate.bucket.Limit(now, time.Duration(d.rateSharers(now))*limit.Interval, phase)
+	e.rate.bucket.Limit(now, time.Duration(d.sharers(now))*limit.Interval, phase)
 }
 
-// rateSharers returns the number of VMs among which rates are divided: the live ones and
-// those that fell silent recently.
-func (d *Dispatcher) rateSharers(now time.Time) int {
+// sharers returns the number of VMs among which rates and shared budgets are divided: the
+// live ones and those that fell silent recently, which may still send.
+func (d *Dispatcher) sharers(now time.Time) int {
 	n := len(d.peers) + 1 + d.leavingPeers
 	for name, since := range d.silentSince {
 		if now.Sub(since) >= silentShareTime {
@@ -210,11 +210,16 @@
 	return nil
 }
 
-// updateSilentVMs tells the owners on this VM how many VMs fell silent recently.
+// updateSilentVMs adapts the budget to the VMs that fell silent recently, and tells the owners
+// on this VM how many there are.
 func (d *Dispatcher) updateSilentVMs(now time.Time) {
+	if n := d.sharers(now); n != d.budgetSharers {
+		d.budgetSharers = n
+		d.budget.SetLimits(d.budgetPolicy.limits(n))
+	}
 	for _, s := range d.sharings {
 		if s.owner != nil {
-			s.owner.SetSilentVMs(now, d.rateSharers(now)-len(d.peers)-1-d.leavingPeers)
+			s.owner.SetSilentVMs(now, d.sharers(now)-len(d.peers)-1-d.leavingPeers)
 		}
 	}
 }
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -110,7 +110,6 @@
 		}
 	}
 	d.updateEvenShare()
-	d.budget.SetLimits(d.budgetPolicy.limits(len(d.peers) + 1))
 	d.vms = event
 	for _, s := range d.sharings {
 		d.setVMs(now, s, event)
