--- a/core/daisymeasure/bound_test.go
+++ b/core/daisymeasure/bound_test.go
@@ -167,10 +167,17 @@
 	if testing.Short() {
 		seeds = 60
 	}
-	for seed := range seeds {
-		s := TwoFaults(seed)
-		x := Run(s, daemonRouting)
-		violations := fmt.Sprint("duplicated ", x.Duplicated, " lost ", x.Lost, " mismatched ", x.Mismatched, " ran after not run ", x.RanAfterNotRun)
-		assert.Check(t, violations == "duplicated 0 lost 0 mismatched 0 ran after not run 0", "seed %d, %+v: %s", seed, s.Faults, violations)
+	// Each part runs some of the seeds, beside the others.
+	const parts = 20
+	for part := range uint64(parts) {
+		t.Run(fmt.Sprint("part-", part), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < seeds; seed += parts {
+				s := TwoFaults(seed)
+				x := Run(s, daemonRouting)
+				violations := fmt.Sprint("duplicated ", x.Duplicated, " lost ", x.Lost, " mismatched ", x.Mismatched, " ran after not run ", x.RanAfterNotRun)
+				assert.Check(t, violations == "duplicated 0 lost 0 mismatched 0 ran after not run 0", "seed %d, %+v: %s", seed, s.Faults, violations)
+			}
+		})
 	}
 }
--- a/core/daisymeasure/rate_limit_test.go
+++ b/core/daisymeasure/rate_limit_test.go
@@ -65,7 +65,10 @@
 		for _, vms := range []int{1, 7, 60} {
 			for _, perSecond := range []float64{0.5, 2, 20} {
 				c := limitedSize().LimitedCase(fmt.Sprintf("%s, %d VMs, %v/s", name, vms, perSecond), limitedFleet(vms), perSecond, 0.3, nil)
-				checkRateLimits(t, c, perSecond, 0, p)
+				t.Run(c.Name, func(t *testing.T) {
+					t.Parallel()
+					checkRateLimits(t, c, perSecond, 0, p)
+				})
 			}
 		}
 	}
@@ -93,10 +96,14 @@
 			for _, perSecond := range []float64{1, 10} {
 				c := limitedSize().LimitedCase(fmt.Sprintf("%s, %d VMs, %v/s", name, vms, perSecond), limitedFleet(vms), perSecond, 0.3, f)
 				for seed := range uint64(3) {
+					c := c
 					c.Scenario.Seed = seed
 					c.Scenario.MessageLoss = 0.1 * float64(seed)
-					checkRateLimits(t, c, perSecond, 0, onDemand)
-					checkRateLimits(t, c, perSecond, 0, daemonPolicy())
+					t.Run(fmt.Sprintf("%s, seed %d", c.Name, seed), func(t *testing.T) {
+						t.Parallel()
+						checkRateLimits(t, c, perSecond, 0, onDemand)
+						checkRateLimits(t, c, perSecond, 0, daemonPolicy())
+					})
 				}
 			}
 		}
--- a/core/daisymeasure/zone_test.go
+++ b/core/daisymeasure/zone_test.go
@@ -98,16 +98,24 @@
 		seeds = 2
 	}
 	for seed := range seeds {
-		fleet := hundredsOfVMs(18)
-		fleet.Endpoints = []int{100}
-		span := Span{Begin: 400 * time.Millisecond, Length: 900 * time.Millisecond}
-		s := Scenario{Fleet: fleet, Load: mixedLoad(0.5), Duration: 2 * time.Second, DrainTime: 15 * time.Second, Seed: seed, MessageLoss: 0.05}
-		s.Faults = []Fault{KillVM{Span: span, VM: int(seed) % fleet.VMs}, PauseVM{Span: span, VM: int(seed+7) % fleet.VMs}}
-		if seed%3 == 0 {
-			s.Faults = append(s.Faults, Partition{Span: span})
-		}
-		x := Run(s, onDemandRouting)
-		violations := fmt.Sprint("duplicated ", x.Duplicated, " lost ", x.Lost, " mismatched ", x.Mismatched, " ran after not run ", x.RanAfterNotRun)
-		assert.Check(t, violations == "duplicated 0 lost 0 mismatched 0 ran after not run 0", "seed %d: %s", seed, violations)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			checkZonesUnderFaults(t, seed)
+		})
+	}
+}
+
+func checkZonesUnderFaults(t *testing.T, seed uint64) {
+	t.Helper()
+	fleet := hundredsOfVMs(18)
+	fleet.Endpoints = []int{100}
+	span := Span{Begin: 400 * time.Millisecond, Length: 900 * time.Millisecond}
+	s := Scenario{Fleet: fleet, Load: mixedLoad(0.5), Duration: 2 * time.Second, DrainTime: 15 * time.Second, Seed: seed, MessageLoss: 0.05}
+	s.Faults = []Fault{KillVM{Span: span, VM: int(seed) % fleet.VMs}, PauseVM{Span: span, VM: int(seed+7) % fleet.VMs}}
+	if seed%3 == 0 {
+		s.Faults = append(s.Faults, Partition{Span: span})
 	}
+	x := Run(s, onDemandRouting)
+	violations := fmt.Sprint("duplicated ", x.Duplicated, " lost ", x.Lost, " mismatched ", x.Mismatched, " ran after not run ", x.RanAfterNotRun)
+	assert.Check(t, violations == "duplicated 0 lost 0 mismatched 0 ran after not run 0", "seed %d: %s", seed, violations)
 }
--- a/core/daisyvm/discovery_test.go
+++ b/core/daisyvm/discovery_test.go
@@ -1,6 +1,7 @@
 package daisyvm_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,12 +27,15 @@
 func TestVMsDiscoverEachOtherWithFewDescriptions(t *testing.T) {
 	const size, maxPerPair = 60, 8
 	for seed := range uint64(5) {
-		n := newNetwork(seed, size)
-		n.runUntil(start.Add(5 * time.Second))
-		for _, v := range n.vms {
-			assert.Assert(t, n.knowsAll(v), "seed %d: %s knows %d other VMs", seed, v.vm.Name, len(v.members.All()))
-		}
-		assert.Assert(t, n.descriptions <= size*size*maxPerPair, "seed %d: %d descriptions, %.1f for each pair of VMs", seed, n.descriptions, float64(n.descriptions)/size/size)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(seed, size)
+			n.runUntil(start.Add(5 * time.Second))
+			for _, v := range n.vms {
+				assert.Assert(t, n.knowsAll(v), "seed %d: %s knows %d other VMs", seed, v.vm.Name, len(v.members.All()))
+			}
+			assert.Assert(t, n.descriptions <= size*size*maxPerPair, "seed %d: %d descriptions, %.1f for each pair of VMs", seed, n.descriptions, float64(n.descriptions)/size/size)
+		})
 	}
 }
 
@@ -39,13 +43,16 @@
 // discovers all others.
 func TestRestartedVMDiscoversAllOthers(t *testing.T) {
 	for seed := range uint64(20) {
-		n := newNetwork(seed, 60)
-		n.runUntil(start.Add(5 * time.Second))
-		v := n.vms[len(n.vms)-1]
-		n.crash(v)
-		n.runUntil(n.now.Add(3 * time.Second))
-		n.restart(v)
-		n.runUntil(n.now.Add(5 * time.Second))
-		assert.Assert(t, n.knowsAll(v), "seed %d: knows %d other VMs", seed, len(v.members.All()))
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			n := newNetwork(seed, 60)
+			n.runUntil(start.Add(5 * time.Second))
+			v := n.vms[len(n.vms)-1]
+			n.crash(v)
+			n.runUntil(n.now.Add(3 * time.Second))
+			n.restart(v)
+			n.runUntil(n.now.Add(5 * time.Second))
+			assert.Assert(t, n.knowsAll(v), "seed %d: knows %d other VMs", seed, len(v.members.All()))
+		})
 	}
 }
--- a/core/daisyvm/faults_test.go
+++ b/core/daisyvm/faults_test.go
@@ -157,10 +157,11 @@
 
 func TestMessageLossDoesNotMarkVMsDead(t *testing.T) {
 	for _, size := range []int{6, 20, 60} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			// Several seeds run, because without out-of-turn heartbeats only some of them fail:
-			// 9 of the first 40 at 60 VMs.
-			for seed := range uint64(12) {
+		// Several seeds run, because without out-of-turn heartbeats only some of them fail:
+		// 9 of the first 40 at 60 VMs.
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprint(size, "/seed-", seed), func(t *testing.T) {
+				t.Parallel()
 				n := newNetwork(seed, size)
 				n.runUntil(start.Add(3 * time.Second))
 				n.loss = 0.1
@@ -169,8 +170,8 @@
 					assert.Equal(t, len(v.deathsSeen), 0, "seed %d: VMs that %s marked as dead: %v", seed, v.vm.Name, v.deathsSeen)
 					assert.Equal(t, len(n.answeredVMs(v)), size, "seed %d: %s", seed, v.vm.Name)
 				}
-			}
-		})
+			})
+		}
 	}
 }
 
