Name the request in the log line of a failed attempt

No line told which attempts were of the same request when it came again as another one or at another VM.

--- a/core/daisyrequest/request.go
+++ b/core/daisyrequest/request.go
@@ -37,6 +37,9 @@
 	// Attempts is the maximum number of attempts that an endpoint may have run. The
 	// dispatcher's own limit on all attempts applies too; 0 means only that limit.
 	Attempts int
+	// Fingerprint identifies requests that are the same as this one. Its Body is 0 if the
+	// body is not known yet.
+	Fingerprint Fingerprint
 	// Target is the time from which a response no longer has its full worth; the
 	// zero time means the deadline.
 	Target time.Time
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -73,13 +73,16 @@
 // http.ErrAbortHandler if the response breaks off after it has begun, so that the
 // caller's connection or stream is aborted too, and if the caller has disconnected.
 func (f *Forwarder) Forward(w http.ResponseWriter, call *daisyfilter.Call) {
+	body := newSource(call.HTTP, http.NewResponseController(w), f.limits)
+	call.Request.Fingerprint = newFingerprint(call.HTTP, body)
 	ticket, err := f.routes.Begin(call.Request)
 	if err != nil {
+		body.close()
 		// The service was removed after the filter chain had looked it up.
 		f.dialect.WriteProblem(w, daisyproblem.Problem{Status: http.StatusNotFound, Title: "No such service or fleet", Run: daisyrequest.NotRun})
 		return
 	}
-	x := newExchange(f, ticket, call, w)
+	x := newExchange(f, ticket, call, w, body)
 	defer x.end()
 	x.run(call.HTTP.Context())
 }
@@ -108,7 +111,7 @@
 	ticketFinished bool
 }
 
-func newExchange(f *Forwarder, ticket *daisycontroller.Ticket, call *daisyfilter.Call, w http.ResponseWriter) *exchange {
+func newExchange(f *Forwarder, ticket *daisycontroller.Ticket, call *daisyfilter.Call, w http.ResponseWriter, body *source) *exchange {
 	rank := call.Service.Ranks[call.Request.Rank].Name
 	x := &exchange{
 		forwarder: f,
@@ -118,13 +121,13 @@
 		writer:    w,
 		control:   http.NewResponseController(w),
 		header:    f.requestHeader(call, rank),
+		source:    body,
 		metrics:   f.metrics.Rank(call.Service.ID, rank),
 		outcome:   daisymetric.Abandoned,
 	}
 	if !call.Request.Hedgeable {
 		x.interim = make(chan *attempt, maxInterim)
 	}
-	x.source = newSource(call.HTTP, x.control, f.limits)
 	if x.source != nil {
 		x.bodyFailed = x.source.failed
 	}
--- a/io/daisyforward/log.go
+++ b/io/daisyforward/log.go
@@ -58,6 +58,7 @@
 		Outcome:      kind,
 		Cause:        cause,
 		ResponseTime: responseTime,
+		Fingerprint:  x.fingerprint(),
 	})
 }
 
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -71,6 +71,7 @@
 	Outcome      string `json:"outcome"`
 	Cause        string `json:"cause"`
 	ResponseTime string `json:"took"`
+	Fingerprint  string `json:"fingerprint,omitempty"`
 }
 
 type answeredRecord struct {
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -67,6 +67,8 @@
 	Cause   string
 	// ResponseTime is the time from the start of the attempt to its outcome.
 	ResponseTime time.Duration
+	// Fingerprint identifies the request on all VMs, also when a caller sends it again.
+	Fingerprint daisyrequest.Fingerprint
 }
 
 // Answered records that an endpoint's response was forwarded to the caller.
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -14,7 +14,7 @@
 		l.encode(n.record(l.commonFields(e, "request sent")))
 	case AttemptFailed:
 		l.encode(&attemptFailedRecord{commonFields: l.commonFields(e, "attempt failed"), subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
-			Attempt: uint64(n.Attempt), Outcome: n.Outcome, Cause: n.Cause, ResponseTime: n.ResponseTime.String()})
+			Attempt: uint64(n.Attempt), Outcome: n.Outcome, Cause: n.Cause, ResponseTime: n.ResponseTime.String(), Fingerprint: n.Fingerprint.String()})
 	case Answered:
 		l.encode(&answeredRecord{commonFields: l.commonFields(e, "request answered"), subjectFields: n.fields(), Endpoint: n.Endpoint.String(),
 			Attempt: uint64(n.Attempt), Status: n.Status, Complete: n.Complete, Cause: n.Cause, Attempts: n.Attempts, Duration: n.Duration.String()})
