--- /dev/null
+++ b/core/daisycrash/finding.go
@@ -0,0 +1,34 @@
+// Package daisycrash finds the requests that crash the endpoints which run them.
+//
+// Each VM records the crashes that it sees and the requests that the endpoints were
+// running, and shares them with the other VMs. A request that comes again and crashes
+// endpoint after endpoint is quarantined.
+package daisycrash
+
+import (
+	"net/netip"
+	"time"
+
+	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyservice"
+)
+
+// Finding is what a VM has found out about a request. It is Crash or Acquittal.
+type Finding interface{ finding() }
+
+// Crash means that an endpoint crashed while it was running the request. Another request
+// may have caused the crash.
+type Crash struct {
+	Request daisyrequest.Fingerprint
+	// Service is the service of the endpoint.
+	Service  daisyservice.ID
+	Endpoint netip.AddrPort
+	// At is the time of the crash by the clock of this VM.
+	At time.Time
+}
+
+// Acquittal means that an endpoint has run the request to its end.
+type Acquittal struct{ Request daisyrequest.Fingerprint }
+
+func (Crash) finding()     {}
+func (Acquittal) finding() {}
