--- a/core/daisycrash/finding.go
+++ b/core/daisycrash/finding.go
@@ -13,7 +13,8 @@
 	"daisyyoke/core/daisyservice"
 )
 
-// Finding is what a VM has found out about a request. It is Crash or Acquittal.
+// Finding is what a VM has found out about a request. It is one of
+// Crash, Verdict and Acquittal.
 type Finding interface{ finding() }
 
 // Crash means that an endpoint crashed while it was running the request. Another request
@@ -23,12 +24,30 @@
 	// Service is the service of the endpoint.
 	Service  daisyservice.ID
 	Endpoint netip.AddrPort
-	// At is the time of the crash by the clock of this VM.
-	At time.Time
+	// Sent is the time at which the request was sent to the endpoint, and At that of the
+	// crash, by the clock of this VM.
+	Sent, At time.Time
 }
 
+// Verdict means that the crashes of a request are too many to be a coincidence.
+type Verdict struct{ Request daisyrequest.Fingerprint }
+
 // Acquittal means that an endpoint has run the request to its end.
 type Acquittal struct{ Request daisyrequest.Fingerprint }
 
 func (Crash) finding()     {}
+func (Verdict) finding()   {}
 func (Acquittal) finding() {}
+
+// RequestOf returns the request that a finding is about.
+func RequestOf(finding Finding) daisyrequest.Fingerprint {
+	switch f := finding.(type) {
+	case Crash:
+		return f.Request
+	case Verdict:
+		return f.Request
+	case Acquittal:
+		return f.Request
+	}
+	return daisyrequest.Fingerprint{}
+}
--- a/core/daisycrash/ledger.go
+++ b/core/daisycrash/ledger.go
@@ -4,11 +4,11 @@
 	"cmp"
 	"hash/fnv"
 	"math"
-	"net/netip"
 	"slices"
 	"time"
 
 	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 )
 
@@ -16,9 +16,14 @@
 	// MinCrashes is the number of crashes, without an answer in between, from which a
 	// request is quarantined.
 	MinCrashes = 3
-	// minCrashesInOutage is the same while more endpoints crash that were not running the
-	// request than that were: something else ends them, such as a deployment.
-	minCrashesInOutage = 5
+	// maxChance is the highest probability with which a request that causes no crash may
+	// have run into as many of them. It is low because it applies to each request anew.
+	maxChance = 1e-4
+	// priorAnswers is the number of answered requests that are assumed before any are known.
+	priorAnswers = 10
+	// sameCause is the time within which endpoints that crash under the same request, sent
+	// to them before, are taken to end for one reason, such as a loss of power.
+	sameCause = 250 * time.Millisecond
 	// firstQuarantine is the length of a quarantine after MinCrashes. It doubles with each
 	// further crash, up to maxQuarantine.
 	firstQuarantine = 10 * time.Minute
@@ -31,23 +36,29 @@
 	// sameCrash is the longest time between two reports of one crash. An endpoint takes
 	// longer to start again.
 	sameCrash = time.Second
-	// maxRecords limits the requests that are remembered, maxCrashes the crashes of each,
-	// and maxRecent the crashes of all.
+	// maxRecords limits the requests that are remembered, maxCrashes the crashes of each, and
+	// maxRecent the latest crashes of all.
 	maxRecords = 128
 	maxCrashes = 12
-	maxRecent  = 256
+	maxRecent  = 512
 )
 
-// Ledger records crashes of endpoints and the requests that these were running. It is not
-// safe for concurrent use. Times must not go back.
+// Ledger records the crashes of a service's endpoints and the requests that these were
+// running. It is not safe for concurrent use. Times must not go back.
 type Ledger struct {
+	service daisyservice.ID
 	// spread is the share by which this VM prolongs each quarantine.
-	spread  float64
+	spread float64
+	// vms is the number of VMs that run requests at the endpoints.
+	vms     int
 	records map[daisyrequest.Fingerprint]*record
 	// heads counts the records by the head of their fingerprint.
 	heads map[daisyrequest.Digest]int
-	// recent has the latest crashes, each once, whatever the endpoint was running.
-	recent []crash
+	// answered counts the requests that were answered by the service's endpoints on this VM.
+	answered decayingCount
+	// recent has the latest crashes of the service's endpoints, also under requests that
+	// were answered since.
+	recent []Crash
 }
 
 // record has the crashes of one request since it was last answered, oldest first.
@@ -56,28 +67,30 @@
 	quarantined bool
 }
 
-// crash is one crash of an endpoint.
-type crash struct {
-	endpoint netip.AddrPort
-	at       time.Time
-}
-
-// NewLedger returns an empty ledger of a VM.
-func NewLedger(self daisyvm.Name) *Ledger {
+// NewLedger returns an empty ledger of a service on one VM.
+func NewLedger(self daisyvm.Name, service daisyservice.ID) *Ledger {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(self))
 	return &Ledger{
+		service: service,
 		spread:  maxSpread * float64(h.Sum32()) / math.MaxUint32,
+		vms:     1,
 		records: make(map[daisyrequest.Fingerprint]*record),
 		heads:   make(map[daisyrequest.Digest]int),
 	}
 }
 
+// SetVMs sets the number of VMs that run requests at the endpoints, including this one.
+func (l *Ledger) SetVMs(vms int) { l.vms = max(vms, 1) }
+
+// Answered notes that an endpoint of the service has run a request to its end.
+func (l *Ledger) Answered(now time.Time) { l.answered.add(now) }
+
 // Add records a crash, and reports false if it was known.
 func (l *Ledger) Add(now time.Time, c Crash) bool {
 	l.forget(now)
 	r := l.records[c.Request]
-	if r != nil && slices.ContainsFunc(r.crashes, func(o Crash) bool { return isSameCrash(o.Endpoint, o.At, c) }) {
+	if r != nil && slices.ContainsFunc(r.crashes, c.same) {
 		return false
 	}
 	if r == nil {
@@ -87,38 +100,87 @@
 		l.heads[c.Request.Head]++
 	}
 	r.crashes = append(r.crashes, c)
-	slices.SortStableFunc(r.crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	sortByTime(r.crashes)
 	r.crashes = r.crashes[max(len(r.crashes)-maxCrashes, 0):]
-	l.addRecent(c)
-	r.quarantined = r.quarantined || len(r.crashes) >= l.required(r)
+	if c.Service == l.service {
+		l.recent = append(l.recent, c)
+		l.recent = l.recent[max(len(l.recent)-maxRecent, 0):]
+	}
+	r.quarantined = r.quarantined || l.suffices(now, c.Request, r.crashes)
+	return true
+}
+
+// Condemn quarantines a request with known crashes on another VM's verdict. It reports
+// whether that is new.
+func (l *Ledger) Condemn(f daisyrequest.Fingerprint) bool {
+	r := l.records[f]
+	if r == nil || r.quarantined {
+		return false
+	}
+	r.quarantined = true
 	return true
 }
 
-func isSameCrash(endpoint netip.AddrPort, at time.Time, c Crash) bool {
-	return endpoint == c.Endpoint && at.Sub(c.At).Abs() < sameCrash
+// same reports whether another crash of the request is the same one.
+func (c Crash) same(o Crash) bool {
+	return c.Endpoint == o.Endpoint && c.At.Sub(o.At).Abs() < sameCrash
 }
 
-func (l *Ledger) addRecent(c Crash) {
-	if slices.ContainsFunc(l.recent, func(o crash) bool { return isSameCrash(o.endpoint, o.at, c) }) {
-		return
+func sortByTime(crashes []Crash) {
+	slices.SortStableFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+}
+
+// Suffices reports whether a request would be quarantined if endpoints had crashed under it
+// as suspected, too.
+func (l *Ledger) Suffices(now time.Time, f daisyrequest.Fingerprint, suspected []Crash) bool {
+	var crashes []Crash
+	if r := l.records[f]; r != nil {
+		crashes = append(crashes, r.crashes...)
 	}
-	l.recent = append(l.recent, crash{endpoint: c.Endpoint, at: c.At})
-	l.recent = l.recent[max(len(l.recent)-maxRecent, 0):]
+	crashes = append(crashes, suspected...)
+	sortByTime(crashes)
+	return l.suffices(now, f, crashes)
 }
 
-// required returns the number of crashes from which a request is quarantined.
-func (l *Ledger) required(r *record) int {
-	since := r.crashes[0].At
-	others := -len(r.crashes)
+// suffices reports whether crashes of one request are too many to be a coincidence, given how
+// many of the other requests ended with a crash.
+func (l *Ledger) suffices(now time.Time, f daisyrequest.Fingerprint, crashes []Crash) bool {
+	events := independent(crashes)
+	if events < MinCrashes {
+		return false
+	}
+	crashed := 0.0
 	for _, c := range l.recent {
-		if !c.at.Before(since.Add(-sameCrash)) {
-			others++
+		if c.Request != f && !l.explained(c) {
+			crashed += decay(now.Sub(c.At))
+		}
+	}
+	answered := float64(l.vms)*l.answered.get(now) + priorAnswers
+	return math.Pow(crashed/(answered+crashed), float64(events)) <= maxChance
+}
+
+// explained reports whether a quarantined request was running at the endpoint that crashed.
+func (l *Ledger) explained(c Crash) bool {
+	for _, r := range l.records {
+		if r.quarantined && slices.ContainsFunc(r.crashes, c.same) {
+			return true
 		}
 	}
-	if others > len(r.crashes) {
-		return minCrashesInOutage
+	return false
+}
+
+// independent returns the number of crashes that have causes of their own. The crashes must
+// be sorted by time.
+func independent(crashes []Crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || !c.Sent.Before(last) || c.At.Sub(last) >= sameCause {
+			n++
+			last = c.At
+		}
 	}
-	return MinCrashes
+	return n
 }
 
 // Acquit forgets the crashes of a request that an endpoint has run to its end. It reports
@@ -163,7 +225,8 @@
 // head in their bodies at most.
 func (l *Ledger) Suspects(head daisyrequest.Digest) bool { return l.heads[head] > 0 }
 
-// Findings returns all crashes that are remembered, oldest first.
+// Findings returns the crashes that are remembered, the oldest first, and after them the
+// verdicts.
 func (l *Ledger) Findings(now time.Time) []Finding {
 	l.forget(now)
 	var crashes []Crash
@@ -174,15 +237,19 @@
 		return cmp.Or(a.At.Compare(b.At), a.Endpoint.Compare(b.Endpoint),
 			slices.Compare(a.Request.Head[:], b.Request.Head[:]), slices.Compare(a.Request.Body[:], b.Request.Body[:]))
 	})
-	findings := make([]Finding, 0, len(crashes))
+	var findings, verdicts []Finding
 	for _, c := range crashes {
 		findings = append(findings, c)
+		if r := l.records[c.Request]; r.quarantined && c == r.crashes[0] {
+			verdicts = append(verdicts, Verdict{Request: c.Request})
+		}
 	}
-	return findings
+	return append(findings, verdicts...)
 }
 
 // forget removes what is remembered no longer.
 func (l *Ledger) forget(now time.Time) {
+	l.recent = slices.DeleteFunc(l.recent, func(c Crash) bool { return now.Sub(c.At) >= retention })
 	for f, r := range l.records {
 		end := r.last()
 		if r.quarantined {
@@ -192,7 +259,6 @@
 			l.remove(f)
 		}
 	}
-	l.recent = slices.DeleteFunc(l.recent, func(c crash) bool { return !now.Before(c.at.Add(retention)) })
 }
 
 // makeRoom removes the record with the least evidence if there are too many.
--- a/core/daisycrash/ledger_test.go
+++ b/core/daisycrash/ledger_test.go
@@ -11,9 +11,13 @@
 
 	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisyrequest"
+	"daisyyoke/core/daisyservice"
 )
 
-var start = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+var (
+	start   = time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
+	service = daisyservice.ID{Fleet: "vigia-lar", Name: "lookups"}
+)
 
 func request(n int) daisyrequest.Fingerprint {
 	var f daisyrequest.Fingerprint
@@ -26,8 +30,24 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 80)
 }
 
+// work is the time from the sending of a request to the crash of its endpoint.
+const work = 100 * time.Millisecond
+
 func crash(requestNumber, endpointNumber int, at time.Time) daisycrash.Crash {
-	return daisycrash.Crash{Request: request(requestNumber), Endpoint: endpoint(endpointNumber), At: at}
+	return daisycrash.Crash{Request: request(requestNumber), Service: service, Endpoint: endpoint(endpointNumber), Sent: at.Add(-work), At: at}
+}
+
+func newLedger() *daisycrash.Ledger { return daisycrash.NewLedger("vm-1", service) }
+
+// addCrashes adds crashes of request 1 at different endpoints, one after the other, and
+// returns the time of the last one.
+func addCrashes(l *daisycrash.Ledger, n int) time.Time {
+	now := start
+	for i := range n {
+		now = now.Add(work)
+		l.Add(now, crash(1, i, now))
+	}
+	return now
 }
 
 func quarantined(l *daisycrash.Ledger, now time.Time, n int) bool {
@@ -36,14 +56,12 @@
 }
 
 func ExampleLedger() {
-	l := daisycrash.NewLedger("vm-1")
-	for i := range 3 {
-		l.Add(start, crash(1, i, start))
-	}
-	_, ok := l.QuarantineEnd(start, request(1))
+	l := newLedger()
+	now := addCrashes(l, 3)
+	_, ok := l.QuarantineEnd(now, request(1))
 	fmt.Println("quarantined:", ok)
 	l.Acquit(request(1))
-	_, ok = l.QuarantineEnd(start, request(1))
+	_, ok = l.QuarantineEnd(now, request(1))
 	fmt.Println("after an answer:", ok)
 	// Output:
 	// quarantined: true
@@ -52,7 +70,7 @@
 
 // Guards against a request that is refused for a crash that several VMs report.
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
-	l := daisycrash.NewLedger("vm-1")
+	l := newLedger()
 	for i := range 5 {
 		assert.Equal(t, l.Add(start, crash(1, 7, start.Add(time.Duration(i)*100*time.Millisecond))), i == 0)
 	}
@@ -64,10 +82,13 @@
 // Guards against the refusal of innocent requests while a deployment ends endpoints: each
 // has a request or two in work, which are sent again to one that is ended next.
 func TestDeploymentThatEndsEndpointsQuarantinesNothing(t *testing.T) {
-	l := daisycrash.NewLedger("vm-1")
+	l := newLedger()
 	now := start
 	for i := range 40 {
 		now = now.Add(200 * time.Millisecond)
+		for range 4 {
+			l.Answered(now)
+		}
 		// Request 1 is unlucky: it was at every fifth endpoint, four times in a row.
 		if i%5 == 4 && i < 20 {
 			l.Add(now, crash(1, i, now))
@@ -81,12 +102,26 @@
 	}
 }
 
+// Guards against the refusal of a popular request after a loss of power, at which it was
+// running at many endpoints.
+func TestEndpointsThatCrashTogetherAreOneEvent(t *testing.T) {
+	l := newLedger()
+	for i := range 12 {
+		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		l.Add(at, crash(1, i, at))
+	}
+	assert.Assert(t, !quarantined(l, start.Add(time.Second), 1))
+}
+
 // Guards against a request that goes on crashing endpoints while others crash too.
 func TestRequestIsQuarantinedBesideOtherCrashes(t *testing.T) {
-	l := daisycrash.NewLedger("vm-1")
+	l := newLedger()
 	now := start
-	for i := range daisycrash.MinCrashes {
+	for i := range daisycrash.MinCrashes + 2 {
 		now = now.Add(time.Second)
+		for range 10 {
+			l.Answered(now)
+		}
 		l.Add(now, crash(1, i, now))
 		l.Add(now, crash(100+i, i, now))
 		l.Add(now, crash(200+i, 50+i, now))
@@ -98,11 +133,8 @@
 // Guards against a request that is tried ever again after its quarantine, and against one
 // that is never tried again.
 func TestQuarantineEndsAndDoubles(t *testing.T) {
-	l := daisycrash.NewLedger("vm-1")
-	now := start
-	for i := range 3 {
-		l.Add(now, crash(1, i, now))
-	}
+	l := newLedger()
+	now := addCrashes(l, 3)
 	var last time.Duration
 	for i := range 12 {
 		end, ok := l.QuarantineEnd(now, request(1))
@@ -122,28 +154,36 @@
 // Guards against memory that grows with the number of requests in work when endpoints crash,
 // and against the loss of what is quarantined for it.
 func TestLedgerIsBounded(t *testing.T) {
-	l := daisycrash.NewLedger("vm-1")
-	for i := range 3 {
-		l.Add(start, crash(1, i, start))
-	}
-	now := start
+	l := newLedger()
+	now := addCrashes(l, 3)
 	for i := range 5000 {
 		now = now.Add(time.Millisecond)
 		l.Add(now, crash(10+i, i%1000, now))
 	}
 	assert.Assert(t, quarantined(l, now, 1))
-	assert.Assert(t, len(l.Findings(now)) <= 130, "%d findings", len(l.Findings(now)))
+	const records, crashesOfTheFirst, verdicts = 128, 3, 1
+	assert.Equal(t, len(l.Findings(now)), records-1+crashesOfTheFirst+verdicts)
 }
 
 // Guards against a VM that starts later and lets a quarantined request through.
 func TestFindingsCarryTheQuarantine(t *testing.T) {
-	l, later := daisycrash.NewLedger("vm-1"), daisycrash.NewLedger("vm-2")
+	l, later := newLedger(), daisycrash.NewLedger("vm-2", service)
 	for i := range 4 {
 		l.Add(start, crash(1, i, start.Add(time.Duration(i)*time.Second)))
 	}
 	now := start.Add(time.Minute)
-	for _, f := range l.Findings(now) {
-		later.Add(now, f.(daisycrash.Crash))
+	// A VM that has just started does not know how many requests were answered.
+	for i := range 40 {
+		later.Add(now, crash(100+i, 100+i, now))
+	}
+	for _, finding := range l.Findings(now) {
+		switch f := finding.(type) {
+		case daisycrash.Crash:
+			later.Add(now, f)
+		case daisycrash.Verdict:
+			assert.Assert(t, later.Condemn(f.Request))
+		case daisycrash.Acquittal:
+		}
 	}
 	assert.Assert(t, quarantined(later, now, 1))
 	assert.Equal(t, later.Crashes(request(1)), 4)
--- a/core/daisymeasure/route.go
+++ b/core/daisymeasure/route.go
@@ -156,7 +156,7 @@
 
 func reportsNotRun(f daisyrequest.Failure) bool {
 	switch f := f.(type) {
-	case daisyrequest.Overloaded, daisyrequest.NoEndpoint:
+	case daisyrequest.Overloaded, daisyrequest.NoEndpoint, daisyrequest.Quarantined:
 		return true
 	case daisyrequest.DeadlinePassed:
 		return f.Run == daisyrequest.NotRun
--- a/core/daisymeasure/tally.go
+++ b/core/daisymeasure/tally.go
@@ -138,7 +138,7 @@
 	switch d.Failure.(type) {
 	case daisyrequest.DeadlinePassed:
 		t.Ranks[c.Rank].Expired++
-	case daisyrequest.Overloaded, daisyrequest.NoEndpoint:
+	case daisyrequest.Overloaded, daisyrequest.NoEndpoint, daisyrequest.Quarantined:
 		t.Ranks[c.Rank].Refused++
 	case daisyrequest.EndpointFailed:
 		t.Ranks[c.Rank].Errors++
--- a/core/daisymessage/message.go
+++ b/core/daisymessage/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfeed"
@@ -14,7 +15,8 @@
 )
 
 // Message is one of Heartbeat, SnapshotWanted, SnapshotGiven, CreditReport,
-// CreditGrant, EndpointNews, EndpointLeaving, RowsWanted, RowsGiven and StopWanted.
+// CreditGrant, EndpointNews, EndpointLeaving, CrashFindings, RowsWanted, RowsGiven and
+// StopWanted.
 type Message interface{ message() }
 
 // Heartbeat reports that a VM is alive, its configuration in force and its spare capacity.
@@ -77,6 +79,9 @@
 	Endpoint daisyendpoint.Identity
 }
 
+// CrashFindings passes on what a VM has found out about requests that may crash endpoints.
+type CrashFindings struct{ Findings []daisycrash.Finding }
+
 // RowsWanted requests the changes of a topic after a version.
 type RowsWanted struct {
 	Topic daisyfeed.Topic
@@ -103,6 +108,7 @@
 func (CreditGrant) message()     {}
 func (EndpointNews) message()    {}
 func (EndpointLeaving) message() {}
+func (CrashFindings) message()   {}
 func (RowsWanted) message()      {}
 func (RowsGiven) message()       {}
 func (StopWanted) message()      {}
--- a/core/daisyrequest/failure.go
+++ b/core/daisyrequest/failure.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Failure is the reason why daisyyoke responds to a request with an error of its
-// own. It is one of Overloaded, NoEndpoint, DeadlinePassed and EndpointFailed.
+// own. It is one of Overloaded, NoEndpoint, Quarantined, DeadlinePassed and EndpointFailed.
 type Failure interface{ failure() }
 
 // Overloaded means that the request was rejected to protect more urgent requests
@@ -14,6 +14,10 @@
 // endpoint is usable, or no retry is possible or allowed.
 type NoEndpoint struct{ RetryAfter time.Duration }
 
+// Quarantined means that requests which are the same have crashed endpoints, and that this
+// one was not run.
+type Quarantined struct{ RetryAfter time.Duration }
+
 // DeadlinePassed means that the request timed out. Run is whether an endpoint may
 // have run the request; RetryAfter is 0 if one may have.
 type DeadlinePassed struct {
@@ -27,5 +31,6 @@
 
 func (Overloaded) failure()     {}
 func (NoEndpoint) failure()     {}
+func (Quarantined) failure()    {}
 func (DeadlinePassed) failure() {}
 func (EndpointFailed) failure() {}
--- a/core/daisyrequest/fingerprint.go
+++ b/core/daisyrequest/fingerprint.go
@@ -1,6 +1,6 @@
 package daisyrequest
 
-import "encoding/hex"
+import "fmt"
 
 // Fingerprint identifies requests that are the same: they have the same method, host, path,
 // query, credentials and body. It is the same on every VM, and 0 identifies no request.
@@ -26,5 +26,5 @@
 	if !f.Complete() {
 		return ""
 	}
-	return hex.EncodeToString(f.Head[:shownBytes]) + "-" + hex.EncodeToString(f.Body[:shownBytes])
+	return fmt.Sprintf("%x-%x", f.Head[:shownBytes], f.Body[:shownBytes])
 }
--- a/core/daisyrequest/outcome.go
+++ b/core/daisyrequest/outcome.go
@@ -14,12 +14,20 @@
 	ResponseTime time.Duration
 }
 
-// minServerError is the lowest status code of the class of server errors (RFC 9110, 15.6).
-const minServerError = 500
+const (
+	// tooManyRequests is the status code by which an endpoint limits a caller (RFC 6585, 4).
+	tooManyRequests = 429
+	// minServerError is the lowest status code of the class of server errors (RFC 9110, 15.6).
+	minServerError = 500
+)
 
 // ServerError reports whether the status code is a server error.
 func (a Answered) ServerError() bool { return a.Status >= minServerError }
 
+// Ran reports whether the status code shows that the endpoint has run the request: it may
+// limit a caller, or fail, before it begins to.
+func (a Answered) Ran() bool { return a.Status != tooManyRequests && !a.ServerError() }
+
 // Shed means that the endpoint refused the request under load and did not run it.
 type Shed struct{ ResponseTime time.Duration }
 
@@ -33,7 +41,12 @@
 
 // BrokenOff means that the connection broke after some of the request may have
 // been sent and before a response began. The endpoint may have run the request.
-type BrokenOff struct{ Cause error }
+type BrokenOff struct {
+	Cause error
+	// Closed reports whether the endpoint closed or reset the connection, as it does when it
+	// crashes. Otherwise daisyyoke gave up on it.
+	Closed bool
+}
 
 // TimedOut means that the deadline passed before a response began. The endpoint
 // may have run the request.
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -33,7 +33,7 @@
 		d.fail(now, r, NoneUsable, defaultRetryAfter)
 		return
 	}
-	if d.failForPause(now, r) {
+	if d.failQuarantined(now, r) || d.failForPause(now, r) {
 		return
 	}
 	if d.queue.Len() == 0 {
@@ -154,6 +154,7 @@
 	a := d.pool.newAttempt()
 	a.id, a.endpoint, a.rank, a.sent, a.request = d.lastAttempt, c.endpoint, r.Rank, now, r
 	a.trial = c.choice == Trial
+	a.fingerprint = r.Fingerprint
 	a.declared = c.endpoint.declared
 	a.countedAsFirst = r.reason == First || r.reason == Retry && r.replacesUnsent
 	if r.reason == First {
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
@@ -12,9 +13,9 @@
 )
 
 // Decision is an instruction to the driver of a Dispatcher. It is one of Send,
-// Deliver, Fail, Cancel, SendMessage, Probe, EndpointChanged, EndpointNoticed,
-// RateLimitChanged and LendingChanged. Each request ends with exactly one Deliver or Fail, unless it is
-// abandoned.
+// Deliver, Fail, Cancel, SendMessage, Probe, CheckEndpoint, FindingNoted, EndpointChanged,
+// EndpointNoticed, RateLimitChanged and LendingChanged. Each request ends with exactly one
+// Deliver or Fail, unless it is abandoned.
 type Decision interface{ decision() }
 
 // Send starts an attempt at an endpoint.
@@ -75,6 +76,22 @@
 // Probe requests a load report from an endpoint.
 type Probe struct{ Endpoint netip.AddrPort }
 
+// CheckEndpoint asks whether a process accepts connections at the address of an endpoint. It
+// is answered by EndpointChecked.
+type CheckEndpoint struct{ Endpoint netip.AddrPort }
+
+// FindingNoted reports something new about a request that may crash endpoints. If it is
+// Own, the other services of this VM have to be told with FindingsReceived.
+type FindingNoted struct {
+	Finding daisycrash.Finding
+	// Crashes is the number of crashes of the request since it was last answered.
+	Crashes int
+	// Quarantine is how long the request is quarantined from now on; 0 if it is not.
+	Quarantine time.Duration
+	// Own is set if this dispatcher made the finding.
+	Own bool
+}
+
 // EndpointChanged reports a new condition of an endpoint. It requires no action.
 type EndpointChanged struct {
 	Endpoint  netip.AddrPort
@@ -120,6 +137,8 @@
 func (Cancel) decision()           {}
 func (SendMessage) decision()      {}
 func (Probe) decision()            {}
+func (CheckEndpoint) decision()    {}
+func (FindingNoted) decision()     {}
 
 // Reason is the reason why an attempt is made.
 type Reason int
@@ -168,6 +187,8 @@
 	// AllPausing means that every endpoint asked for a pause that ends too late for the
 	// request.
 	AllPausing
+	// CrashesEndpoints means that requests which are the same have crashed endpoints.
+	CrashesEndpoints
 )
 
 // String returns the cause in kebab case.
@@ -189,6 +210,8 @@
 		return "not-repeatable"
 	case AllPausing:
 		return "all-pausing"
+	case CrashesEndpoints:
+		return "crashes-endpoints"
 	}
 	return "unknown"
 }
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"daisyyoke/core/daisybudget"
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyhealth"
 	"daisyyoke/core/daisyheap"
@@ -86,6 +87,11 @@
 	peers        []daisyvm.Name
 	vms          PeersChanged
 	incarnations map[daisyvm.Name]daisyvm.Incarnation
+	// crashes has the requests that crashed endpoints.
+	crashes *daisycrash.Ledger
+	// suspected has, for each endpoint that is being checked, the requests that broke off
+	// there.
+	suspected map[netip.AddrPort][]daisycrash.Crash
 	// rateLimited is set if the endpoints' rate limits leave slots unused.
 	rateLimited bool
 	// leavingPeers is the number of other VMs in a planned stop, and silentSince has the
@@ -153,6 +159,8 @@
 		queue:          daisyqueue.New[*request](options.Service.Ranks, daisyqueue.Options{Limits: options.Limits}),
 		requests:       make(map[daisyrequest.ID]*request),
 		attempts:       make(map[daisyrequest.AttemptID]*attempt),
+		crashes:        daisycrash.NewLedger(options.Self.Name, options.Service.ID),
+		suspected:      make(map[netip.AddrPort][]daisycrash.Crash),
 		silentSince:    make(map[daisyvm.Name]time.Time),
 		attemptTimers:  daisyheap.New[*attempt](daisyheap.Earliest),
 		endpointTimers: daisyheap.New[*endpoint](daisyheap.Earliest),
@@ -210,6 +218,12 @@
 		d.handleReport(now, e)
 	case ProbeFailed:
 		d.handleProbeFailure(now, e)
+	case EndpointChecked:
+		d.handleChecked(now, e)
+	case FindingsReceived:
+		for _, finding := range e.Findings {
+			d.noteFinding(now, finding, false)
+		}
 	case PeerMessage:
 		d.handlePeerMessage(now, e)
 	case ServiceChanged:
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -10,6 +10,7 @@
 import (
 	"net/netip"
 
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyrequest"
@@ -18,8 +19,8 @@
 )
 
 // Event is an input of a Dispatcher. It is one of RequestArrived, RequestAbandoned,
-// AttemptResolved, AttemptReleased, ReportReceived, ProbeFailed, PeerMessage,
-// ServiceChanged, PeersChanged and TimePassed.
+// AttemptResolved, AttemptReleased, ReportReceived, ProbeFailed, EndpointChecked,
+// PeerMessage, FindingsReceived, ServiceChanged, PeersChanged and TimePassed.
 type Event interface{ event() }
 
 // RequestArrived means that a caller's request has to be sent to an endpoint.
@@ -47,6 +48,9 @@
 	RateLimit daisyendpoint.RateLimit
 	// Notice is what the endpoint asked for in its response; nil means nothing.
 	Notice daisyendpoint.Notice
+	// Fingerprint identifies the request with its body. It is not complete if the body
+	// is not known, and then leaves that of the request as it is.
+	Fingerprint daisyrequest.Fingerprint
 }
 
 // AttemptReleased means that the transfer of the response body has ended, completely
@@ -72,6 +76,16 @@
 	Notice daisyendpoint.Notice
 }
 
+// EndpointChecked is the result of a CheckEndpoint.
+type EndpointChecked struct {
+	Endpoint     netip.AddrPort
+	Reachability daisyendpoint.Reachability
+}
+
+// FindingsReceived contains what other VMs, or other services of this VM, have found out
+// about requests that may crash endpoints.
+type FindingsReceived struct{ Findings []daisycrash.Finding }
+
 // PeerMessage contains a message from another VM about the service.
 type PeerMessage struct {
 	From    daisyvm.Name
@@ -99,6 +113,8 @@
 func (AttemptReleased) event()  {}
 func (ReportReceived) event()   {}
 func (ProbeFailed) event()      {}
+func (EndpointChecked) event()  {}
+func (FindingsReceived) event() {}
 func (PeerMessage) event()      {}
 func (ServiceChanged) event()   {}
 func (PeersChanged) event()     {}
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -100,6 +100,9 @@
 	if r == nil || !r.Hedgeable || d.rateLimited || r.hedged || r.openCount != 1 || r.heldError != nil || r.attemptsSpent() {
 		return false
 	}
+	if _, quarantined := d.quarantineEnd(now, r.Fingerprint); quarantined {
+		return false
+	}
 	times := d.queue.ResponseTimes(a.rank)
 	return times.Samples() >= minSamples && now.Add(times.Median()).Before(r.Deadline)
 }
--- a/core/daisyroute/notice.go
+++ b/core/daisyroute/notice.go
@@ -193,6 +193,13 @@
 	if d.resumption().IsZero() {
 		return
 	}
+	for _, r := range d.waitingRequests() {
+		d.failForPause(now, r)
+	}
+}
+
+// waitingRequests returns the requests in the queue, in the order of their arrival.
+func (d *Dispatcher) waitingRequests() []*request {
 	var waiting []*request
 	for _, r := range d.requests {
 		if r.item.Queued() {
@@ -200,7 +207,5 @@
 		}
 	}
 	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.ID, b.ID) })
-	for _, r := range waiting {
-		d.failForPause(now, r)
-	}
+	return waiting
 }
--- a/core/daisyroute/request.go
+++ b/core/daisyroute/request.go
@@ -89,6 +89,11 @@
 	countedAsFirst bool
 	answered       bool
 	trial          bool
+	// fingerprint identifies the request, also once that has ended.
+	fingerprint daisyrequest.Fingerprint
+	// delivered is set if the response was forwarded, and ran if its status shows that
+	// the endpoint has run the request.
+	delivered, ran bool
 	// awaitsHedge is set while the attempt waits in the queue of hedges.
 	awaitsHedge bool
 	// checks is the number of checks made, and timerIndex the index in the
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -16,6 +16,7 @@
 	}
 	d.withdrawHedge(a)
 	d.recordOutcome(now, a, event.Outcome)
+	d.recordRun(now, a, event)
 	a.endpoint.sharing.noteOutcome(now, a.endpoint, event.Outcome)
 	if a.declared.SameIncarnation(a.endpoint.declared) {
 		d.noteRateLimit(now, a.endpoint, event.RateLimit)
@@ -48,6 +49,7 @@
 	if event.Ending == daisyrequest.BodyTruncated {
 		d.observe(now, a, daisyhealth.Fault{})
 	}
+	d.recordEnding(now, a, event.Ending)
 	d.freeSlot(now, a)
 }
 
@@ -100,7 +102,7 @@
 		d.cancel(r.heldError)
 	}
 	if delivered != nil {
-		delivered.request = nil
+		delivered.request, delivered.delivered = nil, true
 	}
 	delete(d.requests, r.ID)
 	d.pool.putRequest(r)
@@ -173,9 +175,12 @@
 		r.lastFailed = nil
 		others++
 	}
+	_, quarantined := d.quarantineEnd(now, r.Fingerprint)
 	switch {
 	case !now.Before(r.Deadline):
 		return Expired, false
+	case quarantined:
+		return CrashesEndpoints, false
 	case r.attemptsSpent():
 		return AttemptsSpent, false
 	case others == 0:
@@ -242,6 +247,8 @@
 	switch cause {
 	case QueueFull, CannotFinish:
 		return daisyrequest.Overloaded{RetryAfter: retryAfter}
+	case CrashesEndpoints:
+		return daisyrequest.Quarantined{RetryAfter: retryAfter}
 	case NoneUsable, AttemptsSpent, BudgetSpent, NotRepeatable, AllPausing, Expired:
 	}
 	return daisyrequest.NoEndpoint{RetryAfter: retryAfter}
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -1,6 +1,7 @@
 package daisyroute
 
 import (
+	"slices"
 	"time"
 
 	"daisyyoke/core/daisycredit"
@@ -8,6 +9,7 @@
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
 )
 
 // start starts the probe schedule at the first event, because the time is not known
@@ -110,6 +112,7 @@
 		}
 	}
 	d.updateEvenShare()
+	d.crashes.SetVMs(len(vms))
 	d.vms = event
 	for _, s := range d.sharings {
 		d.setVMs(now, s, event)
@@ -125,7 +128,18 @@
 	if d.ownsService {
 		d.introduceLeaving(arrived)
 	}
+	if d.introduces(vms, arrived) {
+		d.introduceFindings(now, arrived)
+	}
 	for _, e := range d.endpoints {
 		d.refresh(now, e)
 	}
 }
+
+// introduces reports whether this VM tells VMs that have just started what it knows: the
+// owner among the others does, since the owner of the service may have started itself.
+func (d *Dispatcher) introduces(vms []daisyvm.VM, arrived []daisyvm.Name) bool {
+	known := slices.DeleteFunc(slices.Clone(vms), func(v daisyvm.VM) bool { return slices.Contains(arrived, v.Name) })
+	introducer, ok := daisycredit.ChooseOwner(d.service.ID, daisyfleet.ZoneID{}, known)
+	return ok && introducer.Name == d.self.Name
+}
--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/net/http2"
@@ -77,6 +79,13 @@
 	return v.Refuses(response) && c.endpoint.target.Protocol == daisyservice.HTTP1, nil
 }
 
+// closedByEndpoint reports whether a connection failed because the endpoint closed or reset it.
+func closedByEndpoint(err error) bool {
+	return slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(closed error) bool {
+		return errors.Is(err, closed)
+	})
+}
+
 // classifyError wraps err as NotSent, Refused or BrokenOff. bytesBefore is the value
 // of socket.bytesStarted before the request. When classifyError runs,
 // either the write loop of the connection has ended, or other streams share the
@@ -90,7 +99,11 @@
 	if errors.As(err, &stream) && stream.Code == http2.ErrCodeRefusedStream {
 		return Refused.Wrap(err, "%v refused the HTTP/2 stream", c.endpoint.target.Address)
 	}
-	return BrokenOff.Wrap(err, "request to %v failed before a response began", c.endpoint.target.Address)
+	kind := BrokenOff
+	if closedByEndpoint(err) {
+		kind = Closed
+	}
+	return kind.Wrap(err, "request to %v failed before a response began", c.endpoint.target.Address)
 }
 
 // responseBody releases the connection when the response has been read or closed.
--- a/io/daisyconnection/pool.go
+++ b/io/daisyconnection/pool.go
@@ -29,6 +29,8 @@
 	// BrokenOff means that some bytes of the request may have been sent and that no
 	// valid response began, so the endpoint may have run the request.
 	BrokenOff = daisyerror.Unknown.NewSubtype("broken-off")
+	// Closed means the same, because the endpoint closed or reset the connection.
+	Closed = BrokenOff.NewSubtype("closed")
 )
 
 // Limits contains the limits and timeouts of the connections to endpoints.
--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -173,7 +173,7 @@
 		c.handle(daisyconfig.SnapshotRequested{From: from})
 	case daisymessage.SnapshotGiven:
 		c.verifySnapshot(from, &m.Snapshot)
-	case daisymessage.CreditReport, daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.RowsWanted,
+	case daisymessage.CreditReport, daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.RowsWanted,
 		daisymessage.RowsGiven, daisymessage.StopWanted:
 	}
 }
--- a/io/daisycontroller/inbox.go
+++ b/io/daisycontroller/inbox.go
@@ -98,6 +98,8 @@
 		r.Route.Receive(from, m.Service, m)
 	case daisymessage.EndpointLeaving:
 		r.Route.Receive(from, m.Service, m)
+	case daisymessage.CrashFindings:
+		r.Route.ReceiveFindings(m)
 	case daisymessage.StopWanted:
 		r.Stopper.RequestStop(m.By)
 	}
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -199,7 +199,7 @@
 			Introduced: m.Introduced,
 		})
 	case daisymessage.SnapshotWanted, daisymessage.SnapshotGiven, daisymessage.CreditReport,
-		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.RowsWanted, daisymessage.RowsGiven,
+		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.RowsWanted, daisymessage.RowsGiven,
 		daisymessage.StopWanted:
 	}
 }
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -34,11 +34,20 @@
 	Probe(ctx context.Context, service daisyservice.Service, endpoint netip.AddrPort) (daisyendpoint.Report, daisyendpoint.Notice, error)
 }
 
+// Checker finds out whether endpoints accept connections.
+type Checker interface {
+	// Check tries to connect to an endpoint.
+	Check(ctx context.Context, endpoint netip.AddrPort) daisyendpoint.Reachability
+}
+
 // RouteOptions are the dependencies and settings of a Route controller.
 type RouteOptions struct {
 	Self   daisyvm.VM
 	Sender Sender
 	Prober Prober
+	// Checker tells crashes of endpoints from broken connections; nil means that no request
+	// is quarantined.
+	Checker Checker
 	// Log records changes of endpoints and of the lending of slots; nil disables it.
 	Log *daisylog.Log
 	// Metrics counts the probes and the messages about services; nil disables it.
@@ -68,6 +77,10 @@
 	// departures has those of each service that was ever declared, guarded by changeMu.
 	departures map[daisyservice.ID]*daisyroute.Departures
 	probes     *probePool
+	// findings has what shards have found out about requests and the other shards are to know.
+	findings chan ownFinding
+	done     chan struct{}
+	wg       sync.WaitGroup
 }
 
 var _ Controller = (*Route)(nil)
@@ -81,9 +94,21 @@
 		firstConfiguration: newFirstConfiguration(),
 		options:            options,
 		departures:         make(map[daisyservice.ID]*daisyroute.Departures),
-		probes:             newProbePool(options.Prober, options.Metrics),
+		probes:             newProbePool(options.Prober, options.Checker, options.Metrics),
+		findings:           make(chan ownFinding, findingQueueSize),
+		done:               make(chan struct{}),
 	}
 	c.shards.Store(&map[daisyservice.ID]*routeShard{})
+	c.wg.Go(func() {
+		for {
+			select {
+			case f := <-c.findings:
+				c.shareFinding(f)
+			case <-c.done:
+				return
+			}
+		}
+	})
 	return c
 }
 
@@ -93,6 +118,8 @@
 func (c *Route) Close() {
 	c.changeMu.Lock()
 	defer c.changeMu.Unlock()
+	close(c.done)
+	c.wg.Wait()
 	c.probes.close()
 	for _, s := range *c.shards.Load() {
 		s.close()
@@ -144,6 +171,7 @@
 	})
 	s := newRouteShard(c, service, dispatcher)
 	s.handle(c.peers)
+	s.handle(daisyroute.FindingsReceived{Findings: c.knownFindings()})
 	shards[service.ID] = s
 }
 
@@ -249,6 +277,8 @@
 	RateLimit daisyendpoint.RateLimit
 	// Notice is what the endpoint asked for in its response; nil means nothing.
 	Notice daisyendpoint.Notice
+	// Fingerprint identifies the request with its body; not complete if the body is not known.
+	Fingerprint daisyrequest.Fingerprint
 }
 
 // Resolve reports the result of an attempt.
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -139,7 +139,7 @@
 	if r.Endpoint.IsValid() {
 		s.applyLocked(daisyroute.ReportReceived{Endpoint: r.Endpoint, Report: r.Report})
 	}
-	s.handleLocked(daisyroute.AttemptResolved{Attempt: r.Attempt, Outcome: r.Outcome, Resendable: r.Resendable, RateLimit: r.RateLimit, Notice: r.Notice})
+	s.handleLocked(daisyroute.AttemptResolved{Attempt: r.Attempt, Outcome: r.Outcome, Resendable: r.Resendable, RateLimit: r.RateLimit, Notice: r.Notice, Fingerprint: r.Fingerprint})
 }
 
 func (s *routeShard) release(event daisyroute.AttemptReleased) {
@@ -202,6 +202,10 @@
 		s.route.options.Metrics.MessageSent(d.Message)
 	case daisyroute.Probe:
 		s.probe(d.Endpoint)
+	case daisyroute.CheckEndpoint:
+		s.check(d.Endpoint)
+	case daisyroute.FindingNoted:
+		s.noteFinding(d)
 	case daisyroute.EndpointChanged:
 		s.logChange(d)
 	case daisyroute.EndpointNoticed:
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -196,6 +196,7 @@
 		Self:        d.self,
 		Sender:      d.links,
 		Prober:      d.adapter.NewProber(d.pool),
+		Checker:     d.pool,
 		Log:         d.log,
 		Metrics:     d.metrics,
 		Seed:        seed,
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -58,6 +58,7 @@
 		Self:        d.self,
 		Sender:      d.linker(),
 		Prober:      daisyload.NewProber(d.pool),
+		Checker:     d.pool,
 		Log:         d.log,
 		Metrics:     d.metrics,
 		Seed:        seed,
--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -152,6 +152,7 @@
 	responseTime := time.Since(a.started)
 	resolution := daisycontroller.Resolution{Attempt: a.send.Attempt, Outcome: a.outcome(response, err, responseTime)}
 	a.readLoad(response, &resolution)
+	resolution.Fingerprint = a.exchange.fingerprint()
 	_, answered := resolution.Outcome.(daisyrequest.Answered)
 	if answered && a.storeResponse(response, responseTime) {
 		a.exchange.ticket.Resolve(resolution)
@@ -227,7 +228,7 @@
 	case a.exchange.source.broken():
 		return daisyrequest.Canceled{}
 	}
-	return daisyrequest.BrokenOff{Cause: err}
+	return daisyrequest.BrokenOff{Cause: err, Closed: errorx.IsOfType(err, daisyconnection.Closed)}
 }
 
 // canceledOutcome returns the outcome of an attempt whose context has ended.
--- a/io/daisyforward/fingerprint.go
+++ b/io/daisyforward/fingerprint.go
@@ -1,11 +1,13 @@
 package daisyforward
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
 
 	"daisyyoke/core/daisyrequest"
+	"daisyyoke/io/daisyfilter"
 )
 
 // fingerprintHeaders are the header fields that tell callers apart. Others, such as request
@@ -33,6 +35,19 @@
 	return f
 }
 
+// readSuspectBody reads the body of a request if it depends on the body whether the request
+// is one that crashes endpoints. A body that is too long to be held remains unknown.
+func (f *Forwarder) readSuspectBody(call *daisyfilter.Call, body *source) {
+	r := &call.Request
+	if r.Fingerprint.Complete() || !f.routes.Suspects(r.Service, r.Fingerprint.Head) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(call.HTTP.Context(), r.Deadline)
+	defer cancel()
+	body.hold(ctx)
+	r.Fingerprint.Body = body.digest()
+}
+
 func digest(data []byte) daisyrequest.Digest {
 	sum := sha256.Sum256(data)
 	return daisyrequest.Digest(sum[:len(daisyrequest.Digest{})])
@@ -61,3 +76,24 @@
 	defer s.mu.Unlock()
 	return digest(s.buffer)
 }
+
+// hold reads the body until its end, or until no more of it can be held for further attempts.
+func (s *source) hold(ctx context.Context) {
+	for s.mayHold() {
+		s.mu.Lock()
+		s.requestRead()
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *source) mayHold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == nil && len(s.buffer) < s.limits.MaxReplayBytes
+}
--- a/io/daisyforward/fingerprint_test.go
+++ b/io/daisyforward/fingerprint_test.go
@@ -34,7 +34,7 @@
 	request := func(change func(*http.Request), body string) daisyrequest.Fingerprint {
 		r := httptest.NewRequest(http.MethodPost, "http://visits.vigia-lar/a/b?page=2", strings.NewReader(body))
 		r.Header.Set("Authorization", "Bearer ana")
-		r.Header.Set("Request-Id", "r-1")
+		r.Header.Set("Daisy-Attempt", "a-1")
 		change(r)
 		return fingerprintOf(t, r)
 	}
@@ -44,8 +44,8 @@
 	assert.Equal(t, len(first.String()), 25)
 	assert.Equal(t, request(func(r *http.Request) {
 		r.RemoteAddr = "192.0.2.7:80"
-		r.Header.Set("Request-Id", "r-2")
-		r.Header.Set("Deadline-Ms", "17")
+		r.Header.Set("Daisy-Attempt", "a-2")
+		r.Header.Set("Daisy-Timeout", "17ms")
 	}, "body"), first)
 	others := map[string]daisyrequest.Fingerprint{
 		"method":  request(func(r *http.Request) { r.Method = http.MethodPut }, "body"),
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -75,6 +75,7 @@
 func (f *Forwarder) Forward(w http.ResponseWriter, call *daisyfilter.Call) {
 	body := newSource(call.HTTP, http.NewResponseController(w), f.limits)
 	call.Request.Fingerprint = newFingerprint(call.HTTP, body)
+	f.readSuspectBody(call, body)
 	ticket, err := f.routes.Begin(call.Request)
 	if err != nil {
 		body.close()
@@ -224,6 +225,8 @@
 		return daisymetric.Refused
 	case daisyrequest.NoEndpoint:
 		return daisymetric.NoEndpoint
+	case daisyrequest.Quarantined:
+		return daisymetric.Quarantined
 	case daisyrequest.DeadlinePassed:
 		return daisymetric.TimedOut
 	case daisyrequest.EndpointFailed:
@@ -275,6 +278,7 @@
 		x.ticket.Resolve(daisycontroller.Resolution{Attempt: d.Attempt, Outcome: daisyrequest.NotSent{Cause: errCanceled}})
 	case daisyroute.Cancel:
 		x.cancel(d)
-	case daisyroute.Deliver, daisyroute.Fail, daisyroute.SendMessage, daisyroute.Probe, daisyroute.EndpointChanged, daisyroute.EndpointNoticed:
+	case daisyroute.Deliver, daisyroute.Fail, daisyroute.SendMessage, daisyroute.Probe, daisyroute.EndpointChanged, daisyroute.EndpointNoticed,
+		daisyroute.CheckEndpoint, daisyroute.FindingNoted:
 	}
 }
--- a/io/daisyforward/vm_test.go
+++ b/io/daisyforward/vm_test.go
@@ -67,12 +67,12 @@
 // startVM starts a VM that is closed at the end of the test.
 func startVM(t testing.TB, s settings) *vm {
 	t.Helper()
-	routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: daisyvm.VM{Name: "vm-1"}})
+	pool := daisyconnection.NewVerifyingPool(daisyconnection.DefaultLimits(), daisyforward.NewNative("vm-1"))
+	t.Cleanup(pool.Close)
+	routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Checker: pool})
 	t.Cleanup(routes.Close)
 	snapshot := newSnapshot(s)
 	routes.Apply(snapshot)
-	pool := daisyconnection.NewVerifyingPool(daisyconnection.DefaultLimits(), daisyforward.NewNative("vm-1"))
-	t.Cleanup(pool.Close)
 	pool.Apply(snapshot)
 	forwarder := daisyforward.New(daisyforward.Options{Self: "vm-1", Routes: routes, Pool: pool, Limits: s.limits})
 	t.Cleanup(forwarder.Close)
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -163,6 +163,26 @@
 	Endpoint string `json:"endpoint"`
 }
 
+type crashedRecord struct {
+	commonFields
+	Fleet       string `json:"fleet"`
+	Service     string `json:"service"`
+	Endpoint    string `json:"endpoint"`
+	Fingerprint string `json:"fingerprint"`
+	Crashes     int    `json:"crashes"`
+	Quarantine  string `json:"quarantine"`
+	FromPeer    bool   `json:"from-peer"`
+}
+
+type acquittedRecord struct {
+	commonFields
+	Fleet       string `json:"fleet"`
+	Service     string `json:"service"`
+	Fingerprint string `json:"fingerprint"`
+}
+
+type droppedRecord struct{ commonFields }
+
 type lendingRecord struct {
 	commonFields
 	Fleet      string `json:"fleet"`
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -14,7 +14,8 @@
 
 // Line is one line of the log. It is one of Sent, AttemptFailed, Answered, Refused,
 // Rejected, Abandoned, Canceled, EndpointChanged, EndpointNoticed, RateLimitChanged,
-// Probed and LendingChanged, or a message of Logger.
+// Probed, EndpointCrashed, RequestAcquitted, FindingDropped and LendingChanged, or a message
+// of Logger.
 type Line interface{ line() }
 
 // Subject identifies the request that a decision concerns.
@@ -162,6 +163,29 @@
 	Endpoint netip.AddrPort
 }
 
+// EndpointCrashed records that an endpoint crashed while it was running a request.
+type EndpointCrashed struct {
+	Service     daisyservice.ID
+	Endpoint    netip.AddrPort
+	Fingerprint daisyrequest.Fingerprint
+	// Crashes is the number of crashes of the request since it was last answered.
+	Crashes int
+	// Quarantine is how long the request is refused from now on; 0 if it is not.
+	Quarantine time.Duration
+	// FromPeer reports whether another VM told this one.
+	FromPeer bool
+}
+
+// RequestAcquitted records that a request under which endpoints had crashed was answered.
+type RequestAcquitted struct {
+	Service     daisyservice.ID
+	Fingerprint daisyrequest.Fingerprint
+}
+
+// FindingDropped records that a finding about a request was not shared with the other
+// services of the VM, because too many waited.
+type FindingDropped struct{}
+
 // LendingChanged records whether the owner of a service lends its slots to this VM, or this
 // VM is in fallback mode.
 type LendingChanged struct {
@@ -187,5 +211,8 @@
 func (EndpointNoticed) line()  {}
 func (RateLimitChanged) line() {}
 func (Probed) line()           {}
+func (EndpointCrashed) line()  {}
+func (RequestAcquitted) line() {}
+func (FindingDropped) line()   {}
 func (LendingChanged) line()   {}
 func (message) line()          {}
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -37,6 +37,14 @@
 	case Probed:
 		l.encode(&probedRecord{commonFields: l.commonFields(e, "endpoint probed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Endpoint: n.Endpoint.String()})
+	case EndpointCrashed:
+		l.encode(&crashedRecord{commonFields: l.commonFields(e, "endpoint crashed under a request"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+			Endpoint: n.Endpoint.String(), Fingerprint: n.Fingerprint.String(), Crashes: n.Crashes, Quarantine: n.Quarantine.String(), FromPeer: n.FromPeer})
+	case RequestAcquitted:
+		l.encode(&acquittedRecord{commonFields: l.commonFields(e, "request acquitted"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+			Fingerprint: n.Fingerprint.String()})
+	case FindingDropped:
+		l.encode(&droppedRecord{commonFields: l.commonFields(e, "finding not shared with other services")})
 	case LendingChanged:
 		l.encode(&lendingRecord{commonFields: l.commonFields(e, "lending changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Owner: string(n.Owner), Zone: n.Zone.Zone, InFallback: n.InFallback})
--- a/io/daisylog/sample.go
+++ b/io/daisylog/sample.go
@@ -46,7 +46,8 @@
 		return !n.Complete || n.sampled(share)
 	case Canceled:
 		return n.sampled(share)
-	case AttemptFailed, Refused, Rejected, Abandoned, EndpointChanged, EndpointNoticed, RateLimitChanged, Probed, LendingChanged, message:
+	case AttemptFailed, Refused, Rejected, Abandoned, EndpointChanged, EndpointNoticed, RateLimitChanged, Probed, EndpointCrashed, RequestAcquitted,
+		FindingDropped, LendingChanged, message:
 	}
 	return true
 }
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -139,6 +139,15 @@
 	m.counter(fmt.Sprintf(`daisyyoke_endpoint_notices_total{fleet=%q,service=%q,kind=%q}`, string(service.Fleet), service.Name, kind)).Inc()
 }
 
+// EndpointCrash counts a crash of an endpoint of a service under a request. A crash under
+// several requests counts for each.
+func (m *Metrics) EndpointCrash(service daisyservice.ID) {
+	if m == nil {
+		return
+	}
+	m.counter(fmt.Sprintf(`daisyyoke_endpoint_crashes_total{fleet=%q,service=%q}`, string(service.Fleet), service.Name)).Inc()
+}
+
 // FilterResponse counts a request to which the filter chain responded with this HTTP status.
 func (m *Metrics) FilterResponse(status int) {
 	if m != nil {
--- a/io/daisymetric/rank.go
+++ b/io/daisymetric/rank.go
@@ -22,6 +22,9 @@
 	Refused
 	// NoEndpoint means a response of daisyyoke's own with status 503.
 	NoEndpoint
+	// Quarantined means a response of daisyyoke's own with status 503, because requests
+	// that are the same have crashed endpoints.
+	Quarantined
 	// TimedOut means a response of daisyyoke's own with status 504.
 	TimedOut
 	// EndpointFailed means a response of daisyyoke's own with status 502.
@@ -31,7 +34,7 @@
 	outcomes int = iota
 )
 
-var outcomeNames = [outcomes]string{"served", "cut", "refused", "no-endpoint", "timed-out", "endpoint-broke", "abandoned"}
+var outcomeNames = [outcomes]string{"served", "cut", "refused", "no-endpoint", "quarantined", "timed-out", "endpoint-broke", "abandoned"}
 
 // String returns the outcome in kebab case.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/io/daisypeer/codec_test.go
+++ b/io/daisypeer/codec_test.go
@@ -15,12 +15,14 @@
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfeed"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyrank"
+	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisysnapshot"
@@ -133,6 +135,17 @@
 				Grace:    time.Second,
 			},
 		},
+		daisymessage.CrashFindings{Findings: []daisycrash.Finding{
+			daisycrash.Crash{
+				Request:  daisyrequest.Fingerprint{Head: daisyrequest.Digest{1}, Body: daisyrequest.Digest{2}},
+				Service:  testService,
+				Endpoint: testEndpoint,
+				Sent:     testNow.Add(-time.Minute - time.Second),
+				At:       testNow.Add(-time.Minute),
+			},
+			daisycrash.Verdict{Request: daisyrequest.Fingerprint{Head: daisyrequest.Digest{5}, Body: daisyrequest.Digest{6}}},
+			daisycrash.Acquittal{Request: daisyrequest.Fingerprint{Head: daisyrequest.Digest{3}, Body: daisyrequest.Digest{4}}},
+		}},
 	}
 }
 
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -10,11 +10,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfeed"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisysnapshot"
@@ -56,6 +58,8 @@
 		m = r.news(now, x.EndpointNews)
 	case *daisywire.Frame_EndpointLeaving:
 		m = r.leaving(x.EndpointLeaving)
+	case *daisywire.Frame_CrashFindings:
+		m = r.findings(now, x.CrashFindings)
 	case *daisywire.Frame_RowsWanted:
 		m = daisymessage.RowsWanted{Topic: r.topic(x.RowsWanted.GetTopic()), After: daisyfeed.Version(x.RowsWanted.GetAfter()), Era: daisyfeed.Era(x.RowsWanted.GetEra())}
 	case *daisywire.Frame_RowsGiven:
@@ -280,6 +284,39 @@
 	}
 }
 
+func (r *fieldReader) findings(now time.Time, w *daisywire.CrashFindings) daisymessage.CrashFindings {
+	var m daisymessage.CrashFindings
+	for _, f := range w.GetFindings() {
+		request := daisyrequest.Fingerprint{Head: r.digest(f.GetHead()), Body: r.digest(f.GetBody())}
+		switch {
+		case f.GetVerdict():
+			m.Findings = append(m.Findings, daisycrash.Verdict{Request: request})
+			continue
+		case len(f.GetAddress()) == 0:
+			m.Findings = append(m.Findings, daisycrash.Acquittal{Request: request})
+			continue
+		}
+		at := now.Add(-max(0, time.Duration(f.GetAgeMicroseconds())*time.Microsecond))
+		m.Findings = append(m.Findings, daisycrash.Crash{
+			Request:  request,
+			Service:  decodeServiceID(f.GetService()),
+			Endpoint: r.address(f.GetAddress()),
+			Sent:     at.Add(-max(0, time.Duration(f.GetRunMicroseconds())*time.Microsecond)),
+			At:       at,
+		})
+	}
+	return m
+}
+
+func (r *fieldReader) digest(bytes []byte) daisyrequest.Digest {
+	var d daisyrequest.Digest
+	if len(bytes) != len(d) {
+		r.fail("digest of %d bytes", len(bytes))
+		return d
+	}
+	return daisyrequest.Digest(bytes)
+}
+
 func (r *fieldReader) topic(number uint32) daisyfeed.Topic {
 	if number >= uint32(daisyfeed.Topics) {
 		r.fail("unknown topic %d", number)
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfeed"
@@ -57,6 +58,8 @@
 		return &daisywire.Frame{Message: &daisywire.Frame_EndpointNews{EndpointNews: encodeNews(now, m)}}
 	case daisymessage.EndpointLeaving:
 		return &daisywire.Frame{Message: &daisywire.Frame_EndpointLeaving{EndpointLeaving: encodeLeaving(m)}}
+	case daisymessage.CrashFindings:
+		return &daisywire.Frame{Message: &daisywire.Frame_CrashFindings{CrashFindings: encodeFindings(now, m)}}
 	case daisymessage.RowsWanted:
 		w := &daisywire.RowsWanted{Topic: uint32(m.Topic), After: uint64(m.After), Era: uint64(m.Era)}
 		return &daisywire.Frame{Message: &daisywire.Frame_RowsWanted{RowsWanted: w}}
@@ -289,6 +292,28 @@
 	}
 }
 
+func encodeFindings(now time.Time, m daisymessage.CrashFindings) *daisywire.CrashFindings {
+	w := &daisywire.CrashFindings{}
+	for _, finding := range m.Findings {
+		switch f := finding.(type) {
+		case daisycrash.Crash:
+			w.Findings = append(w.Findings, &daisywire.CrashFinding{
+				Head:            f.Request.Head[:],
+				Body:            f.Request.Body[:],
+				Address:         encodeAddress(f.Endpoint),
+				Service:         encodeServiceID(f.Service),
+				AgeMicroseconds: now.Sub(f.At).Microseconds(),
+				RunMicroseconds: f.At.Sub(f.Sent).Microseconds(),
+			})
+		case daisycrash.Verdict:
+			w.Findings = append(w.Findings, &daisywire.CrashFinding{Head: f.Request.Head[:], Body: f.Request.Body[:], Verdict: true})
+		case daisycrash.Acquittal:
+			w.Findings = append(w.Findings, &daisywire.CrashFinding{Head: f.Request.Head[:], Body: f.Request.Body[:]})
+		}
+	}
+	return w
+}
+
 func encodeNews(now time.Time, m daisymessage.EndpointNews) *daisywire.EndpointNews {
 	return &daisywire.EndpointNews{
 		Service:         encodeServiceID(m.Service),
--- a/io/daisypeer/fields_test.go
+++ b/io/daisypeer/fields_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfeed"
 	"daisyyoke/core/daisymessage"
@@ -43,9 +44,20 @@
 		v.Set(reflect.ValueOf(daisyendpoint.Limited{Interval: time.Duration(f.next) * time.Millisecond}))
 		return
 	}
+	if v.Type() == reflect.TypeFor[daisycrash.Finding]() {
+		v.Set(f.filled(reflect.TypeFor[daisycrash.Crash]()))
+		return
+	}
 	f.fillKind(v)
 }
 
+// filled returns a value of a type with every field set.
+func (f *filler) filled(t reflect.Type) reflect.Value {
+	v := reflect.New(t).Elem()
+	f.fill(v)
+	return v
+}
+
 func (f *filler) fillKind(v reflect.Value) {
 	switch v.Kind() {
 	case reflect.Struct:
--- a/io/daisypeer/queue.go
+++ b/io/daisypeer/queue.go
@@ -53,7 +53,7 @@
 	case daisymessage.SnapshotGiven, daisymessage.RowsGiven:
 		return true
 	case daisymessage.Heartbeat, daisymessage.SnapshotWanted, daisymessage.CreditReport,
-		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.RowsWanted, daisymessage.StopWanted:
+		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.RowsWanted, daisymessage.StopWanted:
 		return false
 	}
 	return false
--- a/io/daisyproblem/problem.go
+++ b/io/daisyproblem/problem.go
@@ -105,6 +105,13 @@
 			Run:        daisyrequest.NotRun,
 			RetryAfter: f.RetryAfter,
 		}
+	case daisyrequest.Quarantined:
+		return Problem{
+			Status:     http.StatusServiceUnavailable,
+			Title:      "Requests like this one have crashed endpoints",
+			Run:        daisyrequest.NotRun,
+			RetryAfter: f.RetryAfter,
+		}
 	case daisyrequest.DeadlinePassed:
 		return Problem{Status: http.StatusGatewayTimeout, Title: "The timeout passed", Run: f.Run, RetryAfter: f.RetryAfter}
 	case daisyrequest.EndpointFailed:
