Let registrations for unknown services take no address from endpoints

Cause: of several registrations at one address the latest counts, whatever its service, so that one that another writer leaves for a service nobody declares takes a sound endpoint out of use. Change: only registrations for declared services compete for an address.

--- a/core/daisyconfig/merge.go
+++ b/core/daisyconfig/merge.go
@@ -27,10 +27,15 @@
 // MergeRegistrations returns a copy of the declared snapshot whose services have
 // the endpoints that are registered for them. Of several registrations with the
 // same address only the latest counts, because addresses are reused, also by
-// endpoints of other services.
+// endpoints of other services. Those for services that are not declared do not
+// count: others than endpoints also register.
 func MergeRegistrations(declared *Snapshot, registrations []Registration) *Snapshot {
 	latest := make(map[netip.AddrPort]Registration, len(registrations))
+	known := declared.services()
 	for _, r := range registrations {
+		if !known[r.Service] {
+			continue
+		}
 		if o, ok := latest[r.Endpoint.Address]; !ok || r.Compare(o) > 0 {
 			latest[r.Endpoint.Address] = r
 		}
@@ -54,6 +59,17 @@
 	return &merged
 }
 
+// services returns the services that the snapshot declares.
+func (s *Snapshot) services() map[daisyservice.ID]bool {
+	known := make(map[daisyservice.ID]bool)
+	for _, f := range s.Intent.Fleets {
+		for _, v := range f.Services {
+			known[v.ID] = true
+		}
+	}
+	return known
+}
+
 func withEndpoints(service daisyservice.Service, endpoints []daisyendpoint.Endpoint) daisyservice.Service {
 	service.Endpoints = make([]daisyendpoint.Endpoint, len(endpoints))
 	for i, e := range endpoints {
