Refuse registrations to which no request can be sent

An entry of another writer was taken for an endpoint with slots, at port 0, at the unspecified address (which reaches the VM itself), in no availability zone, or under a key that no header can carry. Sums of slots overflow, and the owner lends all its credits there. Change: such entries are refused alone, as those that cannot be decoded were. The bound of 100,000 slots is the one that intents had. Intents refuse multicast addresses too, and the list of VMs the unspecified ones.

--- a/io/daisyintent/node.go
+++ b/io/daisyintent/node.go
@@ -10,6 +10,7 @@
 
 	"go.yaml.in/yaml/v3"
 
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 )
 
@@ -173,7 +174,7 @@
 	}
 	text := d.text(n)
 	address, err := netip.ParseAddrPort(text)
-	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+	if err != nil || !daisyendpoint.ValidAddress(address) {
 		d.addProblem(n, "%s %q: want IP:PORT", key, text)
 		return netip.AddrPort{}
 	}
--- a/io/daisyintent/service.go
+++ b/io/daisyintent/service.go
@@ -15,7 +15,6 @@
 const (
 	defaultWorth       = 1
 	maxWorth           = 1e9
-	maxSlots           = 100_000
 	maxConnections     = 1_000_000
 	defaultConnections = 250
 )
@@ -98,7 +97,7 @@
 	e := daisyendpoint.Endpoint{
 		Address:     d.address(n, f, "address"),
 		Zone:        d.zone(n, f, fleet),
-		Slots:       d.count(n, f, "slots", maxSlots),
+		Slots:       d.count(n, f, "slots", daisyendpoint.MaxSlots),
 		Connections: defaultConnections,
 		Draining:    d.optionalFlag(f, "draining"),
 	}
