Answer requests before the end of a planned stop, or refuse them unrun

What callers saw: requests that a VM took within its grace period and that still waited or had just been passed on at its end were cut off without an answer, also those that may not be repeated. Cause: a request kept the deadline that it came with, beyond the end of the process, so that the queue took it for one that can be served. Change: a stop within a grace period sets the time by which all requests are answered, 0.9 of the period, as the deadline of those that wait and arrive.

--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -23,6 +23,9 @@
 	if q.Rank == 0 {
 		d.lastUrgent = now
 	}
+	if d.stopsBefore(q.Deadline) {
+		q.Deadline = d.answerBy
+	}
 	r := d.pool.newRequest(q)
 	d.requests[r.ID] = r
 	switch {
@@ -33,7 +36,7 @@
 		d.fail(now, r, NoneUsable, defaultRetryAfter)
 		return
 	}
-	if d.failQuarantined(now, r) || d.failForPause(now, r) {
+	if d.failQuarantined(now, r) || d.failForStop(now, r) || d.failForPause(now, r) {
 		return
 	}
 	if d.queue.Len() == 0 {
@@ -115,6 +118,9 @@
 		d.fail(now, r, NoneUsable, defaultRetryAfter)
 		return true
 	}
+	if d.failForStop(now, r) {
+		return true
+	}
 	c := d.pick(now, r)
 	if c.endpoint == nil {
 		d.queue.Remove(now, &r.item)
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -187,6 +187,8 @@
 	// AllPausing means that every endpoint asked for a pause that ends too late for the
 	// request.
 	AllPausing
+	// Stopping means that this VM stops before a response was expected.
+	Stopping
 	// CrashesEndpoints means that requests which are the same have crashed endpoints.
 	CrashesEndpoints
 )
@@ -210,6 +212,8 @@
 		return "not-repeatable"
 	case AllPausing:
 		return "all-pausing"
+	case Stopping:
+		return "stopping"
 	case CrashesEndpoints:
 		return "crashes-endpoints"
 	}
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -89,6 +89,8 @@
 	incarnations map[daisyvm.Name]daisyvm.Incarnation
 	// crashes has the requests that crashed endpoints.
 	crashes *daisycrash.Ledger
+	// answerBy is set once this VM stops, and is the time by which it answers all requests.
+	answerBy time.Time
 	// suspected has, for each endpoint that is being checked, the requests that broke off
 	// there.
 	suspected map[netip.AddrPort][]daisycrash.Crash
@@ -230,6 +232,8 @@
 		d.changeService(now, e.Service)
 	case PeersChanged:
 		d.changePeers(now, e)
+	case StopBegan:
+		d.beginStop(now, e.AnswerBy)
 	case TimePassed:
 		d.handleTimePassed(now)
 	}
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisyendpoint"
@@ -20,7 +21,7 @@
 
 // Event is an input of a Dispatcher. It is one of RequestArrived, RequestAbandoned,
 // AttemptResolved, AttemptReleased, ReportReceived, ProbeFailed, EndpointChecked,
-// PeerMessage, FindingsReceived, ServiceChanged, PeersChanged and TimePassed.
+// PeerMessage, FindingsReceived, ServiceChanged, PeersChanged, StopBegan and TimePassed.
 type Event interface{ event() }
 
 // RequestArrived means that a caller's request has to be sent to an endpoint.
@@ -104,6 +105,9 @@
 	Leaving []daisyvm.VM
 }
 
+// StopBegan means that this VM stops and has to answer all requests by a time.
+type StopBegan struct{ AnswerBy time.Time }
+
 // TimePassed means that the time returned by NextWake has come.
 type TimePassed struct{}
 
@@ -118,4 +122,5 @@
 func (PeerMessage) event()      {}
 func (ServiceChanged) event()   {}
 func (PeersChanged) event()     {}
+func (StopBegan) event()        {}
 func (TimePassed) event()       {}
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -249,7 +249,7 @@
 		return daisyrequest.Overloaded{RetryAfter: retryAfter}
 	case CrashesEndpoints:
 		return daisyrequest.Quarantined{RetryAfter: retryAfter}
-	case NoneUsable, AttemptsSpent, BudgetSpent, NotRepeatable, AllPausing, Expired:
+	case NoneUsable, AttemptsSpent, BudgetSpent, NotRepeatable, AllPausing, Stopping, Expired:
 	}
 	return daisyrequest.NoEndpoint{RetryAfter: retryAfter}
 }
--- a/core/daisystop/event.go
+++ b/core/daisystop/event.go
@@ -2,6 +2,8 @@
 // until callers have moved to other VMs, finishes its requests and ends.
 package daisystop
 
+import "time"
+
 // Event is an input of Stop. It is one of StopWanted, LeaseAcquired, LeaseLost,
 // PeersSeen, CallersGone and TimePassed.
 type Event interface{ event() }
@@ -41,7 +43,7 @@
 func (TimePassed) event()    {}
 
 // Decision is an action that the controller of a Stop has to carry out. It is one of
-// AcquireLease, Announce, CloseCallers, ReleaseLease and Finish.
+// AcquireLease, Announce, LimitRequests, CloseCallers, ReleaseLease and Finish.
 type Decision interface{ decision() }
 
 // AcquireLease requests the lease that VMs stop under one after the other. It replaces
@@ -54,6 +56,10 @@
 	Leaving  bool
 }
 
+// LimitRequests tells routing that all requests have to be answered by a time: those that
+// cannot be are refused before they reach an endpoint.
+type LimitRequests struct{ By time.Time }
+
 // CloseCallers stops accepting connections from callers and lets their requests finish;
 // CallersGone has to follow.
 type CloseCallers struct{}
@@ -64,8 +70,9 @@
 // Finish ends the process.
 type Finish struct{}
 
-func (AcquireLease) decision() {}
-func (Announce) decision()     {}
-func (CloseCallers) decision() {}
-func (ReleaseLease) decision() {}
-func (Finish) decision()       {}
+func (AcquireLease) decision()  {}
+func (Announce) decision()      {}
+func (LimitRequests) decision() {}
+func (CloseCallers) decision()  {}
+func (ReleaseLease) decision()  {}
+func (Finish) decision()        {}
--- a/core/daisystop/stop.go
+++ b/core/daisystop/stop.go
@@ -66,16 +66,20 @@
 // requested the stop kills the process at its end.
 type Within struct{ Grace time.Duration }
 
+// part returns a fraction of the grace period.
+func (w Within) part(share float64) time.Duration { return time.Duration(share * float64(w.Grace)) }
+
 func (InTurn) mode() {}
 func (Within) mode() {}
 
-// Fractions of the grace period after which a VM accepts no more requests, and after
-// which it aborts those in flight. The second is less than 1 because the exit takes time
-// too. The users' platform counts an aborted request as an error unless the request
+// Fractions of the grace period after which a VM accepts no more requests, by which it
+// answers them, and after which it aborts those in flight. The last is less than 1 because
+// the exit takes time too. The users' platform counts an aborted request as an error unless the request
 // arrived in the first half of the grace period, so the VM accepts requests only in that
 // half.
 const (
 	acceptShare = 0.45
+	answerShare = 0.9
 	cutoffShare = 0.95
 )
 
@@ -145,8 +149,8 @@
 	s.stopRequested = now
 	if w, ok := s.mode.(Within); ok {
 		s.phase = Leaving
-		s.phaseEnd = now.Add(time.Duration(acceptShare * float64(w.Grace)))
-		return []Decision{Announce{Stopping: true, Leaving: true}}
+		s.phaseEnd = now.Add(w.part(acceptShare))
+		return []Decision{Announce{Stopping: true, Leaving: true}, LimitRequests{By: now.Add(w.part(answerShare))}}
 	}
 	if s.peers.Alone {
 		s.phase = Draining
@@ -246,7 +250,7 @@
 func (s *Stop) startDraining(now time.Time) []Decision {
 	if w, ok := s.mode.(Within); ok {
 		s.phase = Draining
-		s.phaseEnd = s.stopRequested.Add(time.Duration(cutoffShare * float64(w.Grace)))
+		s.phaseEnd = s.stopRequested.Add(w.part(cutoffShare))
 		return []Decision{CloseCallers{}}
 	}
 	if now.Sub(s.phaseEnd) > pauseThreshold {
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -74,6 +74,9 @@
 	lastRequestID atomic.Uint64
 	// activeRequests counts the requests of all services that have begun and not ended.
 	activeRequests atomic.Int64
+	// requestsEnd is set once this VM stops and has to answer all requests by then, guarded
+	// by changeMu.
+	requestsEnd time.Time
 	// departures has those of each service that was ever declared, guarded by changeMu.
 	departures map[daisyservice.ID]*daisyroute.Departures
 	probes     *probePool
@@ -172,6 +175,9 @@
 	s := newRouteShard(c, service, dispatcher)
 	s.handle(c.peers)
 	s.handle(daisyroute.FindingsReceived{Findings: c.knownFindings()})
+	if !c.requestsEnd.IsZero() {
+		s.handle(daisyroute.StopBegan{AnswerBy: c.requestsEnd})
+	}
 	shards[service.ID] = s
 }
 
@@ -236,6 +242,17 @@
 	}
 }
 
+// LimitRequests sets the time by which all requests have to be answered, because this VM
+// stops.
+func (c *Route) LimitRequests(by time.Time) {
+	c.changeMu.Lock()
+	defer c.changeMu.Unlock()
+	c.requestsEnd = by
+	for _, s := range *c.shards.Load() {
+		s.handle(daisyroute.StopBegan{AnswerBy: by})
+	}
+}
+
 // Receive handles a message from another VM that concerns a service.
 func (c *Route) Receive(from daisyvm.Name, service daisyservice.ID, message daisymessage.Message) {
 	c.options.Metrics.MessageReceived(message)
--- a/io/daisycontroller/stop.go
+++ b/io/daisycontroller/stop.go
@@ -26,6 +26,12 @@
 	Shutdown(ctx context.Context) error
 }
 
+// RequestLimiter limits the time that requests may take while this VM stops.
+type RequestLimiter interface {
+	// LimitRequests sets the time by which all requests have to be answered.
+	LimitRequests(by time.Time)
+}
+
 // StopOptions are the dependencies and settings of a Stop controller.
 type StopOptions struct {
 	Member *Member
@@ -35,7 +41,9 @@
 	Leases  *Lease
 	Sender  Sender
 	Callers Callers
-	Logger  hclog.Logger
+	// Requests may be nil when Mode sets no time for the requests.
+	Requests RequestLimiter
+	Logger   hclog.Logger
 }
 
 // Stop executes the planned stop of this VM, and requests that of other VMs.
@@ -198,6 +206,10 @@
 	case daisystop.Announce:
 		c.options.Member.SetStopping(d.Stopping, d.Leaving)
 		c.options.Callers.SetLeaving(d.Leaving)
+	case daisystop.LimitRequests:
+		if c.options.Requests != nil {
+			c.options.Requests.LimitRequests(d.By)
+		}
 	case daisystop.AcquireLease:
 		c.cancelClaim()
 		ctx, cancel := context.WithCancel(c.ctx)
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -300,11 +300,12 @@
 
 func (d *Managed) startStop() error {
 	d.stop = daisycontroller.NewStop(daisycontroller.StopOptions{
-		Member:  d.members,
-		Mode:    daisystop.Within{Grace: d.settings.GracePeriod},
-		Sender:  d.links,
-		Callers: d.callers,
-		Logger:  d.logger,
+		Member:   d.members,
+		Mode:     daisystop.Within{Grace: d.settings.GracePeriod},
+		Sender:   d.links,
+		Callers:  d.callers,
+		Requests: d.routes,
+		Logger:   d.logger,
 	})
 	d.onClose(d.stop.Close)
 	follow := daisycontroller.NewFollow(daisycontroller.FollowOptions{
