Tell the owner of a service of leaving endpoints when it has restarted

Found while VMs that start are told of crashes. Cause: the owner of a service told VMs that had started, so that nobody told an owner that had started itself; it lent its slots at an endpoint that had said it leaves. Change: the owner among the VMs that did not just start tells. Measured: TestStartedVMsAreToldOfLeavingEndpoints failed before for one of two VMs. TestOtherVMsAreToldOfALeavingEndpoint asks for the news in every case now; it had let a restarted owner go without.

--- a/core/daisyroute/notice_test.go
+++ b/core/daisyroute/notice_test.go
@@ -1,6 +1,7 @@
 package daisyroute_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -147,7 +148,7 @@
 	h.handle(daisyroute.PeersChanged{VMs: []daisyvm.VM{self}})
 	restarted := daisyvm.VM{Name: other.Name, Incarnation: 2}
 	again := told(h.handle(daisyroute.PeersChanged{VMs: []daisyvm.VM{self, restarted}}))
-	assert.Equal(t, len(again) == 1, ownerOf(newService(0, 0).ID, []daisyvm.VM{self, restarted}).Name == self.Name, "the owner tells a VM that has started")
+	assert.Equal(t, len(again), 1, "a VM that has started is told, whoever owns the service")
 }
 
 // Guards against more than the odd request, trial or probe for an endpoint while the pause
@@ -219,3 +220,30 @@
 	assert.Equal(t, daisyendpoint.NewPause(1500*time.Millisecond), daisyendpoint.Notice(daisyendpoint.Pausing{For: 1500 * time.Millisecond, Asked: 1500 * time.Millisecond}))
 	assert.Equal(t, daisyendpoint.NewPause(48*time.Hour), daisyendpoint.Notice(daisyendpoint.Pausing{For: 10 * time.Minute, Asked: 48 * time.Hour}))
 }
+
+// Guards against an endpoint that leaves and gets new work from a VM that has just started,
+// also if that VM owns the service.
+func TestStartedVMsAreToldOfLeavingEndpoints(t *testing.T) {
+	vms := []daisyvm.VM{self, {Name: "vm-1", Incarnation: 1}, {Name: "vm-2", Incarnation: 1}}
+	for restarted := 1; restarted < len(vms); restarted++ {
+		told := make(map[daisyvm.Name]int)
+		for i, v := range vms {
+			if i == restarted {
+				continue
+			}
+			service := incarnations(3, 2)
+			h := newHarness(t, service, nil)
+			h.dispatcher = daisyroute.NewDispatcher(daisyroute.Options{Self: v, Service: service, Random: rand.New(rand.NewPCG(1, 2))})
+			h.handle(daisyroute.PeersChanged{VMs: vms})
+			h.handle(daisyroute.PeerMessage{From: "vm-9", Message: daisymessage.EndpointLeaving{Service: service.ID, Endpoint: service.Endpoints[0].Identity()}})
+			after := append([]daisyvm.VM(nil), vms...)
+			after[restarted].Incarnation++
+			for _, m := range ofType[daisyroute.SendMessage](h.handle(daisyroute.PeersChanged{VMs: after})) {
+				if _, ok := m.Message.(daisymessage.EndpointLeaving); ok {
+					told[m.To]++
+				}
+			}
+		}
+		assert.DeepEqual(t, told, map[daisyvm.Name]int{vms[restarted].Name: 1})
+	}
+}
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -125,10 +125,8 @@
 	}
 	owner, ok := daisycredit.ChooseOwner(d.service.ID, daisyfleet.ZoneID{}, vms)
 	d.ownsService = !ok || owner.Name == d.self.Name
-	if d.ownsService {
-		d.introduceLeaving(arrived)
-	}
 	if d.introduces(vms, arrived) {
+		d.introduceLeaving(arrived)
 		d.introduceFindings(now, arrived)
 	}
 	for _, e := range d.endpoints {
