--- a/core/daisycrash/ledger.go
+++ b/core/daisycrash/ledger.go
@@ -234,8 +234,7 @@
 		crashes = append(crashes, r.crashes...)
 	}
 	slices.SortFunc(crashes, func(a, b Crash) int {
-		return cmp.Or(a.At.Compare(b.At), a.Endpoint.Compare(b.Endpoint),
-			slices.Compare(a.Request.Head[:], b.Request.Head[:]), slices.Compare(a.Request.Body[:], b.Request.Body[:]))
+		return cmp.Or(a.At.Compare(b.At), a.Endpoint.Compare(b.Endpoint), compareFingerprints(a.Request, b.Request))
 	})
 	var findings, verdicts []Finding
 	for _, c := range crashes {
@@ -247,6 +246,11 @@
 	return append(findings, verdicts...)
 }
 
+// compareFingerprints orders fingerprints, so that equal inputs have equal results.
+func compareFingerprints(a, b daisyrequest.Fingerprint) int {
+	return cmp.Or(slices.Compare(a.Head[:], b.Head[:]), slices.Compare(a.Body[:], b.Body[:]))
+}
+
 // forget removes what is remembered no longer.
 func (l *Ledger) forget(now time.Time) {
 	l.recent = slices.DeleteFunc(l.recent, func(c Crash) bool { return now.Sub(c.At) >= retention })
@@ -269,7 +273,7 @@
 	var least daisyrequest.Fingerprint
 	var found *record
 	for f, r := range l.records {
-		if found == nil || cmp.Or(cmp.Compare(len(r.crashes), len(found.crashes)), r.last().Compare(found.last())) < 0 {
+		if found == nil || cmp.Or(cmp.Compare(len(r.crashes), len(found.crashes)), r.last().Compare(found.last()), compareFingerprints(f, least)) < 0 {
 			least, found = f, r
 		}
 	}
