--- a/core/daisycrash/ledger.go
+++ b/core/daisycrash/ledger.go
@@ -30,9 +30,9 @@
 	// endpoint that the request is sent to again within a moment.
 	wave       = time.Second
 	maxPerWave = 2
-	// pause is the time for which a request is not sent again after each crash from the
+	// cooldown is the time for which a request is not sent again after each crash from the
 	// one with the number MinCrashes on, until it is quarantined or answered.
-	pause = 500 * time.Millisecond
+	cooldown = 500 * time.Millisecond
 	// firstQuarantine is the length of a quarantine after MinCrashes. It doubles with each
 	// further crash, up to maxQuarantine.
 	firstQuarantine = 10 * time.Minute
@@ -139,9 +139,9 @@
 	slices.SortStableFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
 }
 
-// Pause returns until when a request is not sent that is not quarantined, given the crashes
+// Cooldown returns until when a request is not sent that is not quarantined, given the crashes
 // that are suspected beside the known ones; the zero time if it may be sent.
-func (l *Ledger) Pause(f daisyrequest.Fingerprint, suspected []Crash) time.Time {
+func (l *Ledger) Cooldown(f daisyrequest.Fingerprint, suspected []Crash) time.Time {
 	crashes := suspected
 	if r := l.records[f]; r != nil {
 		crashes = append(crashes, r.crashes...)
@@ -150,7 +150,7 @@
 		return time.Time{}
 	}
 	sortByTime(crashes)
-	return crashes[len(crashes)-1].At.Add(pause)
+	return crashes[len(crashes)-1].At.Add(cooldown)
 }
 
 // suffices reports whether crashes of one request are too many to be a coincidence, given how
--- a/core/daisycrash/ledger_test.go
+++ b/core/daisycrash/ledger_test.go
@@ -128,15 +128,15 @@
 }
 
 // Guards against endpoints that crash faster than it can be told whether a request causes it.
-func TestRequestPausesAfterCrashes(t *testing.T) {
+func TestRequestCoolsDownAfterCrashes(t *testing.T) {
 	l := newLedger()
 	at := start.Add(work)
 	l.Add(at, crash(1, 0, at))
-	assert.Assert(t, l.Pause(request(1), []daisycrash.Crash{crash(1, 1, at)}).IsZero())
-	end := l.Pause(request(1), []daisycrash.Crash{crash(1, 1, at), crash(1, 2, at)})
+	assert.Assert(t, l.Cooldown(request(1), []daisycrash.Crash{crash(1, 1, at)}).IsZero())
+	end := l.Cooldown(request(1), []daisycrash.Crash{crash(1, 1, at), crash(1, 2, at)})
 	assert.Assert(t, end.After(at) && !end.After(at.Add(time.Second)), "%v", end)
 	assert.Assert(t, l.Acquit(request(1)))
-	assert.Assert(t, l.Pause(request(1), nil).IsZero())
+	assert.Assert(t, l.Cooldown(request(1), nil).IsZero())
 }
 
 // Guards against a request that goes on crashing endpoints while others crash too.
--- a/core/daisyroute/crash.go
+++ b/core/daisyroute/crash.go
@@ -172,7 +172,7 @@
 }
 
 // quarantineEnd returns until when a request is not sent to endpoints, and reports whether
-// that is the case. One that is not quarantined may have to pause.
+// that is the case. One that is not quarantined may have to cool down.
 func (d *Dispatcher) quarantineEnd(now time.Time, f daisyrequest.Fingerprint) (time.Time, bool) {
 	if end, ok := d.crashes.QuarantineEnd(now, f); ok {
 		return end, true
@@ -184,7 +184,7 @@
 			suspected = append(suspected, requests[i])
 		}
 	}
-	end := d.crashes.Pause(f, suspected)
+	end := d.crashes.Cooldown(f, suspected)
 	return end, now.Before(end)
 }
 
