Take turns at the store by its clock

A change may have been in force later than 2 s after it was confirmed. Cause: VMs that read the store in turn took slots of their wall clocks. Where these differ, two share a slot and another is empty, so that with both readers cut off in silence nobody looked for more than 2 s. A clock set back also put off the next read.

--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -87,6 +87,8 @@
 	Rows []Row
 	AsOf Version
 	Era  Era
+	// Clock is the store's own clock at the reply; 0 if it does not say.
+	Clock time.Duration
 }
 
 // RowsChanged carries the changes after the requested version, up to AsOf.
@@ -94,6 +96,8 @@
 	Rows []Row
 	AsOf Version
 	Era  Era
+	// Clock is as in RowsRead.
+	Clock time.Duration
 	// Late reports whether the reply took longer than the store was asked to wait. The
 	// store may have been unavailable meanwhile, so a late reply starts the grace period.
 	Late bool
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -82,6 +82,10 @@
 	// position is the index of this VM among all, which determines its turn in the rotation.
 	position int
 
+	// storeClock is the store's clock when it last replied, at storeClockAt.
+	storeClock   time.Duration
+	storeClockAt time.Time
+
 	readInFlight bool
 	nextReadAt   time.Time
 	// awaitPeersUntil is until when the first read is left to peers; see AwaitPeers.
@@ -176,6 +180,7 @@
 	switch e := event.(type) {
 	case RowsRead:
 		f.readInFlight = false
+		f.noteClock(now, e.Clock)
 		f.storeAnswered(now, false)
 		if !f.complete && len(f.peers) == 0 {
 			f.nextReadAt = now.Add(delayAfterFirstRead)
@@ -186,6 +191,7 @@
 		}
 	case RowsChanged:
 		f.readInFlight = false
+		f.noteClock(now, e.Clock)
 		f.storeAnswered(now, e.Late)
 		if f.admitsAnswer(now, e.Era, false) {
 			f.handleRowsChanged(now, e)
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -48,6 +48,8 @@
 	Rows []daisyfeed.Row
 	AsOf daisyfeed.Version
 	Era  daisyfeed.Era
+	// Clock is the store's own clock; 0 if it does not say.
+	Clock time.Duration
 }
 
 // FeedChanged contains the changes up to a version; there may be none.
@@ -55,6 +57,8 @@
 	Rows []daisyfeed.Row
 	AsOf daisyfeed.Version
 	Era  daisyfeed.Era
+	// Clock is the store's own clock; 0 if it does not say.
+	Clock time.Duration
 }
 
 // FeedHistoryLost reports that the store does not have the requested changes.
@@ -308,9 +312,9 @@
 	switch a := answer.(type) {
 	case FeedRead:
 		c.options.Logger.Info("all rows read", "topic", topic.String(), "rows", len(a.Rows), "as-of", uint64(a.AsOf), "era", uint64(a.Era))
-		return daisyfeed.RowsRead{Rows: a.Rows, AsOf: a.AsOf, Era: a.Era}
+		return daisyfeed.RowsRead{Rows: a.Rows, AsOf: a.AsOf, Era: a.Era, Clock: a.Clock}
 	case FeedChanged:
-		return daisyfeed.RowsChanged{Rows: a.Rows, AsOf: a.AsOf, Era: a.Era, Late: late}
+		return daisyfeed.RowsChanged{Rows: a.Rows, AsOf: a.AsOf, Era: a.Era, Clock: a.Clock, Late: late}
 	case FeedHistoryLost:
 		c.options.Logger.Info("store does not have the changes asked for", "topic", topic.String(), "era", uint64(a.Era))
 		return daisyfeed.HistoryLost{Era: a.Era}
