--- a/io/daisyforward/crash_test.go
+++ b/io/daisyforward/crash_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -16,63 +15,26 @@
 	"daisyyoke/core/daisyservice"
 )
 
-// crashingEndpoint is an endpoint whose process ends when it begins to run a poisonous
-// request: nothing listens at its address any more, and all its connections end.
-type crashingEndpoint struct {
-	listener net.Listener
-	poisons  func(request *http.Request, body string) bool
-	crashes  *atomic.Int32
-	wg       sync.WaitGroup
-
-	mu          sync.Mutex
-	connections []net.Conn
-}
-
-func startCrashingEndpoint(t *testing.T, crashes *atomic.Int32, poisons func(*http.Request, string) bool) netip.AddrPort {
+// startCrashingEndpoint starts an endpoint that crashes when it begins to run a poisonous
+// request.
+func startCrashingEndpoint(t *testing.T, crashes *atomic.Int32, poisons func(request *http.Request, body string) bool) netip.AddrPort {
 	t.Helper()
-	e := &crashingEndpoint{listener: listen(t), poisons: poisons, crashes: crashes}
-	e.wg.Go(func() {
+	return startRawEndpoint(t, func(e *rawEndpoint, c net.Conn) {
+		r := bufio.NewReader(c)
 		for {
-			c, err := e.listener.Accept()
+			request, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			e.mu.Lock()
-			e.connections = append(e.connections, c)
-			e.mu.Unlock()
-			e.wg.Go(func() { e.serve(c) })
+			body, _ := io.ReadAll(request.Body)
+			if poisons(request, string(body)) {
+				crashes.Add(1)
+				e.crash()
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
-	t.Cleanup(e.wg.Wait)
-	t.Cleanup(e.end)
-	return netip.MustParseAddrPort(e.listener.Addr().String())
-}
-
-// end ends the process of the endpoint.
-func (e *crashingEndpoint) end() {
-	_ = e.listener.Close()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, c := range e.connections {
-		_ = c.Close()
-	}
-}
-
-func (e *crashingEndpoint) serve(c net.Conn) {
-	r := bufio.NewReader(c)
-	for {
-		request, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		body, _ := io.ReadAll(request.Body)
-		if e.poisons(request, string(body)) {
-			e.crashes.Add(1)
-			e.end()
-			return
-		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	}
 }
 
 const (
--- a/io/daisyforward/once_test.go
+++ b/io/daisyforward/once_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -16,34 +15,18 @@
 	"daisyyoke/core/daisyservice"
 )
 
-// breakingEndpoint is an endpoint on a raw socket. It responds to requests for /warm,
-// so that the connection is kept alive, and breaks off any other request.
+// breakingEndpoint responds to requests for /warm, so that the connection is kept alive, and
+// breaks off any other request.
 type breakingEndpoint struct {
-	listener net.Listener
 	// writeLast writes the last bytes before the connection is closed.
 	writeLast func(c net.Conn)
 	arrived   *atomic.Int32
-	wg        sync.WaitGroup
 }
 
 func startBreakingEndpoint(t *testing.T, arrived *atomic.Int32, writeLast func(net.Conn)) netip.AddrPort {
 	t.Helper()
-	b := &breakingEndpoint{listener: listen(t), writeLast: writeLast, arrived: arrived}
-	b.wg.Go(func() {
-		for {
-			c, err := b.listener.Accept()
-			if err != nil {
-				return
-			}
-			b.wg.Go(func() {
-				defer c.Close()
-				b.serve(c)
-			})
-		}
-	})
-	t.Cleanup(b.wg.Wait)
-	t.Cleanup(func() { _ = b.listener.Close() })
-	return netip.MustParseAddrPort(b.listener.Addr().String())
+	b := &breakingEndpoint{writeLast: writeLast, arrived: arrived}
+	return startRawEndpoint(t, func(_ *rawEndpoint, c net.Conn) { b.serve(c) })
 }
 
 func (b *breakingEndpoint) serve(c net.Conn) {
--- a/io/daisyforward/repeat_test.go
+++ b/io/daisyforward/repeat_test.go
@@ -18,18 +18,16 @@
 	"daisyyoke/core/daisyservice"
 )
 
-// repeatingEndpoint is a faulty endpoint on a raw socket. It responds to the first request
+// repeatingEndpoint is a faulty endpoint. It responds to the first request
 // on each connection; when the next one arrives, it writes that response again and runs
 // the request without responding to it.
 type repeatingEndpoint struct {
-	listener net.Listener
 	// refuses is set if the first response refuses the request.
 	refuses bool
 	// echoes is set if responses name the attempt that they belong to.
 	echoes bool
 	// ran counts the runs of each path, at all endpoints of a test.
 	ran *runCounts
-	wg  sync.WaitGroup
 }
 
 // runCounts counts the runs of requests by path.
@@ -52,22 +50,8 @@
 
 func startRepeatingEndpoint(t *testing.T, refuses, echoes bool, ran *runCounts) netip.AddrPort {
 	t.Helper()
-	e := &repeatingEndpoint{listener: listen(t), refuses: refuses, echoes: echoes, ran: ran}
-	e.wg.Go(func() {
-		for {
-			c, err := e.listener.Accept()
-			if err != nil {
-				return
-			}
-			e.wg.Go(func() {
-				defer c.Close()
-				e.serve(c)
-			})
-		}
-	})
-	t.Cleanup(e.wg.Wait)
-	t.Cleanup(func() { _ = e.listener.Close() })
-	return netip.MustParseAddrPort(e.listener.Addr().String())
+	e := &repeatingEndpoint{refuses: refuses, echoes: echoes, ran: ran}
+	return startRawEndpoint(t, func(_ *rawEndpoint, c net.Conn) { e.serve(c) })
 }
 
 func (e *repeatingEndpoint) serve(c net.Conn) {
