Keep the steady clock in the borrower's check for a pause

Cause: a moment rounded by the wall clock has lost its steady part, as the turns at the store had, so that a clock that is set back put the check off by as much. Change: the check is a time from the last one. Measured: TestPauseCheckKeepsTheSteadyClock failed before.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -448,7 +448,9 @@
 		wake = time.Time{}
 	}
 	if !b.fallback && !b.lastCheck.IsZero() {
-		wake = daisywake.Sooner(wake, b.lastCheck.Truncate(pauseCheckInterval).Add(pauseCheckInterval))
+		// Truncate loses the steady clock, without which a change of the wall clock moves the check.
+		next := b.lastCheck.Truncate(pauseCheckInterval).Add(pauseCheckInterval)
+		wake = daisywake.Sooner(wake, b.lastCheck.Add(next.Sub(b.lastCheck)))
 	}
 	return daisywake.Sooner(wake, b.onDemandDeadline())
 }
