--- a/core/daisyfeed/propagation_test.go
+++ b/core/daisyfeed/propagation_test.go
@@ -252,3 +252,16 @@
 		s.vms[name].cut = true
 	}
 }
+
+// Guards against a turn that comes late by as much as the wall clock was set back: its time
+// has to keep the reading of the steady clock, which Round(0) removes.
+func TestTurnKeepsTheSteadyClock(t *testing.T) {
+	now := time.Now()
+	f := daisyfeed.NewFollower()
+	f.Handle(now, daisyfeed.TimePassed{})
+	f.Handle(now, daisyfeed.RowsRead{AsOf: 2, Clock: time.Hour})
+	f.Handle(now, daisyfeed.RoleChanged{Position: 3, Peers: make([]daisyvm.Name, 6)})
+	wake := f.NextWake()
+	assert.Assert(t, wake.After(now) && !wake.After(now.Add(10*time.Second)), "%v", wake.Sub(now))
+	assert.Assert(t, wake != wake.Round(0), "%v", wake)
+}
