Log that a request is quarantined on another VM's verdict

A VM that learned of a quarantine refused requests without a line that says since when; its own lines counted crashes only. A verdict names the service now, so that one line is written and not one for each service.

--- a/core/daisycrash/finding.go
+++ b/core/daisycrash/finding.go
@@ -30,7 +30,11 @@
 }
 
 // Verdict means that the crashes of a request are too many to be a coincidence.
-type Verdict struct{ Request daisyrequest.Fingerprint }
+type Verdict struct {
+	Request daisyrequest.Fingerprint
+	// Service is the service whose endpoints crashed.
+	Service daisyservice.ID
+}
 
 // Acquittal means that an endpoint has run the request to its end.
 type Acquittal struct{ Request daisyrequest.Fingerprint }
--- a/core/daisycrash/ledger.go
+++ b/core/daisycrash/ledger.go
@@ -260,7 +260,7 @@
 	for _, c := range crashes {
 		findings = append(findings, c)
 		if r := l.records[c.Request]; r.quarantined && c == r.crashes[0] {
-			verdicts = append(verdicts, Verdict{Request: c.Request})
+			verdicts = append(verdicts, Verdict{Request: c.Request, Service: c.Service})
 		}
 	}
 	return append(findings, verdicts...)
--- a/core/daisyroute/crash.go
+++ b/core/daisyroute/crash.go
@@ -105,7 +105,7 @@
 	d.emit(noted)
 	findings := []daisycrash.Finding{finding}
 	if _, ok := finding.(daisycrash.Crash); ok && quarantined && !wasQuarantined {
-		findings = append(findings, daisycrash.Verdict{Request: f})
+		findings = append(findings, daisycrash.Verdict{Request: f, Service: d.service.ID})
 	}
 	if own {
 		for _, p := range d.peers {
--- a/io/daisycontroller/route_finding.go
+++ b/io/daisycontroller/route_finding.go
@@ -110,6 +110,9 @@
 			FromPeer:    !noted.Own,
 		})
 	case daisycrash.Verdict:
+		if f.Service == service.ID {
+			s.route.options.Log.Write(daisylog.RequestQuarantined{Service: service.ID, Fingerprint: f.Request, Crashes: noted.Crashes, Quarantine: noted.Quarantine})
+		}
 	case daisycrash.Acquittal:
 		if noted.Own {
 			s.route.options.Log.Write(daisylog.RequestAcquitted{Service: service.ID, Fingerprint: f.Request})
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -174,6 +174,15 @@
 	FromPeer    bool   `json:"from-peer"`
 }
 
+type quarantinedRecord struct {
+	commonFields
+	Fleet       string `json:"fleet"`
+	Service     string `json:"service"`
+	Fingerprint string `json:"fingerprint"`
+	Crashes     int    `json:"crashes"`
+	Quarantine  string `json:"quarantine"`
+}
+
 type acquittedRecord struct {
 	commonFields
 	Fleet       string `json:"fleet"`
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -14,8 +14,8 @@
 
 // Line is one line of the log. It is one of Sent, AttemptFailed, Answered, Refused,
 // Rejected, Abandoned, Canceled, EndpointChanged, EndpointNoticed, RateLimitChanged,
-// Probed, EndpointCrashed, RequestAcquitted, FindingDropped and LendingChanged, or a message
-// of Logger.
+// Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted, FindingDropped and
+// LendingChanged, or a message of Logger.
 type Line interface{ line() }
 
 // Subject identifies the request that a decision concerns.
@@ -176,6 +176,15 @@
 	FromPeer bool
 }
 
+// RequestQuarantined records that this VM quarantines a request on the verdict of another one.
+type RequestQuarantined struct {
+	Service     daisyservice.ID
+	Fingerprint daisyrequest.Fingerprint
+	// Crashes and Quarantine are as in EndpointCrashed.
+	Crashes    int
+	Quarantine time.Duration
+}
+
 // RequestAcquitted records that a request under which endpoints had crashed was answered.
 type RequestAcquitted struct {
 	Service     daisyservice.ID
@@ -200,19 +209,20 @@
 // message is an encoded line of Logger, which is not a decision.
 type message struct{ text []byte }
 
-func (Sent) line()             {}
-func (AttemptFailed) line()    {}
-func (Answered) line()         {}
-func (Refused) line()          {}
-func (Rejected) line()         {}
-func (Abandoned) line()        {}
-func (Canceled) line()         {}
-func (EndpointChanged) line()  {}
-func (EndpointNoticed) line()  {}
-func (RateLimitChanged) line() {}
-func (Probed) line()           {}
-func (EndpointCrashed) line()  {}
-func (RequestAcquitted) line() {}
-func (FindingDropped) line()   {}
-func (LendingChanged) line()   {}
-func (message) line()          {}
+func (Sent) line()               {}
+func (AttemptFailed) line()      {}
+func (Answered) line()           {}
+func (Refused) line()            {}
+func (Rejected) line()           {}
+func (Abandoned) line()          {}
+func (Canceled) line()           {}
+func (EndpointChanged) line()    {}
+func (EndpointNoticed) line()    {}
+func (RateLimitChanged) line()   {}
+func (Probed) line()             {}
+func (EndpointCrashed) line()    {}
+func (RequestQuarantined) line() {}
+func (RequestAcquitted) line()   {}
+func (FindingDropped) line()     {}
+func (LendingChanged) line()     {}
+func (message) line()            {}
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -40,6 +40,9 @@
 	case EndpointCrashed:
 		l.encode(&crashedRecord{commonFields: l.commonFields(e, "endpoint crashed under a request"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Endpoint: n.Endpoint.String(), Fingerprint: n.Fingerprint.String(), Crashes: n.Crashes, Quarantine: n.Quarantine.String(), FromPeer: n.FromPeer})
+	case RequestQuarantined:
+		l.encode(&quarantinedRecord{commonFields: l.commonFields(e, "request quarantined"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+			Fingerprint: n.Fingerprint.String(), Crashes: n.Crashes, Quarantine: n.Quarantine.String()})
 	case RequestAcquitted:
 		l.encode(&acquittedRecord{commonFields: l.commonFields(e, "request acquitted"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Fingerprint: n.Fingerprint.String()})
--- a/io/daisylog/sample.go
+++ b/io/daisylog/sample.go
@@ -46,7 +46,7 @@
 		return !n.Complete || n.sampled(share)
 	case Canceled:
 		return n.sampled(share)
-	case AttemptFailed, Refused, Rejected, Abandoned, EndpointChanged, EndpointNoticed, RateLimitChanged, Probed, EndpointCrashed, RequestAcquitted,
+	case AttemptFailed, Refused, Rejected, Abandoned, EndpointChanged, EndpointNoticed, RateLimitChanged, Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted,
 		FindingDropped, LendingChanged, message:
 	}
 	return true
--- a/io/daisypeer/codec_test.go
+++ b/io/daisypeer/codec_test.go
@@ -143,7 +143,7 @@
 				Sent:     testNow.Add(-time.Minute - time.Second),
 				At:       testNow.Add(-time.Minute),
 			},
-			daisycrash.Verdict{Request: daisyrequest.Fingerprint{Head: daisyrequest.Digest{5}, Body: daisyrequest.Digest{6}}},
+			daisycrash.Verdict{Request: daisyrequest.Fingerprint{Head: daisyrequest.Digest{5}, Body: daisyrequest.Digest{6}}, Service: testService},
 			daisycrash.Acquittal{Request: daisyrequest.Fingerprint{Head: daisyrequest.Digest{3}, Body: daisyrequest.Digest{4}}},
 		}},
 	}
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -290,7 +290,7 @@
 		request := daisyrequest.Fingerprint{Head: r.digest(f.GetHead()), Body: r.digest(f.GetBody())}
 		switch {
 		case f.GetVerdict():
-			m.Findings = append(m.Findings, daisycrash.Verdict{Request: request})
+			m.Findings = append(m.Findings, daisycrash.Verdict{Request: request, Service: decodeServiceID(f.GetService())})
 			continue
 		case len(f.GetAddress()) == 0:
 			m.Findings = append(m.Findings, daisycrash.Acquittal{Request: request})
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -306,7 +306,7 @@
 				RunMicroseconds: f.At.Sub(f.Sent).Microseconds(),
 			})
 		case daisycrash.Verdict:
-			w.Findings = append(w.Findings, &daisywire.CrashFinding{Head: f.Request.Head[:], Body: f.Request.Body[:], Verdict: true})
+			w.Findings = append(w.Findings, &daisywire.CrashFinding{Head: f.Request.Head[:], Body: f.Request.Body[:], Service: encodeServiceID(f.Service), Verdict: true})
 		case daisycrash.Acquittal:
 			w.Findings = append(w.Findings, &daisywire.CrashFinding{Head: f.Request.Head[:], Body: f.Request.Body[:]})
 		}
