Take the digest of a body under one lock

Found by reading: the body was found whole under one lock and hashed under another, between which an attempt that still sends it after an early response may discard its beginning. The digest would have been of the rest, and the crash of no request.

--- a/io/daisyforward/fingerprint.go
+++ b/io/daisyforward/fingerprint.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"io"
 	"net/http"
 
 	"daisyyoke/core/daisyrequest"
@@ -69,11 +70,11 @@
 	if s == nil {
 		return emptyBody
 	}
-	if !s.complete() || !s.resendable() {
-		return daisyrequest.Digest{}
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.err != io.EOF || s.start != 0 {
+		return daisyrequest.Digest{}
+	}
 	return digest(s.buffer)
 }
 
--- a/io/daisyforward/fingerprint_test.go
+++ b/io/daisyforward/fingerprint_test.go
@@ -69,3 +69,32 @@
 	assert.Assert(t, !f.Complete())
 	assert.Equal(t, f.String(), "")
 }
+
+// Guards against a digest of the rest of a body whose beginning is discarded at that moment, by
+// an attempt that still sends it after an early response.
+func TestDigestIsOfTheWholeBodyOrNone(t *testing.T) {
+	const replay = 16 << 10
+	body := strings.Repeat("abcdefgh", replay/4)
+	whole := digest([]byte(body))
+	for range 200 {
+		r := httptest.NewRequest(http.MethodPost, "http://visits.vigia-lar/a", strings.NewReader(body))
+		s := newSource(r, http.NewResponseController(httptest.NewRecorder()), Limits{MaxReplayBytes: replay, StallTimeout: DefaultLimits().StallTimeout})
+		reader := s.newReader()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = io.Copy(io.Discard, reader)
+		}()
+		for read := false; !read; {
+			select {
+			case <-done:
+				read = true
+			default:
+			}
+			if d := s.digest(); d != (daisyrequest.Digest{}) {
+				assert.Equal(t, d, whole)
+			}
+		}
+		s.close()
+	}
+}
