--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +21,9 @@
 	listener          net.Listener
 	// work returns how long a request takes.
 	work func(r *http.Request) time.Duration
+	// noisy is set for a backend that shares its machine: work takes four times as long in 35%
+	// of the time, and 1.7 times as long while all slots are in use, as in the site files.
+	noisy bool
 	// answer writes the answer of a request that has run; nil means a sound one. It reports
 	// whether the connection stays open.
 	answer func(b *backend, c net.Conn, r *http.Request, id string, body []byte) bool
@@ -33,6 +37,8 @@
 	sequence         int
 	conns            map[net.Conn]bool
 	closed           bool
+	noise            float64
+	noiseSince       time.Time
 }
 
 func newBackend(id, service, zone string, slots, queue int) *backend {
@@ -100,7 +106,7 @@
 func (b *backend) load() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return fmt.Sprintf("%d,%d,%d,100", b.running, b.waiting, b.slots)
+	return fmt.Sprintf("%d,%d,%d,%.0f", b.running, b.waiting, b.slots, 100*b.noiseLocked())
 }
 
 func (b *backend) serveConn(c net.Conn) {
@@ -175,14 +181,7 @@
 	b.running++
 	b.mu.Unlock()
 	b.observe(b, "runs", id, time.Now())
-	timer := time.NewTimer(b.work(r))
-	open := true
-	select {
-	case <-timer.C:
-	case <-gone:
-		open = false
-	}
-	timer.Stop()
+	open := b.doWork(b.work(r), gone)
 	b.mu.Lock()
 	b.running--
 	b.mu.Unlock()
@@ -199,6 +198,56 @@
 	return b.soundAnswer(c, id)
 }
 
+// workStep is how often the progress of a request is computed.
+const workStep = 10 * time.Millisecond
+
+// doWork works on a request and reports whether its connection stayed open.
+func (b *backend) doWork(left time.Duration, gone <-chan struct{}) bool {
+	for left > 0 {
+		step := min(left, workStep)
+		if b.noisy {
+			step = workStep
+		}
+		timer := time.NewTimer(step)
+		select {
+		case <-timer.C:
+		case <-gone:
+			timer.Stop()
+			return false
+		}
+		left -= time.Duration(float64(step) / b.slowdown())
+	}
+	return true
+}
+
+// slowdown returns the factor by which work takes longer than usual now.
+func (b *backend) slowdown() float64 {
+	if !b.noisy {
+		return 1
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	factor := b.noiseLocked()
+	if b.running >= b.slots {
+		factor *= 1.7
+	}
+	return factor
+}
+
+// noiseLocked returns the slowdown by other work on the machine.
+func (b *backend) noiseLocked() float64 {
+	if !b.noisy {
+		return 1
+	}
+	if now := time.Now(); now.Sub(b.noiseSince) >= 300*time.Millisecond {
+		b.noiseSince, b.noise = now, 1
+		if rand.Float64() < 0.35 {
+			b.noise = 4
+		}
+	}
+	return b.noise
+}
+
 func isTimeout(err error) bool {
 	t, ok := err.(net.Error)
 	return ok && t.Timeout()
--- a/review/rig/case_routes.go
+++ b/review/rig/case_routes.go
@@ -95,7 +95,8 @@
 						}
 						kept, sent := k.used(), time.Now()
 						status, err := k.do(q)
-						took := time.Since(sent)
+						cut := time.Now()
+						took := cut.Sub(sent)
 						logf("%s at %s: status %d, err %v after %.3f s", q.id, v.name, status, err, took.Seconds())
 						mu.Lock()
 						if err != nil && !isTimeout(err) && running[q.id] && took < q.deadline*7/10 {
@@ -103,7 +104,7 @@
 							if kept {
 								lostKept++
 							}
-							if sent.After(first) && sent.Before(last.Add(settled)) {
+							if cut.After(first) && cut.Before(last.Add(settled)) {
 								if lost++; lost == enough {
 									close(shown)
 								}
