--- a/review/rig/case_truncate.go
+++ b/review/rig/case_truncate.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -10,58 +12,65 @@
 
 func init() { allCases["truncate"] = truncatedAnswers }
 
-// truncatedAnswers plays backends that break off a share of their answers and keep the
-// connection open.
+// truncatedAnswers plays backends that stop in the middle of some of their answers and keep
+// the connection open.
 func truncatedAnswers(trouble bool) bool {
 	const (
-		duration = 30 * time.Second
-		share    = 0.35
-		x        = 0.02
+		duration = 80 * time.Second
+		// broken is the share of the answers of every second backend.
+		broken = 0.02
+		// perSecond is the rate of licence-fee on the day scale-2, and timeout its timeout_s.
+		perSecond = 9.55
+		timeout   = 1200 * time.Millisecond
+		allowed   = 500 * time.Millisecond
+		work      = 290 * time.Millisecond
+		// least is how many requests have to last longer than the timeout.
+		least = 3
 	)
-	var mu sync.Mutex
-	broken := make(map[string]bool)
-	perService := make(map[string]int)
-	d := deploy(hrbitovniPlany(), func(b *backend) {
-		perService[b.service]++
-		b.work = func(*http.Request) time.Duration { return 290 * time.Millisecond }
+	numbers := make(map[string]int)
+	s := hrbitovniPlany()
+	d := deploy(s, func(b *backend) {
+		b.work = func(*http.Request) time.Duration {
+			return time.Duration(float64(work) * (0.7 + 0.6*rand.Float64()))
+		}
 		b.observe = func(b *backend, event, id string, at time.Time) { logf("backend %s: %s %s", b.id, id, event) }
-		if !trouble || float64(perService[b.service]) > share*float64(6)+0.5 {
+		numbers[b.service]++
+		if !trouble || numbers[b.service]%2 == 0 {
 			return
 		}
 		b.answer = func(b *backend, c net.Conn, r *http.Request, id string, body []byte) bool {
-			if rand.Float64() >= x*5 {
+			if rand.Float64() >= broken {
 				return b.soundAnswer(c, id)
 			}
-			mu.Lock()
-			broken[id] = true
-			mu.Unlock()
 			text := answerBody(id)
-			_, err := c.Write([]byte(b.head(id, len(text)) + text[:len(text)/2]))
-			logf("backend %s breaks off its answer to %s", b.id, id)
+			logf("backend %s: %s is answered in part", b.id, id)
+			_, err := io.WriteString(c, b.head(id, len(text))+text[:len(text)/2])
 			return err == nil
 		}
 	})
+	var mu sync.Mutex
+	over, late := 0, 0
 	var wg sync.WaitGroup
-	late, over := 0, 0
-	end := time.Now().Add(duration)
-	for time.Now().Before(end) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
 		q := request{id: newID("fee"), method: "POST", host: host, path: "/fee/2f", body: []byte("fee=1"), deadline: 2 * time.Second}
 		v := d.vms[rand.IntN(len(d.vms))]
 		wg.Go(func() {
 			res := do(v, q)
-			logf("%s at %s: status %d whole %v err %v after %.3f s", q.id, v.name, res.status, res.whole, res.err, res.took.Seconds())
+			logf("%s at %s: status %d, whole %v, err %v after %.3f s", q.id, v.name, res.status, res.whole, res.err, res.took.Seconds())
 			mu.Lock()
 			defer mu.Unlock()
-			if res.took > 1200*time.Millisecond {
+			if res.took > timeout {
 				over++
-				if res.took > 1700*time.Millisecond {
-					late++
-				}
+			}
+			if res.took > timeout+allowed {
+				late++
 			}
 		})
-		time.Sleep(100 * time.Millisecond)
 	}
 	wg.Wait()
-	logf("requests longer than timeout_s: %d; without a final answer 0.5 s later: %d", over, late)
-	return late >= 8 && 4*late > over
+	result := fmt.Sprintf("requests unanswered at timeout_s: %d; half a second later: %d", over, late)
+	logf("%s", result)
+	fmt.Println(result)
+	return over >= least && 2*late > over
 }
