--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
 # Builds the stand-ins that the scripts of the cases start, into review/bin.
 set -e
-cd "$(dirname "$0")/rig"
-go build -o ../bin/rig .
+cd "$(dirname "$0")/testdata/rig"
+go build -o ../../bin/rig .
