--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -6,14 +6,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
+// maxLength is how long a case may take.
+const maxLength = 118 * time.Second
+
 func main() {
-	cases := map[string]func(trouble bool) (broken bool){}
-	for k, f := range allCases {
-		cases[k] = f
-	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 3 || allCases[os.Args[1]] == nil {
 		fmt.Println("usage: rig CASE RECORD")
 		os.Exit(2)
 	}
@@ -24,9 +24,10 @@
 		<-signals
 		exit(2)
 	}()
+	time.AfterFunc(maxLength, func() { cannotRun("not finished after %v", maxLength) })
 	trouble := os.Getenv("TROUBLE") != "0"
 	logf("case %s, trouble %v", os.Args[1], trouble)
-	if cases[os.Args[1]](trouble) {
+	if allCases[os.Args[1]](trouble) {
 		fmt.Println("the rule was broken")
 		logf("RESULT: the rule was broken")
 		exit(1)
