Lend slots for ranks that the owner's version lacks

Cause: an owner of slots dropped the demand for ranks beyond its own, which a VM with another version of the service has for a moment, or for as long as requests of a removed rank wait. Those requests got no credit and waited until their deadline. With no rank at all, nothing was lent.

Change: the demand of additional ranks counts for the least urgent rank, and a service without ranks is lent by one unnamed rank. What the owner has recorded by position is dropped when its ranks change.

--- a/core/daisycredit/allocate.go
+++ b/core/daisycredit/allocate.go
@@ -29,8 +29,8 @@
 // needs returns the number of slots that the borrower needs for each rank.
 func (a *account) needs(ranks int) []int {
 	needs := make([]int, ranks)
-	for i := range min(ranks, len(a.demand)) {
-		needs[i] = int(a.demand[i].Waiting) + int(a.demand[i].InFlight)
+	for i, d := range a.demand {
+		needs[min(i, ranks-1)] += int(d.Waiting) + int(d.InFlight)
 	}
 	return needs
 }
@@ -63,7 +63,7 @@
 // proportion to its needs, and a portion of the slots that no rank needs, in
 // proportion to its average demand plus 1, so that idle VMs get some too.
 func (o *Owner) idealShares(now time.Time, slots int) []float64 {
-	ranks := len(o.service.Ranks)
+	ranks := len(o.ranks())
 	totals := make([]int, ranks)
 	needs := make([][]int, len(o.accounts))
 	totalWeight := 0.0
@@ -77,7 +77,7 @@
 		a.updateAverageDemand(now, sum)
 		totalWeight += a.averageDemand + 1
 	}
-	shares := Allocate(slots, o.service.Ranks, totals)
+	shares := Allocate(slots, o.ranks(), totals)
 	unallocated := slots
 	for _, s := range shares {
 		unallocated -= s
--- a/core/daisycredit/eligibility.go
+++ b/core/daisycredit/eligibility.go
@@ -109,6 +109,6 @@
 
 // grantWait returns how long requests of grantRank wait for a good endpoint.
 func (o *Owner) grantWait() time.Duration {
-	target := o.service.Ranks[o.grantRank].Target
+	target := o.ranks()[o.grantRank].Target
 	return min(max(time.Duration(waitTargetShare*float64(target)), minGrantWait), maxGrantWait)
 }
--- a/core/daisycredit/on_demand.go
+++ b/core/daisycredit/on_demand.go
@@ -3,13 +3,16 @@
 import (
 	"slices"
 	"time"
+
+	"daisyyoke/core/daisyrank"
 )
 
 // grantByRank grants free credits to the waiting requests of all VMs in the order in
 // which a central queue would serve them: each rank up to its share, the most urgent
 // rank first, and within a rank to the VM with the most waiting requests.
 func (o *Owner) grantByRank(now time.Time, slots int) {
-	ranks := len(o.service.Ranks)
+	declared := o.ranks()
+	ranks := len(declared)
 	waiting := make([][]int, len(o.accounts))
 	needs, started := make([]int, ranks), make([]int, ranks)
 	for i, a := range o.accounts {
@@ -24,7 +27,7 @@
 		}
 	}
 	o.updateRankWaitingSince(now, waiting)
-	shares := Allocate(slots, o.service.Ranks, needs)
+	shares := Allocate(slots, declared, needs)
 	for r := range ranks {
 		o.estimateBacklog(waiting, r)
 		for started[r] < shares[r] {
@@ -45,11 +48,11 @@
 // updateRankWaitingSince records since when requests of each rank have been waiting
 // without interruption.
 func (o *Owner) updateRankWaitingSince(now time.Time, waiting [][]int) {
-	for len(o.rankWaitingSince) < len(o.service.Ranks) {
+	for len(o.rankWaitingSince) < len(o.ranks()) {
 		o.rankWaitingSince = append(o.rankWaitingSince, time.Time{})
 		o.lastGrant = append(o.lastGrant, time.Time{})
 	}
-	for r := range o.service.Ranks {
+	for r := range o.ranks() {
 		waits := slices.ContainsFunc(waiting, func(w []int) bool { return w[r] > 0 })
 		switch {
 		case !waits:
@@ -60,6 +63,18 @@
 	}
 }
 
+// unrankedService is the only rank of a service that declares none. Such a service may
+// still have requests that were matched with an earlier configuration.
+var unrankedService = []daisyrank.Rank{{}}
+
+// ranks returns the ranks of the service, at least one.
+func (o *Owner) ranks() []daisyrank.Rank {
+	if len(o.service.Ranks) == 0 {
+		return unrankedService
+	}
+	return o.service.Ranks
+}
+
 // grantFor grants a credit for a request of a rank, unless no free endpoint is good
 // enough yet. It reports whether it granted one.
 func (o *Owner) grantFor(now time.Time, a *account, rank int) bool {
@@ -86,15 +101,20 @@
 // splitDemand returns, for each rank, the number of requests that wait for a credit,
 // and the number of those that have started or will start with the credits of grants
 // that the last report does not acknowledge. These credits count for the most urgent
-// ranks first.
+// ranks first. A borrower with another version of the service may have more ranks than
+// the owner; the requests of the additional ones count for the least urgent rank.
 func (a *account) splitDemand(ranks int) (waiting, started []int) {
 	waiting, started = make([]int, ranks), make([]int, ranks)
 	covered := 0
 	for _, c := range a.pending {
 		covered += c.credits
 	}
-	for r := range min(ranks, len(a.demand)) {
-		waiting[r], started[r] = int(a.demand[r].Waiting), int(a.demand[r].InFlight)
+	for i, d := range a.demand {
+		r := min(i, ranks-1)
+		waiting[r] += int(d.Waiting)
+		started[r] += int(d.InFlight)
+	}
+	for r := range ranks {
 		n := min(covered, waiting[r])
 		waiting[r] -= n
 		started[r] += n
--- a/core/daisycredit/on_demand_test.go
+++ b/core/daisycredit/on_demand_test.go
@@ -436,3 +436,20 @@
 		assert.Equal(t, len(used) > 0, k.used, "%d waiting: %d started", k.waiting, len(used))
 	}
 }
+
+// Guards against requests that wait until their deadline because the owner of the slots
+// has a version of the service without their rank.
+func TestRanksThatTheOwnerLacksGetCredits(t *testing.T) {
+	for _, ranks := range []int{0, 1} {
+		c := newOnDemandCluster(2, 3)
+		service := c.service
+		service.Ranks = service.Ranks[:ranks]
+		c.owner.SetService(c.now, service)
+		borrower := 1 - c.index(c.owner.options.Self.Name)
+		c.standardWaiting[borrower] = 3
+		for range 500 {
+			c.step()
+		}
+		assert.Equal(t, c.standardWaiting[borrower], 0, "the owner has %d ranks", ranks)
+	}
+}
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -225,6 +225,10 @@
 }
 
 func (o *Owner) setService(service daisyservice.Service) {
+	if !slices.Equal(o.service.Ranks, service.Ranks) {
+		// What was recorded by position would count for other ranks.
+		o.rankWaitingSince, o.lastGrant, o.rankHoldTimes, o.grantRank = nil, nil, nil, 0
+	}
 	old := o.byAddress
 	o.byAddress = make(map[netip.AddrPort]*endpointState, len(service.Endpoints))
 	o.service = service
