Handle each request by one configuration, and know ranks by name

Cause: the services and the routing table were published one after the other, and looked up one after the other. A request matched with the old routes met services without ranks; its rank, an index, became -1 and the panic ended the process. Without a panic an index meant another rank once a version had added or removed a priority, for requests that waited, too.

Change: one immutable daisyconfig.Index of routes and services is published at once. AwaitConfiguration puts it into the call, and Identify and Match use only that. Requests carry the name of their rank; the queue assigns indices that stay with a name as long as it is declared or has requests. The shard of a removed service takes requests that were matched before for another 5 s, so that they are not refused with 404.

--- a/core/daisymeasure/central.go
+++ b/core/daisymeasure/central.go
@@ -16,7 +16,7 @@
 
 func (sm *Simulation) enqueueCentral(c *call) {
 	q := &c.service.central
-	q.waiting[c.Rank] = append(q.waiting[c.Rank], c)
+	q.waiting[c.rank] = append(q.waiting[c.rank], c)
 	sm.dispatchCentral(c.service)
 }
 
@@ -84,7 +84,7 @@
 	remaining := max(0, delay-sm.now.Sub(c.Arrived))
 	c.sendCount++
 	c.startCount++
-	c.service.central.inFlight[c.Rank]++
+	c.service.central.inFlight[c.rank]++
 	e.working = append(e.working, a)
 	sm.schedule(remaining+a.work, workFinished{attempt: a})
 }
@@ -92,7 +92,7 @@
 // endCentral answers a call and starts the next one.
 func (sm *Simulation) endCentral(_ CentralQueue, a *attempt) {
 	c := a.call
-	c.service.central.inFlight[c.Rank]--
+	c.service.central.inFlight[c.rank]--
 	sm.endCall(c)
 	sm.tally.recordAnswerAt(sm, c, sm.now.Add(sm.scenario.Fleet.delay(c.vm.Zone, a.endpoint.Zone)), daisyrequest.Answered{Status: 200})
 	sm.dispatchCentral(c.service)
--- a/core/daisymeasure/simulation.go
+++ b/core/daisymeasure/simulation.go
@@ -93,6 +93,7 @@
 // call is a caller's request.
 type call struct {
 	daisyrequest.Request
+	rank    daisyrank.Index
 	service *service
 	vm      *vm
 	// work is the time that an endpoint works on the first attempt and on each later one.
@@ -240,7 +241,7 @@
 }
 
 func (sm *Simulation) newCall(e callerArrived) *call {
-	c := &call{service: e.service, afterWarmup: sm.now.Sub(sm.start) >= sm.scenario.Warmup}
+	c := &call{service: e.service, rank: e.rank, afterWarmup: sm.now.Sub(sm.start) >= sm.scenario.Warmup}
 	n := sm.callerRandom.IntN(len(sm.vms))
 	for sm.vms[n].dead || sm.now.Before(sm.vms[n].pausedUntil) {
 		n = (n + 1) % len(sm.vms)
@@ -252,7 +253,7 @@
 	c.Request = daisyrequest.Request{
 		ID:         daisyrequest.ID(len(sm.calls) + 1),
 		Service:    e.service.ID,
-		Rank:       e.rank,
+		Rank:       e.service.Ranks[e.rank].Name,
 		Arrived:    sm.now,
 		Deadline:   sm.now.Add(e.service.Ranks[e.rank].Target),
 		Idempotent: e.rank != Standard,
--- a/core/daisyqueue/account.go
+++ b/core/daisyqueue/account.go
@@ -55,7 +55,8 @@
 		return
 	}
 	q.accruedAt = now
-	for _, r := range q.ranks {
+	for _, i := range q.urgency {
+		r := q.ranks[i]
 		r.account.accrue(elapsed, r.declared.Floor, q.inFlight, r.len() > 0)
 	}
 }
--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -1,6 +1,7 @@
 package daisyqueue
 
 import (
+	"slices"
 	"time"
 
 	"daisyyoke/core/daisyrank"
@@ -96,8 +97,11 @@
 		return 0
 	}
 	var ahead time.Duration
-	for _, r := range q.ranks[:index] {
-		ahead += time.Duration(r.len()) * r.account.slotTime()
+	for _, i := range q.urgency {
+		if i == index {
+			break
+		}
+		ahead += time.Duration(q.ranks[i].len()) * q.ranks[i].account.slotTime()
 	}
 	slots := max(float64(q.inFlight), q.evenShare)
 	r := q.ranks[index]
@@ -129,11 +133,11 @@
 	if q.waiting <= limits.Service {
 		return nil
 	}
-	for i := len(q.ranks) - 1; i >= 0; i-- {
+	for _, i := range slices.Backward(q.urgency) {
 		reserved := q.ranks[i].declared.Floor * float64(limits.Service)
 		n := q.ranks[i].len()
 		if n > 0 && float64(n) > reserved {
-			return q.rankEvictionCandidate(daisyrank.Index(i))
+			return q.rankEvictionCandidate(i)
 		}
 	}
 	return q.rankEvictionCandidate(index)
--- a/core/daisyqueue/next.go
+++ b/core/daisyqueue/next.go
@@ -51,7 +51,8 @@
 // Expire removes and returns a request whose latest start time passed before a slot
 // became free, or returns Idle.
 func (q *Queue[T]) Expire(now time.Time) Step[T] {
-	for _, r := range q.ranks {
+	for _, i := range q.urgency {
+		r := q.ranks[i]
 		r.demote(now)
 		for _, h := range []*daisyheap.Heap[*Item[T]]{r.earliest, r.overdue} {
 			if _, item, ok := h.First(); ok && !now.Before(r.latestStart(item)) {
@@ -66,7 +67,8 @@
 // time means never.
 func (q *Queue[T]) NextExpiry() time.Time {
 	var next time.Time
-	for _, r := range q.ranks {
+	for _, i := range q.urgency {
+		r := q.ranks[i]
 		for _, h := range []*daisyheap.Heap[*Item[T]]{r.earliest, r.overdue} {
 			at, _, ok := h.First()
 			if !ok {
@@ -86,13 +88,13 @@
 // waiting is below its floor.
 func (q *Queue[T]) AllowsExtra(now time.Time, index daisyrank.Index) bool {
 	q.accrue(now)
-	for i, r := range q.ranks {
-		if r.len() == 0 {
-			continue
-		}
-		if i <= int(index) || r.belowFloor() {
+	mayPrecede := true
+	for _, i := range q.urgency {
+		r := q.ranks[i]
+		if r.len() > 0 && (mayPrecede || r.belowFloor()) {
 			return false
 		}
+		mayPrecede = mayPrecede && i != index
 	}
 	return true
 }
@@ -105,7 +107,8 @@
 // urgent one, of the ranks with requests waiting; nil if there are none.
 func (q *Queue[T]) nextRank() *rank[T] {
 	var first *rank[T]
-	for _, r := range q.ranks {
+	for _, i := range q.urgency {
+		r := q.ranks[i]
 		if r.len() == 0 {
 			continue
 		}
--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -16,7 +16,8 @@
 // Item is one waiting request. Its owner keeps it in memory and changes nothing but
 // Value while it waits.
 type Item[T any] struct {
-	Value    T
+	Value T
+	// Rank is an index that the queue has assigned; see Queue.Rank.
 	Rank     daisyrank.Index
 	Deadline time.Time
 	// Target is when the response begins to lose worth; the zero time means at the Deadline.
@@ -95,8 +96,12 @@
 // not decrease.
 type Queue[T any] struct {
 	options Options
-	ranks   []*rank[T]
-	waiting int
+	// ranks has the state of each rank by its index, and urgency the indices of the ranks
+	// in use, the most urgent first. declared are those of the last SetRanks.
+	ranks    []*rank[T]
+	urgency  []daisyrank.Index
+	declared []daisyrank.Rank
+	waiting  int
 	// inFlight counts the attempts of all ranks.
 	inFlight  int
 	accruedAt time.Time
@@ -106,19 +111,6 @@
 	rateLimited bool
 }
 
-type rank[T any] struct {
-	declared daisyrank.Rank
-	// earliest and latest order the requests by due time.
-	earliest *daisyheap.Heap[*Item[T]]
-	latest   *daisyheap.Heap[*Item[T]]
-	// overdue holds the requests that will miss their target but can meet their deadline,
-	// by deadline. They are served after all others of the rank.
-	overdue *daisyheap.Heap[*Item[T]]
-	account account
-	// overloadedUntil is when LatestWhenOverloaded goes back to the earliest due time.
-	overloadedUntil time.Time
-}
-
 // New returns an empty queue for the ranks, the most urgent one first.
 func New[T any](ranks []daisyrank.Rank, options Options) *Queue[T] {
 	if options.Order == nil {
@@ -132,25 +124,6 @@
 	return q
 }
 
-// SetRanks replaces the declared ranks. Ranks that are no longer declared lose their
-// floor and keep their waiting requests.
-func (q *Queue[T]) SetRanks(ranks []daisyrank.Rank) {
-	for len(q.ranks) < len(ranks) {
-		q.ranks = append(q.ranks, &rank[T]{
-			earliest: daisyheap.New[*Item[T]](daisyheap.Earliest),
-			latest:   daisyheap.New[*Item[T]](daisyheap.Latest),
-			overdue:  daisyheap.New[*Item[T]](daisyheap.Earliest),
-			account:  account{slotShare: 1},
-		})
-	}
-	for i, r := range q.ranks {
-		r.declared.Floor = 0
-		if i < len(ranks) {
-			r.declared = ranks[i]
-		}
-	}
-}
-
 // SetEvenShare sets the number of slots that the VM has when all VMs want as many. The
 // VM may use fewer while others need more, and is lent slots up to this share when it
 // needs them.
@@ -164,7 +137,8 @@
 func (q *Queue[T]) SlotTime() time.Duration {
 	var sum time.Duration
 	ranks := 0
-	for _, r := range q.ranks {
+	for _, i := range q.urgency {
+		r := q.ranks[i]
 		if r.account.meanSlotTime > 0 {
 			sum += r.account.meanSlotTime
 			ranks++
--- a/core/daisyrequest/request.go
+++ b/core/daisyrequest/request.go
@@ -23,9 +23,11 @@
 type Request struct {
 	ID ID
 	// Name is used in logs only.
-	Name     Name
-	Service  daisyservice.ID
-	Rank     daisyrank.Index
+	Name    Name
+	Service daisyservice.ID
+	// Rank is a rank of the configuration that the request was matched with, which need
+	// not be the one in force any more.
+	Rank     daisyrank.Name
 	Arrived  time.Time
 	Deadline time.Time
 	// Idempotent means that running the request twice has the same effect as
--- a/core/daisyroute/condition.go
+++ b/core/daisyroute/condition.go
@@ -6,7 +6,6 @@
 
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyhealth"
-	"daisyyoke/core/daisyrank"
 )
 
 // Condition is the state in which a Dispatcher uses an endpoint.
@@ -153,6 +152,3 @@
 		RateUsed:    e.rate.usedShare(now),
 	}
 }
-
-// Ranks returns the ranks of the current declaration, the most urgent first.
-func (d *Dispatcher) Ranks() []daisyrank.Rank { return d.service.Ranks }
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -329,7 +329,7 @@
 // of the most urgent rank, so that a waiting request of the given rank may not use it. A
 // request that has been sent cannot be preempted when a more urgent one arrives.
 func (d *Dispatcher) reservesLastCredit(now time.Time, rank daisyrank.Index) bool {
-	if len(d.sharings) == 0 || rank == 0 || d.spare > 1 {
+	if len(d.sharings) == 0 || d.mostUrgent(rank) || d.spare > 1 {
 		return false
 	}
 	if lendsOnDemand(d.policy) {
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"daisyyoke/core/daisybudget"
@@ -114,7 +115,8 @@
 	// hedgeQueue contains the IDs of the attempts that wait for a hedge, the first one
 	// first. IDs of attempts that no longer wait are removed later.
 	hedgeQueue []daisyrequest.AttemptID
-	// hedgesWaiting is the number of attempts of each rank that wait for a hedge.
+	// hedgesWaiting is the number of attempts of each rank that wait for a hedge; a rank
+	// beyond its end has none.
 	hedgesWaiting []int
 	// attemptTimers orders the attempts by the time of their next check.
 	attemptTimers *daisyheap.Heap[*attempt]
@@ -286,8 +288,17 @@
 // Demand returns the number of waiting requests of a rank, with hedges, and of its
 // attempts under way.
 func (d *Dispatcher) Demand(rank daisyrank.Index) daisycredit.Demand {
-	return daisycredit.Demand{
-		Waiting:  uint32(d.queue.Waiting(rank) + d.hedgesWaiting[rank]),
-		InFlight: uint32(d.queue.InFlight(rank)),
+	waiting := d.queue.Waiting(rank)
+	if int(rank) < len(d.hedgesWaiting) {
+		waiting += d.hedgesWaiting[rank]
 	}
+	return daisycredit.Demand{Waiting: uint32(waiting), InFlight: uint32(d.queue.InFlight(rank))}
+}
+
+// Ranks returns the indices of the ranks that are declared or have requests, the most
+// urgent first.
+func (d *Dispatcher) Ranks() []daisyrank.Index { return d.queue.Ranks() }
+
+func (d *Dispatcher) mostUrgent(rank daisyrank.Index) bool {
+	return slices.Index(d.queue.Ranks(), rank) == 0
 }
--- a/core/daisyroute/hedge.go
+++ b/core/daisyroute/hedge.go
@@ -117,6 +117,9 @@
 	}
 	if len(d.hedgeQueue) < maxQueuedHedges {
 		a.awaitsHedge = true
+		for len(d.hedgesWaiting) <= int(a.rank) {
+			d.hedgesWaiting = append(d.hedgesWaiting, 0)
+		}
 		d.hedgesWaiting[a.rank]++
 		d.hedgeQueue = append(d.hedgeQueue, a.id)
 	}
--- a/core/daisyroute/notice.go
+++ b/core/daisyroute/notice.go
@@ -181,7 +181,7 @@
 // failForPause fails a request at once if all endpoints pause for longer than it can wait.
 func (d *Dispatcher) failForPause(now time.Time, r *request) bool {
 	at := d.resumption()
-	if at.IsZero() || !at.Add(d.queue.ResponseTimes(r.Rank).Median()).After(r.Deadline) {
+	if at.IsZero() || !at.Add(d.queue.ResponseTimes(r.item.Rank).Median()).After(r.Deadline) {
 		return false
 	}
 	d.fail(now, r, AllPausing, at.Sub(now))
--- a/core/daisyroute/request.go
+++ b/core/daisyroute/request.go
@@ -16,6 +16,7 @@
 // abandonment.
 type request struct {
 	daisyrequest.Request
+	// item has the index of the rank in the queue.
 	item   daisyqueue.Item[*request]
 	reason Reason
 	// sends is the number of attempts. runs excludes those that an endpoint is known
@@ -110,13 +111,13 @@
 // maxPooled is the maximum length of each list of an objectPool.
 const maxPooled = 1024
 
-func (p *objectPool) newRequest(q daisyrequest.Request) *request {
+func (p *objectPool) newRequest(q daisyrequest.Request, rank daisyrank.Index) *request {
 	r := new(request)
 	if n := len(p.requests); n > 0 {
 		r, p.requests = p.requests[n-1], p.requests[:n-1]
 	}
 	*r = request{Request: q}
-	r.item = daisyqueue.Item[*request]{Value: r, Rank: q.Rank, Deadline: q.Deadline, Target: q.Target}
+	r.item = daisyqueue.Item[*request]{Value: r, Rank: rank, Deadline: q.Deadline, Target: q.Target}
 	return r
 }
 
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -28,9 +28,6 @@
 	d.service = service
 	d.updateZoned(len(service.Endpoints))
 	d.queue.SetRanks(service.Ranks)
-	for len(d.hedgesWaiting) < len(service.Ranks) {
-		d.hedgesWaiting = append(d.hedgesWaiting, 0)
-	}
 	d.endpoints = make([]*endpoint, 0, len(service.Endpoints))
 	kept := make(map[*endpoint]bool, len(service.Endpoints))
 	for _, s := range service.Endpoints {
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -7,7 +7,6 @@
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
-	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
@@ -217,21 +216,38 @@
 	return (requests + uint32(p.of-p.index) - 1) / uint32(p.of)
 }
 
-// setDemand sets the demand of a group to a part of the waiting requests.
+// setDemand sets the demand of a group to a part of the waiting requests. Owners know only
+// declared ranks, so requests of another rank count for the next less urgent one.
 func (s *slotSharing) setDemand(now time.Time, d *Dispatcher, p part) {
 	moved := p != s.part
 	s.part = p
 	s.demand = s.demand[:0]
-	for r := range d.service.Ranks {
-		demand := daisycredit.Demand{Waiting: p.share(d.Demand(daisyrank.Index(r)).Waiting)}
-		if r < len(s.inFlight) {
-			demand.InFlight = uint32(s.inFlight[r])
+	var sum daisycredit.Demand
+	for _, r := range d.Ranks() {
+		sum.Waiting += p.share(d.Demand(r).Waiting)
+		if int(r) < len(s.inFlight) {
+			sum.InFlight += uint32(s.inFlight[r])
+		}
+		if d.queue.Declared(r) {
+			s.demand = append(s.demand, sum)
+			sum = daisycredit.Demand{}
 		}
-		s.demand = append(s.demand, demand)
 	}
+	s.addToLeastUrgent(sum)
 	if moved {
 		s.borrower.MoveDemand(now, s.demand)
 		return
 	}
 	s.borrower.SetDemand(now, s.demand)
 }
+
+// addToLeastUrgent adds demand of requests that are less urgent than all declared ranks.
+func (s *slotSharing) addToLeastUrgent(demand daisycredit.Demand) {
+	if len(s.demand) == 0 {
+		s.demand = append(s.demand, demand)
+		return
+	}
+	last := &s.demand[len(s.demand)-1]
+	last.Waiting += demand.Waiting
+	last.InFlight += demand.InFlight
+}
--- a/core/daisyservice/service.go
+++ b/core/daisyservice/service.go
@@ -42,13 +42,21 @@
 	return slots
 }
 
-// FindRank returns the index of the rank with the given name, and reports whether
-// the service has that rank.
-func (s Service) FindRank(name daisyrank.Name) (daisyrank.Index, bool) {
-	for i, r := range s.Ranks {
+// FindRank returns the rank with the given name, and reports whether the service has it.
+func (s Service) FindRank(name daisyrank.Name) (daisyrank.Rank, bool) {
+	for _, r := range s.Ranks {
 		if r.Name == name {
-			return daisyrank.Index(i), true
+			return r, true
 		}
 	}
-	return 0, false
+	return daisyrank.Rank{}, false
+}
+
+// Default returns the rank of requests that name none, and reports whether there is one: a
+// service that no route leads to may have no ranks.
+func (s Service) Default() (daisyrank.Rank, bool) {
+	if s.DefaultRank < 0 || int(s.DefaultRank) >= len(s.Ranks) {
+		return daisyrank.Rank{}, false
+	}
+	return s.Ranks[s.DefaultRank], true
 }
--- a/examples/addedlatency/bench.go
+++ b/examples/addedlatency/bench.go
@@ -82,6 +82,8 @@
 	routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: self, Sender: noSender{}})
 	pool := daisyconnection.NewPool(daisyconnection.DefaultLimits())
 	routes.Apply(snapshot)
+	index := daisycontroller.NewIndex()
+	index.Apply(snapshot)
 	routes.SetPeers([]daisyvm.VM{self}, nil)
 	pool.Apply(snapshot)
 	forwarder := daisyforward.New(daisyforward.Options{
@@ -90,7 +92,8 @@
 	chain := daisyfilter.NewChain(daisyfilter.Options{Forwarder: forwarder, Metrics: b.metrics, Filters: []daisyfilter.Filter{
 		daisyfilter.NewAdmit(10 * b.options.rate),
 		daisyfilter.RejectUnsupported{},
-		daisyfilter.Identify{Services: routes},
+		daisyfilter.AwaitConfiguration{Configuration: index},
+		daisyfilter.Identify{},
 		daisyfilter.Classify{},
 	}})
 	l, err := listen()
--- /dev/null
+++ b/io/daisycontroller/index.go
@@ -0,0 +1,38 @@
+package daisycontroller
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"daisyyoke/core/daisyconfig"
+)
+
+// Index publishes the index of the configuration in force. It has to be applied after
+// Route, so that a request finds the routing state of each service that its index declares.
+type Index struct {
+	current atomic.Pointer[daisyconfig.Index]
+	once    sync.Once
+	arrived chan struct{}
+}
+
+var _ Controller = (*Index)(nil)
+
+// NewIndex returns a controller without a configuration; Apply sets it.
+func NewIndex() *Index { return &Index{arrived: make(chan struct{})} }
+
+func (c *Index) controller() {}
+
+// Close does nothing, since the controller has no goroutines.
+func (c *Index) Close() {}
+
+// Apply puts a configuration in force for new requests.
+func (c *Index) Apply(snapshot *daisyconfig.Snapshot) {
+	c.current.Store(daisyconfig.NewIndex(snapshot))
+	c.once.Do(func() { close(c.arrived) })
+}
+
+// Current returns the index of the configuration in force; nil if there is none yet.
+func (c *Index) Current() *daisyconfig.Index { return c.current.Load() }
+
+// Arrived is closed when the first configuration is in force.
+func (c *Index) Arrived() <-chan struct{} { return c.arrived }
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -64,7 +64,6 @@
 
 // Route keeps the routing state of all services, with one shard per (fleet, service).
 type Route struct {
-	*firstConfiguration
 	options RouteOptions
 	shards  atomic.Pointer[map[daisyservice.ID]*routeShard]
 	// changeMu serializes changes of the shard map and of peers; requests never lock it.
@@ -94,12 +93,11 @@
 		options.Policy = daisyroute.Credits{Overcommit: 1}
 	}
 	c := &Route{
-		firstConfiguration: newFirstConfiguration(),
-		options:            options,
-		departures:         make(map[daisyservice.ID]*daisyroute.Departures),
-		probes:             newProbePool(options.Prober, options.Checker, options.Metrics),
-		findings:           make(chan ownFinding, findingQueueSize),
-		done:               make(chan struct{}),
+		options:    options,
+		departures: make(map[daisyservice.ID]*daisyroute.Departures),
+		probes:     newProbePool(options.Prober, options.Checker, options.Metrics),
+		findings:   make(chan ownFinding, findingQueueSize),
+		done:       make(chan struct{}),
 	}
 	c.shards.Store(&map[daisyservice.ID]*routeShard{})
 	c.wg.Go(func() {
@@ -129,8 +127,14 @@
 	}
 }
 
-// Apply puts a confirmed configuration in force for new requests. The shard of a
-// removed service that still has requests is kept until a later call finds it idle.
+// retireTime is how long the shard of a removed service still takes requests: those that
+// were matched before the removal reach it well within this time.
+const retireTime = 5 * time.Second
+
+// Apply prepares the services of a confirmed configuration; Index then puts it in force for
+// new requests. The shard of a removed service still takes requests that were matched with
+// an earlier configuration. A later call closes it, once retireTime has passed and it is
+// idle.
 func (c *Route) Apply(snapshot *daisyconfig.Snapshot) {
 	c.changeMu.Lock()
 	defer c.changeMu.Unlock()
@@ -143,13 +147,12 @@
 		}
 	}
 	for id, s := range shards {
-		if !declared[id] && s.retire() {
+		if !declared[id] && s.retire(now()) {
 			s.close()
 			delete(shards, id)
 		}
 	}
 	c.shards.Store(&shards)
-	c.noteApplied()
 }
 
 func (c *Route) applyService(shards map[daisyservice.ID]*routeShard, service daisyservice.Service) {
@@ -181,24 +184,10 @@
 	shards[service.ID] = s
 }
 
-// FindService returns the declaration of a service that is in force, and reports
-// whether there is one.
-func (c *Route) FindService(id daisyservice.ID) (daisyservice.Service, bool) {
-	s := c.shard(id)
-	if s == nil {
-		return daisyservice.Service{}, false
-	}
-	service := s.service.Load()
-	if service == nil {
-		return daisyservice.Service{}, false
-	}
-	return *service, true
-}
-
 func (c *Route) shard(id daisyservice.ID) *routeShard { return (*c.shards.Load())[id] }
 
 // Begin starts the routing of a request and assigns its id. It fails with
-// daisyerror.NotFound for an unknown service.
+// daisyerror.NotFound for a service that is unknown or was removed for retireTime.
 func (c *Route) Begin(request daisyrequest.Request) (*Ticket, error) {
 	s := c.shard(request.Service)
 	if s == nil {
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -26,6 +26,10 @@
 	wake       time.Time
 	// outstandingProbes is the set of endpoints with an outstanding probe.
 	outstandingProbes map[netip.AddrPort]bool
+	// retiredAt is when the service was removed; the zero time means that it is declared.
+	// Once closed is set, the shard takes no more requests.
+	retiredAt time.Time
+	closed    bool
 
 	timer *time.Timer
 	done  chan struct{}
@@ -65,16 +69,23 @@
 
 func (s *routeShard) changeService(service daisyservice.Service) {
 	s.service.Store(&service)
-	s.handle(daisyroute.ServiceChanged{Service: service})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retiredAt = time.Time{}
+	s.handleLocked(daisyroute.ServiceChanged{Service: service})
 }
 
-// retire hides the shard from new requests. It reports whether the shard has no
-// requests, attempts or probes left.
-func (s *routeShard) retire() bool {
+// retire removes the service. It reports whether the shard takes no more requests, since
+// the service was removed retireTime ago and no requests, attempts or probes are left.
+func (s *routeShard) retire(at time.Time) bool {
 	s.service.Store(nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.tickets)+len(s.attempts)+len(s.outstandingProbes) == 0
+	if s.retiredAt.IsZero() {
+		s.retiredAt = at
+	}
+	s.closed = at.Sub(s.retiredAt) >= retireTime && len(s.tickets)+len(s.attempts)+len(s.outstandingProbes) == 0
+	return s.closed
 }
 
 func (s *routeShard) spare() int {
@@ -87,11 +98,11 @@
 	return max(service.Slots()-len(s.tickets), 0)
 }
 
-// begin adds a request. It reports false when the service is no longer declared.
+// begin adds a request. It reports false when the shard is closed.
 func (s *routeShard) begin(t *Ticket) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.service.Load() == nil {
+	if s.closed {
 		return false
 	}
 	s.tickets[t.request.ID] = t
--- a/io/daisycontroller/route_work.go
+++ b/io/daisycontroller/route_work.go
@@ -2,7 +2,6 @@
 
 import (
 	"daisyyoke/core/daisyconfig"
-	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisyservice"
 )
@@ -16,8 +15,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i := range s.dispatcher.Ranks() {
-		d := s.dispatcher.Demand(daisyrank.Index(i))
+	for _, r := range s.dispatcher.Ranks() {
+		d := s.dispatcher.Demand(r)
 		inFlight += int(d.InFlight)
 		waiting += int(d.Waiting)
 	}
--- a/io/daisydaemon/daemon.go
+++ b/io/daisydaemon/daemon.go
@@ -50,6 +50,7 @@
 	links     *daisypeer.Links
 	pool      *daisyconnection.Pool
 	routes    *daisycontroller.Route
+	index     *daisycontroller.Index
 	members   *daisycontroller.Member
 	config    *daisycontroller.Config
 	plans     *daisycontroller.Plan
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -103,7 +103,7 @@
 	links   *daisypeer.Links
 	pool    *daisyconnection.Pool
 	routes  *daisycontroller.Route
-	paths   *daisycontroller.Path
+	index   *daisycontroller.Index
 	members *daisycontroller.Member
 	// follower is nil until startStop has created it. The inbox holds messages from other
 	// VMs back until then.
@@ -205,7 +205,7 @@
 		Budget:      retryBudget(s),
 	})
 	d.onClose(d.routes.Close)
-	d.paths = daisycontroller.NewPath()
+	d.index = daisycontroller.NewIndex()
 	d.members = daisycontroller.NewMember(daisycontroller.MemberOptions{
 		Self:      d.self,
 		Linker:    d.links,
@@ -263,8 +263,8 @@
 		Filters: []daisyfilter.Filter{
 			daisyfilter.NewAdmit(maxRequests),
 			daisyfilter.RejectUnsupported{},
-			daisyfilter.AwaitConfiguration{Configuration: d.paths, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
-			daisyfilter.Match{Routes: d.paths, Services: d.routes, Reader: d.adapter.Dialect},
+			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
+			daisyfilter.Match{Timeouts: daisycontroller.NewTimeout(), Reader: d.adapter.Dialect},
 		},
 	})
 	d.callers = daisycaller.NewPipeline(daisycaller.PipelineOptions{
@@ -314,7 +314,7 @@
 		Decoder:  d.adapter.Decoder,
 		Sender:   d.links,
 		Member:   d.members,
-		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.paths, d.members, managedReadiness{d}},
+		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.index, d.members, managedReadiness{d}},
 		Logger:   d.logger,
 
 		FirstReadDelay: d.firstReadDelay(),
@@ -351,7 +351,7 @@
 }
 
 func (d *Managed) ready() bool {
-	return d.paths.Configured() && d.stop.Phase() == daisystop.Serving
+	return d.index.Current() != nil && d.stop.Phase() == daisystop.Serving
 }
 
 func (d *Managed) startServers() error {
--- a/io/daisydaemon/start.go
+++ b/io/daisydaemon/start.go
@@ -75,11 +75,12 @@
 		Seed:   seed,
 	})
 	d.onClose(d.members.Close)
+	d.index = daisycontroller.NewIndex()
 	d.config = daisycontroller.NewConfig(daisycontroller.ConfigOptions{
 		Self:     d.self,
 		Platform: d.platform,
 		Sender:   d.linker(),
-		Appliers: []daisycontroller.Applier{d.routes, d.pool, d.members, readiness{daemon: d}},
+		Appliers: []daisycontroller.Applier{d.routes, d.pool, d.index, d.members, readiness{daemon: d}},
 		Logger:   d.logger,
 		Seed:     seed,
 	})
@@ -145,8 +146,8 @@
 			admit,
 			daisyfilter.RejectUnsupported{},
 			daisyfilter.Addresses{Source: d.members},
-			daisyfilter.AwaitConfiguration{Configuration: d.routes, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
-			daisyfilter.Identify{Services: d.routes},
+			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
+			daisyfilter.Identify{},
 			daisyfilter.Classify{},
 		},
 	})
--- a/io/daisyfilter/await.go
+++ b/io/daisyfilter/await.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/io/daisyproblem"
 )
@@ -19,18 +20,18 @@
 	maxConfigurationWait = 500 * time.Millisecond
 )
 
-// Configuration holds the configuration of the VM.
+// Configuration publishes the configuration of the VM.
 type Configuration interface {
-	// Configured reports whether a configuration is in force.
-	Configured() bool
+	// Current returns the index of the configuration in force; nil if there is none yet.
+	Current() *daisyconfig.Index
 	// Arrived is closed when the first configuration is in force.
 	Arrived() <-chan struct{}
 }
 
-// AwaitConfiguration rejects requests while no configuration is in force, because
-// a service that does not exist cannot then be distinguished from one whose
-// declaration has not arrived yet. Just after the start of the VM, they wait for the first
-// configuration instead.
+// AwaitConfiguration sets the configuration that a request is handled by, which is the one
+// in force when it arrives. It rejects requests while none is in force, because a service
+// that does not exist cannot then be distinguished from one whose declaration has not
+// arrived yet. Just after the start of the VM, they wait for the first configuration instead.
 type AwaitConfiguration struct {
 	Configuration Configuration
 	// Until is when requests no longer wait; the zero time means that they never do.
@@ -40,7 +41,11 @@
 func (AwaitConfiguration) filter() {}
 
 func (f AwaitConfiguration) apply(call *Call) Verdict {
-	if f.Configuration.Configured() || f.wait(call) {
+	call.Config = f.Configuration.Current()
+	if call.Config == nil && f.wait(call) {
+		call.Config = f.Configuration.Current()
+	}
+	if call.Config != nil {
 		return Continue{}
 	}
 	return Reject{Problem: daisyproblem.Problem{
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisypath"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
@@ -22,9 +23,11 @@
 	HTTP *http.Request
 	// Arrived is the time at which the chain received the request.
 	Arrived time.Time
-	// Service is set by Identify or Match.
+	// Config is the configuration that the request is handled by, set by AwaitConfiguration.
+	Config *daisyconfig.Index
+	// Service is the declaration in Config, set by Identify or Match.
 	Service daisyservice.Service
-	// Route is set by Match.
+	// Route is the route in Config, set by Match.
 	Route daisypath.Route
 	// Request is filled in by the filters, each setting some of the fields.
 	Request daisyrequest.Request
--- a/io/daisyfilter/classify.go
+++ b/io/daisyfilter/classify.go
@@ -30,7 +30,7 @@
 		return reject(http.StatusBadRequest, TimeoutHeader+" has to be a positive duration, for instance 250ms")
 	}
 	r := &call.Request
-	r.Rank = rank
+	r.Rank = rank.Name
 	r.Arrived = call.Arrived
 	r.Deadline = call.Arrived.Add(timeout)
 	r.Idempotent = isIdempotent(call.HTTP.Method)
@@ -38,22 +38,22 @@
 	return Continue{}
 }
 
-func (Classify) rank(call *Call) (daisyrank.Index, bool) {
+func (Classify) rank(call *Call) (daisyrank.Rank, bool) {
 	values := call.HTTP.Header[RankHeader]
 	switch len(values) {
 	case 0:
-		return call.Service.DefaultRank, true
+		return call.Service.Default()
 	case 1:
 		return call.Service.FindRank(daisyrank.Name(values[0]))
 	}
-	return 0, false
+	return daisyrank.Rank{}, false
 }
 
-func (Classify) timeout(call *Call, rank daisyrank.Index) (time.Duration, bool) {
+func (Classify) timeout(call *Call, rank daisyrank.Rank) (time.Duration, bool) {
 	values := call.HTTP.Header[TimeoutHeader]
 	switch len(values) {
 	case 0:
-		return call.Service.Ranks[rank].Target, true
+		return rank.Target, true
 	case 1:
 		timeout, err := time.ParseDuration(values[0])
 		return timeout, err == nil && timeout > 0
--- a/io/daisyfilter/identify.go
+++ b/io/daisyfilter/identify.go
@@ -10,23 +10,17 @@
 	"daisyyoke/io/daisyproblem"
 )
 
-// ServiceFinder looks up services in the configuration in force.
-type ServiceFinder interface {
-	// FindService returns the declaration of a service and reports whether it exists.
-	FindService(id daisyservice.ID) (daisyservice.Service, bool)
-}
-
 // Identify finds the service of a request by its Host, which has the form SERVICE.FLEET.
-type Identify struct{ Services ServiceFinder }
+type Identify struct{}
 
 func (Identify) filter() {}
 
-func (f Identify) apply(call *Call) Verdict {
+func (Identify) apply(call *Call) Verdict {
 	id, ok := parseHost(call.HTTP.Host)
 	if !ok {
 		return reject(http.StatusBadRequest, "Host has to be SERVICE.FLEET")
 	}
-	service, ok := f.Services.FindService(id)
+	service, ok := call.Config.FindService(id)
 	if !ok {
 		return reject(http.StatusNotFound, "No such service or fleet")
 	}
--- a/io/daisyfilter/match.go
+++ b/io/daisyfilter/match.go
@@ -11,10 +11,8 @@
 	"daisyyoke/io/daisyproblem"
 )
 
-// RouteFinder looks up routes in the configuration in force.
-type RouteFinder interface {
-	// FindRoute returns the route for a host and a path, and reports whether there is one.
-	FindRoute(host, path string) (daisypath.Route, bool)
+// Timeouts knows the timeouts that callers send.
+type Timeouts interface {
 	// Elapsed estimates how long a caller has already waited, given that it will
 	// wait for timeout from now on.
 	Elapsed(route daisypath.Route, timeout time.Duration) time.Duration
@@ -30,7 +28,7 @@
 	RequestName(header http.Header) daisyrequest.Name
 }
 
-// matchRetryAfter is the Retry-After time if the service of a route is not known yet.
+// matchRetryAfter is the Retry-After time if a route leads to no service.
 const matchRetryAfter = 250 * time.Millisecond
 
 // Match finds the route of a request by its host and path, selects one of the
@@ -38,8 +36,7 @@
 // the request from the route. The caller's timeout applies if it is shorter than
 // the route's.
 type Match struct {
-	Routes   RouteFinder
-	Services ServiceFinder
+	Timeouts Timeouts
 	Reader   CallReader
 }
 
@@ -47,7 +44,7 @@
 
 func (f Match) apply(call *Call) Verdict {
 	call.Request.Name = f.Reader.RequestName(call.HTTP.Header)
-	route, ok := f.Routes.FindRoute(hostName(call.HTTP.Host), call.HTTP.URL.EscapedPath())
+	route, ok := call.Config.FindRoute(hostName(call.HTTP.Host), call.HTTP.URL.EscapedPath())
 	if !ok {
 		return reject(http.StatusNotFound, "No route for this host and path")
 	}
@@ -55,7 +52,7 @@
 	if !ok {
 		return reject(http.StatusBadRequest, "The time to wait has to be a positive number")
 	}
-	elapsed := f.Routes.Elapsed(route, timeout)
+	elapsed := f.Timeouts.Elapsed(route, timeout)
 	if timeout == 0 || timeout > route.Timeout {
 		timeout = route.Timeout
 	}
@@ -63,19 +60,15 @@
 	if !ok {
 		return f.unknownService()
 	}
-	service, ok := f.Services.FindService(part.Service)
+	service, ok := call.Config.FindService(part.Service)
 	if !ok {
 		return f.unknownService()
 	}
-	rank, ok := service.FindRank(route.Rank)
-	if !ok {
-		rank = service.DefaultRank
-	}
 	call.Service = service
 	call.Route = route
 	r := &call.Request
 	r.Service = part.Service
-	r.Rank = rank
+	r.Rank = route.Rank
 	r.Arrived = call.Arrived
 	r.Deadline = call.Arrived.Add(timeout)
 	r.Target = call.Arrived.Add(route.Target - elapsed)
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -66,6 +66,9 @@
 	}
 }
 
+// removedRetryAfter is the Retry-After time if the service of a request was removed.
+const removedRetryAfter = 250 * time.Millisecond
+
 // Close waits for all attempts to end. It must be called after all requests have ended.
 func (f *Forwarder) Close() { f.wg.Wait() }
 
@@ -79,8 +82,14 @@
 	ticket, err := f.routes.Begin(call.Request)
 	if err != nil {
 		body.close()
-		// The service was removed after the filter chain had looked it up.
-		f.dialect.WriteProblem(w, daisyproblem.Problem{Status: http.StatusNotFound, Title: "No such service or fleet", Run: daisyrequest.NotRun})
+		// The service was removed long after the filter chain had matched the request, for
+		// instance because its body came in slowly. Its route may lead elsewhere by now.
+		f.dialect.WriteProblem(w, daisyproblem.Problem{
+			Status:     http.StatusServiceUnavailable,
+			Title:      "The service of the request was removed",
+			Run:        daisyrequest.NotRun,
+			RetryAfter: removedRetryAfter,
+		})
 		return
 	}
 	x := newExchange(f, ticket, call, w, body)
@@ -113,7 +122,7 @@
 }
 
 func newExchange(f *Forwarder, ticket *daisycontroller.Ticket, call *daisyfilter.Call, w http.ResponseWriter, body *source) *exchange {
-	rank := call.Service.Ranks[call.Request.Rank].Name
+	rank := call.Request.Rank
 	x := &exchange{
 		forwarder: f,
 		ticket:    ticket,
--- a/io/daisyintent/service.go
+++ b/io/daisyintent/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"go.yaml.in/yaml/v3"
 
@@ -71,11 +72,12 @@
 		return 0
 	}
 	name := daisyrank.Name(d.text(n))
-	index, ok := service.FindRank(name)
-	if !ok {
+	index := slices.IndexFunc(service.Ranks, func(r daisyrank.Rank) bool { return r.Name == name })
+	if index < 0 {
 		d.addProblem(n, "default-rank %q is not one of the service's ranks", name)
+		return 0
 	}
-	return index
+	return daisyrank.Index(index)
 }
 
 func (d *decoder) protocol(f fields) daisyservice.Protocol {
