Refuse requests that a planned stop may abort

Cause: requests were taken for 0.45 of the grace period whatever their deadline. The platform expects aborted requests only among those that were sent in the first 3 s, which is the same for a grace period of 6 s alone.

Change: the stop tells routing until when any request is accepted. A later one is accepted only if its own deadline is no later than the end of all requests; another VM takes the others at once. The 3 s come from platform/ as a setting, so requests sent within them are taken as before.

--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -22,12 +22,16 @@
 	if d.mostUrgent(rank) {
 		d.lastUrgent = now
 	}
+	outlastsStop := d.mayOutlastStop(q)
 	if d.stopsBefore(q.Deadline) {
 		q.Deadline = d.answerBy
 	}
 	r := d.pool.newRequest(q, rank)
 	d.requests[r.ID] = r
 	switch {
+	case outlastsStop:
+		d.fail(now, r, Stopping, d.firstBackoff())
+		return
 	case !now.Before(q.Deadline):
 		d.fail(now, r, Expired, defaultRetryAfter)
 		return
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -90,8 +90,9 @@
 	incarnations map[daisyvm.Name]daisyvm.Incarnation
 	// crashes has the requests that crashed endpoints.
 	crashes *daisycrash.Ledger
-	// answerBy is set once this VM stops, and is the time by which it answers all requests.
-	answerBy time.Time
+	// answerBy is set once this VM stops, and is the time by which it answers all requests;
+	// acceptUntil is until when it accepts those that may take longer.
+	answerBy, acceptUntil time.Time
 	// suspected has, for each endpoint that is being checked, the requests that broke off
 	// there.
 	suspected map[netip.AddrPort][]daisycrash.Crash
@@ -235,7 +236,7 @@
 	case PeersChanged:
 		d.changePeers(now, e)
 	case StopBegan:
-		d.beginStop(now, e.AnswerBy)
+		d.beginStop(now, e)
 	case TimePassed:
 		d.handleTimePassed(now)
 	}
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -106,7 +106,12 @@
 }
 
 // StopBegan means that this VM stops and has to answer all requests by a time.
-type StopBegan struct{ AnswerBy time.Time }
+type StopBegan struct {
+	AnswerBy time.Time
+	// AcceptUntil is until when any request is accepted. One that arrives later is refused
+	// unless its deadline is no later than AnswerBy, as it might be aborted otherwise.
+	AcceptUntil time.Time
+}
 
 // TimePassed means that the time returned by NextWake has come.
 type TimePassed struct{}
--- a/core/daisystop/event.go
+++ b/core/daisystop/event.go
@@ -58,7 +58,12 @@
 
 // LimitRequests tells routing that all requests have to be answered by a time: those that
 // cannot be are refused before they reach an endpoint.
-type LimitRequests struct{ By time.Time }
+type LimitRequests struct {
+	By time.Time
+	// AcceptUntil is until when any request is accepted. One that arrives later is accepted
+	// only if its deadline is no later than By.
+	AcceptUntil time.Time
+}
 
 // CloseCallers stops accepting connections from callers and lets their requests finish;
 // CallersGone has to follow.
--- a/core/daisystop/stop.go
+++ b/core/daisystop/stop.go
@@ -64,7 +64,12 @@
 
 // Within stops at once and has to finish within the grace period, because whoever
 // requested the stop kills the process at its end.
-type Within struct{ Grace time.Duration }
+type Within struct {
+	Grace time.Duration
+	// AcceptAll is how long after the stop was requested any request is accepted, however
+	// long it may take. Whoever requested the stop expects that some of these are aborted.
+	AcceptAll time.Duration
+}
 
 // part returns a fraction of the grace period.
 func (w Within) part(share float64) time.Duration { return time.Duration(share * float64(w.Grace)) }
@@ -72,11 +77,12 @@
 func (InTurn) mode() {}
 func (Within) mode() {}
 
+// signalDelay is how much later than it was requested a VM may notice a stop.
+const signalDelay = 20 * time.Millisecond
+
 // Fractions of the grace period after which a VM accepts no more requests, by which it
 // answers them, and after which it aborts those in flight. The last is less than 1 because
-// the exit takes time too. The users' platform counts an aborted request as an error unless the request
-// arrived in the first half of the grace period, so the VM accepts requests only in that
-// half.
+// the exit takes time too.
 const (
 	acceptShare = 0.45
 	answerShare = 0.9
@@ -150,7 +156,10 @@
 	if w, ok := s.mode.(Within); ok {
 		s.phase = Leaving
 		s.phaseEnd = now.Add(w.part(acceptShare))
-		return []Decision{Announce{Stopping: true, Leaving: true}, LimitRequests{By: now.Add(w.part(answerShare))}}
+		return []Decision{Announce{Stopping: true, Leaving: true}, LimitRequests{
+			By:          now.Add(w.part(answerShare)),
+			AcceptUntil: now.Add(max(w.AcceptAll-signalDelay, 0)),
+		}}
 	}
 	if s.peers.Alone {
 		s.phase = Draining
--- a/core/daisystop/within_test.go
+++ b/core/daisystop/within_test.go
@@ -39,3 +39,21 @@
 	s.Handle(draining, daisystop.TimePassed{})
 	assert.DeepEqual(t, s.Handle(draining.Add(time.Millisecond), daisystop.CallersGone{}), []daisystop.Decision{daisystop.Finish{}})
 }
+
+// Guards against a VM that accepts requests of any length for longer than its platform
+// expects some of them to be aborted.
+func TestStopLimitsRequestsThatArriveLate(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second, 30 * time.Second} {
+		for _, acceptAll := range []time.Duration{0, 3 * time.Second} {
+			s := daisystop.NewStop(daisystop.Within{Grace: grace, AcceptAll: acceptAll})
+			for _, d := range s.Handle(now, daisystop.StopWanted{}) {
+				if l, ok := d.(daisystop.LimitRequests); ok {
+					accepted := l.AcceptUntil.Sub(now)
+					assert.Assert(t, accepted <= acceptAll && accepted >= acceptAll-100*time.Millisecond, "%v of %v", accepted, acceptAll)
+				}
+			}
+			assert.DeepEqual(t, s.Handle(now.Add(time.Second), daisystop.StopWanted{}), []daisystop.Decision(nil))
+		}
+	}
+}
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -73,9 +73,9 @@
 	lastRequestID atomic.Uint64
 	// activeRequests counts the requests of all services that have begun and not ended.
 	activeRequests atomic.Int64
-	// requestsEnd is set once this VM stops and has to answer all requests by then, guarded
+	// stopBegan is set once this VM stops; new shards are initialized with it. It is guarded
 	// by changeMu.
-	requestsEnd time.Time
+	stopBegan daisyroute.StopBegan
 	// departures has those of each service that was ever declared, guarded by changeMu.
 	departures map[daisyservice.ID]*daisyroute.Departures
 	probes     *probePool
@@ -178,8 +178,8 @@
 	s := newRouteShard(c, service, dispatcher)
 	s.handle(c.peers)
 	s.handle(daisyroute.FindingsReceived{Findings: c.knownFindings()})
-	if !c.requestsEnd.IsZero() {
-		s.handle(daisyroute.StopBegan{AnswerBy: c.requestsEnd})
+	if !c.stopBegan.AnswerBy.IsZero() {
+		s.handle(c.stopBegan)
 	}
 	shards[service.ID] = s
 }
@@ -232,13 +232,13 @@
 }
 
 // LimitRequests sets the time by which all requests have to be answered, because this VM
-// stops.
-func (c *Route) LimitRequests(by time.Time) {
+// stops, and until when it accepts those that may take longer.
+func (c *Route) LimitRequests(by, acceptUntil time.Time) {
 	c.changeMu.Lock()
 	defer c.changeMu.Unlock()
-	c.requestsEnd = by
+	c.stopBegan = daisyroute.StopBegan{AnswerBy: by, AcceptUntil: acceptUntil}
 	for _, s := range *c.shards.Load() {
-		s.handle(daisyroute.StopBegan{AnswerBy: by})
+		s.handle(c.stopBegan)
 	}
 }
 
--- a/io/daisycontroller/route_test.go
+++ b/io/daisycontroller/route_test.go
@@ -157,3 +157,30 @@
 		}
 	})
 }
+
+// Guards against a service that is declared during a planned stop and takes requests that
+// would be aborted at its end.
+func TestServiceDeclaredDuringStopRefusesLongRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routes := daisycontroller.NewRoute(daisycontroller.RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Sender: &countingSender{sent: make(map[daisyvm.Name]int)}})
+		defer routes.Close()
+		begun := time.Now()
+		routes.LimitRequests(begun.Add(9*time.Second), begun.Add(3*time.Second))
+		time.Sleep(4 * time.Second)
+		routes.Apply(snapshotOf("a"))
+		for _, c := range []struct {
+			timeout time.Duration
+			refused bool
+		}{{12 * time.Second, true}, {4 * time.Second, false}} {
+			arrived := time.Now()
+			ticket, err := routes.Begin(daisyrequest.Request{Service: daisyservice.ID{Fleet: "vigia-lar", Name: "a"}, Arrived: arrived, Deadline: arrived.Add(c.timeout)})
+			assert.NilError(t, err)
+			fail, refused := (<-ticket.Decisions()).(daisyroute.Fail)
+			assert.Equal(t, refused, c.refused, "timeout %v", c.timeout)
+			if refused {
+				assert.Equal(t, fail.Cause, daisyroute.Stopping)
+			}
+			abandon(ticket)
+		}
+	})
+}
--- a/io/daisycontroller/stop.go
+++ b/io/daisycontroller/stop.go
@@ -28,8 +28,9 @@
 
 // RequestLimiter limits the time that requests may take while this VM stops.
 type RequestLimiter interface {
-	// LimitRequests sets the time by which all requests have to be answered.
-	LimitRequests(by time.Time)
+	// LimitRequests sets the time by which all requests have to be answered, and until when
+	// those that may take longer are accepted.
+	LimitRequests(by, acceptUntil time.Time)
 }
 
 // StopOptions are the dependencies and settings of a Stop controller.
@@ -208,7 +209,7 @@
 		c.options.Callers.SetLeaving(d.Leaving)
 	case daisystop.LimitRequests:
 		if c.options.Requests != nil {
-			c.options.Requests.LimitRequests(d.By)
+			c.options.Requests.LimitRequests(d.By, d.AcceptUntil)
 		}
 	case daisystop.AcquireLease:
 		c.cancelClaim()
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -301,7 +301,7 @@
 func (d *Managed) startStop() error {
 	d.stop = daisycontroller.NewStop(daisycontroller.StopOptions{
 		Member:   d.members,
-		Mode:     daisystop.Within{Grace: d.settings.GracePeriod},
+		Mode:     daisystop.Within{Grace: d.settings.GracePeriod, AcceptAll: d.settings.AcceptAll},
 		Sender:   d.links,
 		Callers:  d.callers,
 		Requests: d.routes,
--- a/io/daisysetting/managed.go
+++ b/io/daisysetting/managed.go
@@ -31,6 +31,9 @@
 	Store netip.AddrPort
 	// GracePeriod is the time from the signal to stop until the platform kills the process.
 	GracePeriod time.Duration
+	// AcceptAll is how long after that signal the platform expects the VM to accept any
+	// request, although it may abort some of them at the end of the grace period.
+	AcceptAll time.Duration
 	// AnswerTTL is the maximum time for which callers may cache an answer of the directory.
 	AnswerTTL time.Duration
 	// MaxFileDescriptors is the limit on open file descriptors, MemoryBytes the limit on memory.
