Let a panic in the handling of one request end only its connection

Cause: a handler that panicked ended the process, and with it the requests of all callers of the VM.

Change: the pipeline logs the panic with its stack and closes the connection. A panic in the routing state of a service still ends the process, in both servers: state that is half changed might send an order twice.

--- a/io/daisycaller/answer.go
+++ b/io/daisycaller/answer.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -77,8 +78,8 @@
 	w.connection.finish(w, aborted || w.err != nil)
 }
 
-// callHandler runs the handler and reports whether it aborted with http.ErrAbortHandler.
-// Other panics are bugs and propagate.
+// callHandler runs the handler and reports whether it aborted. Any panic aborts only this
+// request and those behind it on its connection; one that is a bug is logged.
 func (w *responseWriter) callHandler(handler http.Handler) (aborted bool) {
 	defer func() {
 		v := recover()
@@ -86,7 +87,8 @@
 			return
 		}
 		if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-			panic(v)
+			w.connection.pipeline.logger.Error("handler of a request panicked", "host", w.request.Host, "path", w.request.URL.Path,
+				"cause", fmt.Sprint(v), "stack", string(debug.Stack()))
 		}
 		aborted = true
 	}()
--- a/io/daisycaller/pipeline_test.go
+++ b/io/daisycaller/pipeline_test.go
@@ -374,3 +374,25 @@
 		assert.NilError(t, <-stopped)
 	})
 }
+
+// Guards against a bug in the handling of one request that ends the requests of all other
+// callers with the process.
+func TestPanicAbortsOnlyItsConnection(t *testing.T) {
+	release := make(chan struct{})
+	p, c := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/a" {
+			panic("a bug")
+		}
+		<-release
+		fmt.Fprint(w, r.URL.Path)
+	}, nil)
+	other := dialPipeline(t, p)
+	write(t, other, requestB)
+	write(t, c, requestA)
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	close(release)
+	status, body, _ := read(t, bufio.NewReader(other))
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "/b")
+}
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -1,7 +1,9 @@
 package daisycontroller
 
 import (
+	"fmt"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -191,11 +193,26 @@
 // applyLocked handles an event without resetting the timer, so that the
 // caller has to call handleLocked afterwards. The caller must hold s.mu.
 func (s *routeShard) applyLocked(event daisyroute.Event) {
+	defer endProcessOnPanic()
 	for _, d := range s.dispatcher.Handle(now(), event) {
 		s.carryOut(d)
 	}
 }
 
+// endProcessOnPanic ends the process if its caller panics. The servers recover panics of
+// their handlers, but the state of a service after half an event can no longer be trusted:
+// it might send a request twice, or promise that one was not run that was.
+func endProcessOnPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	stack := debug.Stack()
+	// Nothing recovers the panic of another goroutine.
+	go func() { panic(fmt.Sprintf("routing state: %v\n%s", v, stack)) }()
+	select {}
+}
+
 func (s *routeShard) carryOut(decision daisyroute.Decision) {
 	switch d := decision.(type) {
 	case daisyroute.Send:
