--- a/io/daisyforward/endless_test.go
+++ b/io/daisyforward/endless_test.go
@@ -1,10 +1,13 @@
 package daisyforward_test
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -125,3 +128,69 @@
 		})
 	}
 }
+
+// Guards against an answer without end that begins while the body of its request is still
+// coming in: it must not hold memory or its slot once the caller has left.
+func TestEndlessAnswerBeforeTheWholeBody(t *testing.T) {
+	e := startEndless(t, daisystand.Endless{Prefix: chunkedHead, Filler: "5\r\nhello\r\n", Early: true})
+	s := newSettings(e.Address())
+	s.limits.MaxResponseBytes = 1 << 20
+	v := startVM(t, s)
+	before := heapInUse()
+	for range 5 {
+		conn, err := net.Dial("tcp", v.server.Address().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: lookups.vigia-lar\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 100_000))
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.Assert(t, err != nil, "an answer without end must not look complete")
+		assert.NilError(t, conn.Close())
+	}
+	waitFor(t, func() bool { return e.Broken() == 5 && v.inFlight() == 0 })
+	assert.Check(t, heapInUse()-before < maxEndlessHeap)
+}
+
+// Guards against memory that grows with the number of answers whose header is just below
+// the limit and never ends.
+func TestManyLongHeadersNeverEnd(t *testing.T) {
+	const requests = 1000
+	long := strings.Repeat("X-A: "+strings.Repeat("b", 1000)+"\r\n", 60)
+	e := startEndless(t, daisystand.Endless{Prefix: "HTTP/1.1 200 OK\r\n" + long + "X-B: ", Filler: "b", Pause: 20 * time.Millisecond})
+	s := newSettings(e.Address())
+	s.slots, s.maxRequests = requests, requests
+	v := startVM(t, s)
+	client := v.client(t, daisyservice.HTTP1)
+	before := heapInUse()
+	var wg sync.WaitGroup
+	for range requests {
+		wg.Go(func() {
+			call := newCall(t, http.MethodGet, nil)
+			call.Header.Set("Daisy-Timeout", "1s")
+			got := roundTrip(t, client, call)
+			assert.Check(t, got.problem, "%+v", got)
+		})
+	}
+	wg.Wait()
+	waitFor(t, func() bool { return v.inFlight() == 0 })
+	client.CloseIdleConnections()
+	assert.Check(t, heapInUse()-before < maxEndlessHeap)
+}
+
+// Guards against an endpoint that goes on getting requests although its answers never end.
+func TestEndpointWithEndlessAnswersIsLeftAlone(t *testing.T) {
+	const requests = 200
+	e := startEndless(t, daisystand.Endless{Prefix: "HTTP/1.1 200 OK\r\n", Filler: "X-A: b\r\n"})
+	sound := startEndpoint(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	v := startVM(t, newSettings(e.Address(), sound, startEndpoint(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))))
+	failures := 0
+	for range requests {
+		if got := roundTrip(t, v.client(t, daisyservice.HTTP1), newCall(t, http.MethodPost, strings.NewReader("order"))); got != (result{status: 200}) {
+			assert.Equal(t, got, failed)
+			failures++
+		}
+	}
+	assert.Check(t, failures <= requests/10, "%d of %d requests failed", failures, requests)
+}
--- a/io/daisystand/endless.go
+++ b/io/daisystand/endless.go
@@ -20,6 +20,8 @@
 	Prefix, Filler string
 	// Pause is the time between two writes of the filler; 0 writes as fast as possible.
 	Pause time.Duration
+	// Early is set if the answer begins before the body of the request was read.
+	Early bool
 }
 
 // EndlessServer simulates a server whose answers never end. It does not answer further
@@ -115,8 +117,10 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
+	if !s.endless.Early {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 	}
 	for text := s.endless.Prefix; ; text = s.endless.Filler {
 		n, err := io.WriteString(c, text)
