--- a/core/daisyplan/compare.go
+++ b/core/daisyplan/compare.go
@@ -166,10 +166,8 @@
 }
 
 func defaultRank(s daisyservice.Service) daisyrank.Name {
-	if int(s.DefaultRank) >= len(s.Ranks) {
-		return ""
-	}
-	return s.Ranks[s.DefaultRank].Name
+	r, _ := s.Default()
+	return r.Name
 }
 
 func compareEndpoint(before, after daisyservice.ID, p pair[daisyendpoint.Endpoint]) []Change {
--- a/io/daisyintent/encode.go
+++ b/io/daisyintent/encode.go
@@ -57,11 +57,12 @@
 }
 
 func encodeService(s daisyservice.Service) *yaml.Node {
+	defaultRank, _ := s.Default()
 	ranks := newSequence(s.Ranks, func(r daisyrank.Rank) *yaml.Node { return newScalar(string(r.Name)) })
 	return newMapping(
 		newField("name", newScalar(s.ID.Name)),
 		newField("ranks", withFlowStyle(ranks)),
-		newField("default-rank", newScalar(string(s.Ranks[s.DefaultRank].Name))),
+		newField("default-rank", newScalar(string(defaultRank.Name))),
 		newField("protocol", newScalar(s.Protocol.String())),
 		newField("endpoints", newSequence(s.Endpoints, encodeEndpoint)),
 	)
