Return from a confirmation when it is in force on the VM

Operators saw not-found for an endpoint of the plan that they had just confirmed at the same VM.

Config.Adopt waits until the revision or a later one is in force, until the operation's context ends or until the controller is closed. The plan is confirmed by then in each case and is reported so.

VMs that follow the users' store use neither controller.

--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisyplatform"
@@ -58,6 +59,8 @@
 	// pending is the newest snapshot that the follower selected; a goroutine applies it
 	// after a value on applySignal.
 	pending *daisyconfig.Snapshot
+	// applied is closed, and replaced, whenever another snapshot is in force.
+	applied chan struct{}
 
 	applySignal chan struct{}
 	wake        *wakeTimer
@@ -85,6 +88,7 @@
 		options:     options,
 		chain:       newSnapshotChain(options.Platform),
 		peerConfigs: make(map[daisyvm.Name]PeerConfig),
+		applied:     make(chan struct{}),
 		applySignal: make(chan struct{}, 1),
 		wake:        newWakeTimer(),
 	}
@@ -200,9 +204,30 @@
 	c.handle(daisyconfig.HeadAnnounced{From: from, Revision: heartbeat.Revision, Hash: heartbeat.Hash})
 }
 
-// Adopt puts a snapshot that was just confirmed on this VM in force and sends it to the other VMs.
-func (c *Config) Adopt(snapshot *daisyconfig.Snapshot) {
+// Adopt puts a snapshot that was just confirmed on this VM in force and sends it to the
+// other VMs. It waits until its revision or a later one is in force on this VM, and
+// returns an error when ctx ends or the controller is closed before that.
+func (c *Config) Adopt(ctx context.Context, snapshot *daisyconfig.Snapshot) error {
 	c.handle(daisyconfig.SnapshotConfirmed{Snapshot: snapshot})
+	return c.awaitRevision(ctx, snapshot.Revision)
+}
+
+func (c *Config) awaitRevision(ctx context.Context, revision daisyconfig.Revision) error {
+	for {
+		c.mu.Lock()
+		applied := c.applied
+		c.mu.Unlock()
+		if c.Revision() >= revision {
+			return nil
+		}
+		select {
+		case <-applied:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.ctx.Done():
+			return daisyerror.Closed.New("the configuration is closed")
+		}
+	}
 }
 
 func (c *Config) handle(event daisyconfig.Event) {
@@ -251,6 +276,10 @@
 	}
 	c.chain.add(s)
 	c.inForce.Store(s)
+	c.mu.Lock()
+	close(c.applied)
+	c.applied = make(chan struct{})
+	c.mu.Unlock()
 	c.options.Logger.Info("configuration in force",
 		"revision", s.Revision, "hash", s.Hash, "plan", s.PlanID, "by", s.ConfirmedBy)
 }
--- a/io/daisycontroller/plan_confirm.go
+++ b/io/daisycontroller/plan_confirm.go
@@ -13,12 +13,12 @@
 	"daisyyoke/io/daisysnapshot"
 )
 
-// Confirm makes a plan the confirmed configuration. For a plan that is already
-// confirmed it returns the plan unchanged. It fails with daisyerror.Stale when another
-// plan was confirmed first, with daisyerror.Ended for a plan that was
-// discarded or has expired, with daisyerror.Unavailable when nothing was changed,
-// and with daisyerror.Unknown when the plan may have been confirmed: calling Confirm
-// again determines the result.
+// Confirm makes a plan the confirmed configuration, and returns when it is in force on
+// this VM or when ctx ends. For a plan that is already confirmed it returns the plan
+// unchanged. It fails with daisyerror.Stale when another plan was confirmed first, with
+// daisyerror.Ended for a plan that was discarded or has expired, with
+// daisyerror.Unavailable when nothing was changed, and with daisyerror.Unknown when the
+// plan may have been confirmed: calling Confirm again determines the result.
 func (c *Plan) Confirm(ctx context.Context, id daisyplan.ID, operator string) (daisyplan.Plan, error) {
 	ctx, end, err := c.startOperation(ctx)
 	if err != nil {
@@ -91,7 +91,9 @@
 	if s, err = c.swapHead(ctx, s); err != nil {
 		return daisyplan.Plan{}, err
 	}
-	c.options.Config.Adopt(s)
+	if err := c.options.Config.Adopt(ctx, s); err != nil {
+		c.options.Logger.Warn("confirmed configuration is not in force on this VM yet", "plan", p.ID, "revision", s.Revision, "error", err)
+	}
 	c.options.Logger.Info("plan confirmed", "plan", p.ID, "revision", s.Revision, "hash", s.Hash, "by", s.ConfirmedBy)
 	p.State = daisyplan.Confirmed{Revision: s.Revision, By: s.ConfirmedBy, At: s.ConfirmedAt}
 	c.recordConfirmed(p.Record)
--- a/io/daisycontroller/plan_test.go
+++ b/io/daisycontroller/plan_test.go
@@ -1,6 +1,7 @@
 package daisycontroller_test
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -130,3 +131,71 @@
 		assert.DeepEqual(t, states, want)
 	})
 }
+
+// slowApplier takes a while to apply a configuration.
+type slowApplier struct{ duration time.Duration }
+
+func (a slowApplier) Apply(*daisyconfig.Snapshot) { time.Sleep(a.duration) }
+
+// newSlowVM returns the configuration controllers of a VM that takes the given time to
+// apply a configuration.
+func newSlowVM(applyTime time.Duration) *configVM {
+	platform := daisyplatform.NewEmbedded()
+	self := daisyvm.VM{Name: "vm-1"}
+	config := daisycontroller.NewConfig(daisycontroller.ConfigOptions{
+		Self: self, Platform: platform, Sender: noopSender{}, Appliers: []daisycontroller.Applier{slowApplier{applyTime}},
+	})
+	plans := daisycontroller.NewPlan(daisycontroller.PlanOptions{Self: self, Platform: platform, Config: config})
+	return &configVM{config: config, plans: plans}
+}
+
+// Guards against an operator's next command at the same VM that finds the configuration
+// from before the confirmation.
+func TestConfirmedConfigurationIsInForceOnTheVM(t *testing.T) {
+	const applyTime = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		v := newSlowVM(applyTime)
+		defer v.Close()
+		for i := range 3 {
+			p, err := v.plans.Create(t.Context(), testIntent(i+1), "ana")
+			assert.NilError(t, err)
+			p, err = v.plans.Confirm(t.Context(), p.ID, "ana")
+			assert.NilError(t, err)
+			assert.Equal(t, v.config.Revision(), p.State.(daisyplan.Confirmed).Revision)
+		}
+	})
+}
+
+// Guards against a confirmation that is reported as failed, or that never ends, because
+// the VM is slow to apply the configuration.
+func TestConfirmationEndsBeforeTheConfigurationIsInForce(t *testing.T) {
+	const (
+		applyTime = time.Minute
+		waitTime  = time.Second
+	)
+	cases := []struct {
+		name      string
+		interrupt func(v *configVM, cancel context.CancelFunc)
+	}{
+		{"context ends", func(_ *configVM, cancel context.CancelFunc) { cancel() }},
+		{"configuration closed", func(v *configVM, _ context.CancelFunc) { v.config.Close() }},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				v := newSlowVM(applyTime)
+				defer v.Close()
+				p, err := v.plans.Create(t.Context(), testIntent(1), "ana")
+				assert.NilError(t, err)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				time.AfterFunc(waitTime, func() { k.interrupt(v, cancel) })
+				began := time.Now()
+				p, err = v.plans.Confirm(ctx, p.ID, "ana")
+				assert.NilError(t, err)
+				assert.Equal(t, time.Since(began), waitTime)
+				assert.Equal(t, p.State.(daisyplan.Confirmed).Revision, daisyconfig.Revision(1))
+			})
+		})
+	}
+}
