Say as of when a VM knows its configuration to be the newest

The logs could not tell whether a change that is late was read late from the store or not passed on, nor how old the configuration of a request was. Changes between VMs carry a bookmark, the version and clock of the store at which the sender's rows were the newest. 'configuration in force' names its source and for how long the one before was unconfirmed, a request's line has the age of its configuration, and a histogram has it for all requests.

--- /dev/null
+++ b/core/daisyfeed/bookmark.go
@@ -0,0 +1,61 @@
+package daisyfeed
+
+import "time"
+
+// maxReplyAge is more than the time that a reply of the store may take. One that shows an
+// earlier clock than this is of a store whose clock was set back.
+const maxReplyAge = 10 * time.Second
+
+// storeTime returns what the clock of the store shows now, at least. It may be called once
+// a clock was noted.
+func (f *Follower) storeTime(now time.Time) time.Duration {
+	return f.storeClock + now.Sub(f.storeClockAt)
+}
+
+// noteClock notes a clock that the store showed before now. What arrives late is overtaken
+// by what is known already.
+func (f *Follower) noteClock(now time.Time, clock time.Duration) {
+	if clock > 0 && (f.storeClockAt.IsZero() || clock > f.storeTime(now)) {
+		f.storeClock, f.storeClockAt = clock, now
+	}
+}
+
+// noteReplyClock notes the clock in a reply of the store to this VM.
+func (f *Follower) noteReplyClock(now time.Time, clock time.Duration) {
+	if !f.storeClockAt.IsZero() && clock < f.storeTime(now)-maxReplyAge {
+		f.storeClockAt = time.Time{}
+	}
+	f.noteClock(now, clock)
+}
+
+// setBookmark notes that all changes before a point are known. A reply from before the
+// latest known point, for instance of a replica that lags, shows nothing.
+func (f *Follower) setBookmark(now time.Time, bookmark Bookmark) {
+	if bookmark.Version < f.bookmark.Version {
+		return
+	}
+	asOf := now
+	if bookmark.Clock > 0 {
+		asOf = earlier(now, f.storeClockAt.Add(bookmark.Clock-f.storeClock))
+	}
+	f.bookmark = Bookmark{Version: bookmark.Version, Clock: max(bookmark.Clock, f.bookmark.Clock)}
+	f.currentAsOf = later(f.currentAsOf, asOf)
+}
+
+// adoptBookmark notes the bookmark of a peer whose changes are all known here. Without a
+// clock of the store it cannot be told how old it is.
+func (f *Follower) adoptBookmark(now time.Time, bookmark Bookmark) {
+	if bookmark.Clock == 0 || !f.eraComplete {
+		return
+	}
+	f.noteClock(now, bookmark.Clock)
+	f.setBookmark(now, bookmark)
+	f.readUpTo = max(f.readUpTo, bookmark.Version)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -157,6 +157,18 @@
 	HoldTime time.Duration
 	// Grace is how much longer removed rows are kept because the store was unavailable.
 	Grace time.Duration
+	// Bookmark is the latest point at which the sender knew Last to be the newest change; the
+	// zero value if it knows of none.
+	Bookmark Bookmark
+}
+
+// Bookmark is a point in the history of the store, in one era. A topic is known up to a
+// bookmark if all its changes before that point are known.
+type Bookmark struct {
+	// Version is the newest version of the store at that point, of whatever topic.
+	Version Version
+	// Clock is the store's own clock at that point; 0 if it does not say.
+	Clock time.Duration
 }
 
 // TimePassed reports that the time returned by NextWake has come.
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -82,9 +82,13 @@
 	// position is the index of this VM among all, which determines its turn in the rotation.
 	position int
 
-	// storeClock is the store's clock when it last replied, at storeClockAt.
+	// storeClock is what the store's clock showed at storeClockAt, at least.
 	storeClock   time.Duration
 	storeClockAt time.Time
+	// bookmark is the point up to which all changes are known, from the store or a peer, and
+	// currentAsOf the time of that point by the clock of this VM.
+	bookmark    Bookmark
+	currentAsOf time.Time
 
 	readInFlight bool
 	nextReadAt   time.Time
@@ -170,6 +174,10 @@
 // StoreUnavailable reports whether the store is not replying to this VM.
 func (f *Follower) StoreUnavailable() bool { return !f.unavailableSince.IsZero() }
 
+// CurrentAsOf returns the latest time at which the rows are known to have been those of the
+// store; the zero time if there is none.
+func (f *Follower) CurrentAsOf() time.Time { return f.currentAsOf }
+
 // Complete reports whether all rows were received once, from the store or from a peer.
 func (f *Follower) Complete() bool { return f.complete }
 
@@ -180,7 +188,7 @@
 	switch e := event.(type) {
 	case RowsRead:
 		f.readInFlight = false
-		f.noteClock(now, e.Clock)
+		f.noteReplyClock(now, e.Clock)
 		f.storeAnswered(now, false)
 		if !f.complete && len(f.peers) == 0 {
 			f.nextReadAt = now.Add(delayAfterFirstRead)
@@ -188,10 +196,11 @@
 		if f.admitsAnswer(now, e.Era, true) {
 			f.applyAll(now, e.Rows, e.AsOf, f.inGrace(now))
 			f.readUpTo = e.AsOf
+			f.setBookmark(now, Bookmark{Version: e.AsOf, Clock: e.Clock})
 		}
 	case RowsChanged:
 		f.readInFlight = false
-		f.noteClock(now, e.Clock)
+		f.noteReplyClock(now, e.Clock)
 		f.storeAnswered(now, e.Late)
 		if f.admitsAnswer(now, e.Era, false) {
 			f.handleRowsChanged(now, e)
@@ -268,11 +277,12 @@
 	after := max(f.readUpTo, f.last)
 	advanced := f.applyChanges(now, e.Rows, f.inGrace(now))
 	f.readUpTo = max(f.readUpTo, e.AsOf)
+	f.setBookmark(now, Bookmark{Version: e.AsOf, Clock: e.Clock})
 	if !advanced {
 		return
 	}
 	rows := slices.DeleteFunc(slices.Clone(e.Rows), func(r Row) bool { return r.Version <= after })
-	c := Changes{Rows: rows, After: after, Last: f.last, Era: f.era, Grace: f.graceLeft(now)}
+	c := Changes{Rows: rows, After: after, Last: f.last, Era: f.era, Grace: f.graceLeft(now), Bookmark: f.bookmark}
 	for _, p := range f.peers {
 		f.emit(SendChanges{To: p, Changes: c})
 	}
@@ -333,7 +343,7 @@
 	if !f.eraComplete || e.Era > f.era {
 		return
 	}
-	c := Changes{After: e.After, Last: f.last, Era: f.era, Grace: f.graceLeft(now)}
+	c := Changes{After: e.After, Last: f.last, Era: f.era, Grace: f.graceLeft(now), Bookmark: f.bookmark}
 	c.Complete = e.Era < f.era || e.After == 0 || e.After < f.prunedUpTo
 	if c.Complete {
 		c.After, c.Held, c.HoldTime = 0, f.heldRows(), max(f.held.until.Sub(now), 0)
@@ -386,7 +396,9 @@
 		f.last = max(f.last, c.Last)
 	default:
 		f.handlePeerVersion(now, PeerVersionKnown{From: e.From, Last: c.Last, Era: c.Era})
+		return
 	}
+	f.adoptBookmark(now, c.Bookmark)
 }
 
 // continueAfterPeer schedules the next read after the rows came from a peer in place of the
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -214,7 +214,7 @@
 	all := h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 6)}, AsOf: 6})
 	sent := decisionsOf[daisyfeed.SendChanges](all)
 	assert.Equal(t, len(sent), 2)
-	assert.DeepEqual(t, sent[0].Changes, daisyfeed.Changes{Rows: []daisyfeed.Row{row("c", 6)}, After: 5, Last: 6})
+	assert.DeepEqual(t, sent[0].Changes, daisyfeed.Changes{Rows: []daisyfeed.Row{row("c", 6)}, After: 5, Last: 6, Bookmark: daisyfeed.Bookmark{Version: 6}})
 }
 
 func TestGapBeforePeerChangesIsRequested(t *testing.T) {
@@ -412,7 +412,7 @@
 		}
 		sent := decisionsOf[daisyfeed.SendChanges](h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 7), row("d", 9)}, AsOf: 9}))
 		assert.Equal(t, len(sent), vms-1)
-		assert.DeepEqual(t, sent[0].Changes, daisyfeed.Changes{Rows: []daisyfeed.Row{row("d", 9)}, After: 7, Last: 9})
+		assert.DeepEqual(t, sent[0].Changes, daisyfeed.Changes{Rows: []daisyfeed.Row{row("d", 9)}, After: 7, Last: 9, Bookmark: daisyfeed.Bookmark{Version: 9}})
 	}
 	slices.SortFunc(reads, time.Time.Compare)
 	assert.Assert(t, len(reads) <= 20, "%d reads in 20 s", len(reads))
--- a/core/daisyfeed/schedule.go
+++ b/core/daisyfeed/schedule.go
@@ -60,20 +60,13 @@
 	return now.Add(delay)
 }
 
-// noteClock notes the store's clock in a reply.
-func (f *Follower) noteClock(now time.Time, clock time.Duration) {
-	if clock > 0 {
-		f.storeClock, f.storeClockAt = clock, now
-	}
-}
-
 // turnClock returns the time by which VMs take turns: that of the store, since their own
 // clocks differ and may be set, or that of this VM as long as the store has not said its own.
 func (f *Follower) turnClock(now time.Time) time.Duration {
 	if f.storeClockAt.IsZero() {
 		return time.Duration(now.UnixNano())
 	}
-	return f.storeClock + now.Sub(f.storeClockAt)
+	return f.storeTime(now)
 }
 
 // storeAnswered schedules the next read after a reply of the store and ends an outage. A
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -91,7 +91,9 @@
 	Member *Member
 	// Appliers receive each new snapshot, in the order of the slice.
 	Appliers []Applier
-	Logger   hclog.Logger
+	// Index is told as of when the configuration is known to be the newest; it may be nil.
+	Index  *Index
+	Logger hclog.Logger
 	// FirstReadDelay is how long the first read of the store is left to other VMs, which
 	// pass on what they read.
 	FirstReadDelay time.Duration
@@ -245,6 +247,7 @@
 
 func (c *Follow) handle(topic daisyfeed.Topic, event daisyfeed.Event) {
 	f := c.followers[topic]
+	asOf := f.CurrentAsOf()
 	publish := false
 	for _, d := range f.Handle(now(), event) {
 		publish = c.carryOut(topic, d) || publish
@@ -257,8 +260,41 @@
 		c.updateRole()
 	}
 	if publish {
-		c.publish(topic, f)
+		c.publish(topic, f, provenance{source: sourceOf(event), asOf: asOf})
 	}
+	if topic == daisyfeed.Configuration && c.options.Index != nil && f.CurrentAsOf().After(asOf) {
+		c.options.Index.SetCurrentAsOf(f.CurrentAsOf())
+	}
+}
+
+// provenance tells where rows that changed came from.
+type provenance struct {
+	// source is a VM, "store", or empty if the rows changed with time.
+	source string
+	// asOf is the latest time at which the rows before were known to be current.
+	asOf time.Time
+}
+
+// fields returns the provenance as fields of a log line.
+func (p provenance) fields() []any {
+	fields := []any{"source", p.source}
+	if !p.asOf.IsZero() {
+		fields = append(fields, "unconfirmed-for", now().Sub(p.asOf).String())
+	}
+	return fields
+}
+
+// sourceOf returns where the rows of an event come from.
+func sourceOf(event daisyfeed.Event) string {
+	switch e := event.(type) {
+	case daisyfeed.RowsRead, daisyfeed.RowsChanged:
+		return "store"
+	case daisyfeed.ChangesReceived:
+		return string(e.From)
+	case daisyfeed.HistoryLost, daisyfeed.ReadFailed, daisyfeed.RoleChanged, daisyfeed.PeerVersionKnown,
+		daisyfeed.ChangesRequested, daisyfeed.TimePassed:
+	}
+	return ""
 }
 
 // carryOut executes a decision. It reports whether the rows have changed and have to
@@ -328,10 +364,10 @@
 
 // publish updates the state from the rows of a topic and passes the merged snapshot to
 // the appliers, once the configuration and all endpoints are known.
-func (c *Follow) publish(topic daisyfeed.Topic, f *daisyfeed.Follower) {
+func (c *Follow) publish(topic daisyfeed.Topic, f *daisyfeed.Follower, from provenance) {
 	switch topic {
 	case daisyfeed.Configuration:
-		c.applyConfiguration(f.Rows())
+		c.applyConfiguration(f.Rows(), from)
 	case daisyfeed.Endpoints:
 		c.applyEndpoints(f.Rows())
 	}
@@ -348,7 +384,7 @@
 	}
 }
 
-func (c *Follow) applyConfiguration(rows []daisyfeed.Row) {
+func (c *Follow) applyConfiguration(rows []daisyfeed.Row, from provenance) {
 	invalid := make(map[string]daisyfeed.Version)
 	for _, r := range rows {
 		s, err := c.options.Decoder.DecodeConfiguration(r)
@@ -360,7 +396,8 @@
 		if s == nil || c.declared != nil && s.Revision <= c.declared.Revision {
 			continue
 		}
-		c.options.Logger.Info("configuration in force", "revision", uint64(s.Revision), "row-version", uint64(r.Version), "era", uint64(r.Era))
+		c.options.Logger.Info("configuration in force",
+			append(from.fields(), "revision", uint64(s.Revision), "row-version", uint64(r.Version), "era", uint64(r.Era))...)
 		c.declared = s
 	}
 	c.invalidRows[daisyfeed.Configuration] = invalid
--- a/io/daisycontroller/index.go
+++ b/io/daisycontroller/index.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"daisyyoke/core/daisyconfig"
 )
@@ -11,6 +12,7 @@
 // Route, so that a request finds the routing state of each service that its index declares.
 type Index struct {
 	current atomic.Pointer[daisyconfig.Index]
+	asOf    atomic.Pointer[time.Time]
 	once    sync.Once
 	arrived chan struct{}
 }
@@ -34,5 +36,18 @@
 // Current returns the index of the configuration in force; nil if there is none yet.
 func (c *Index) Current() *daisyconfig.Index { return c.current.Load() }
 
+// SetCurrentAsOf sets the latest time at which the configuration in force was known to be
+// the newest.
+func (c *Index) SetCurrentAsOf(asOf time.Time) { c.asOf.Store(&asOf) }
+
+// CurrentAsOf returns the latest time at which the configuration in force was known to be
+// the newest; the zero time if it is not known of any.
+func (c *Index) CurrentAsOf() time.Time {
+	if asOf := c.asOf.Load(); asOf != nil {
+		return *asOf
+	}
+	return time.Time{}
+}
+
 // Arrived is closed when the first configuration is in force.
 func (c *Index) Arrived() <-chan struct{} { return c.arrived }
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -315,6 +315,7 @@
 		Sender:   d.links,
 		Member:   d.members,
 		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.index, d.members, managedReadiness{d}},
+		Index:    d.index,
 		Logger:   d.logger,
 
 		FirstReadDelay: d.firstReadDelay(),
--- a/io/daisyfilter/await.go
+++ b/io/daisyfilter/await.go
@@ -24,6 +24,9 @@
 type Configuration interface {
 	// Current returns the index of the configuration in force; nil if there is none yet.
 	Current() *daisyconfig.Index
+	// CurrentAsOf returns the latest time at which the configuration in force was known to be
+	// the newest; the zero time if it is not known of any.
+	CurrentAsOf() time.Time
 	// Arrived is closed when the first configuration is in force.
 	Arrived() <-chan struct{}
 }
@@ -41,9 +44,10 @@
 func (AwaitConfiguration) filter() {}
 
 func (f AwaitConfiguration) apply(call *Call) Verdict {
-	call.Config = f.Configuration.Current()
+	// The time is read first, so that it is not that of a later configuration.
+	call.ConfigAsOf, call.Config = f.Configuration.CurrentAsOf(), f.Configuration.Current()
 	if call.Config == nil && f.wait(call) {
-		call.Config = f.Configuration.Current()
+		call.ConfigAsOf, call.Config = f.Configuration.CurrentAsOf(), f.Configuration.Current()
 	}
 	if call.Config != nil {
 		return Continue{}
--- a/io/daisyfilter/await_test.go
+++ b/io/daisyfilter/await_test.go
@@ -17,6 +17,8 @@
 
 func (c fakeConfiguration) Arrived() <-chan struct{} { return c }
 
+func (c fakeConfiguration) CurrentAsOf() time.Time { return time.Time{} }
+
 func (c fakeConfiguration) Current() *daisyconfig.Index {
 	select {
 	case <-c:
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -25,6 +25,9 @@
 	Arrived time.Time
 	// Config is the configuration that the request is handled by, set by AwaitConfiguration.
 	Config *daisyconfig.Index
+	// ConfigAsOf is the latest time at which Config was known to be the newest; the zero time
+	// if it is not known of any.
+	ConfigAsOf time.Time
 	// Service is the declaration in Config, set by Identify or Match.
 	Service daisyservice.Service
 	// Route is the route in Config, set by Match.
@@ -33,6 +36,15 @@
 	Request daisyrequest.Request
 }
 
+// ConfigAge returns for how long Config had not been known to be the newest when the request
+// arrived. It reports false if that is not known.
+func (c *Call) ConfigAge() (time.Duration, bool) {
+	if c.ConfigAsOf.IsZero() {
+		return 0, false
+	}
+	return max(0, c.Arrived.Sub(c.ConfigAsOf)), true
+}
+
 // Filter is one step of the chain. It is one of *Admit, RejectUnsupported, Addresses,
 // AwaitConfiguration, Identify, Classify and Match.
 type Filter interface{ filter() }
@@ -105,6 +117,10 @@
 	}
 	verdict, passed := c.runFilters(call)
 	defer c.release(passed)
+	age, known := call.ConfigAge()
+	if known {
+		c.options.Metrics.ConfigAge(age)
+	}
 	switch v := verdict.(type) {
 	case Reject:
 		c.options.Metrics.FilterResponse(v.Problem.Status)
@@ -116,6 +132,8 @@
 			Path:   r.URL.Path,
 			Status: status,
 			Reason: v.Problem.Title,
+
+			ConfigAge: age,
 		})
 	case Reply:
 		c.setDeadlines(w, r)
--- a/io/daisyforward/log.go
+++ b/io/daisyforward/log.go
@@ -28,6 +28,7 @@
 		return
 	}
 	now := time.Now()
+	age, _ := x.call.ConfigAge()
 	x.forwarder.log.Write(daisylog.Sent{
 		Subject:       x.subject(),
 		Attempt:       d.Attempt,
@@ -43,6 +44,7 @@
 		RateUsed:      d.RateUsed,
 		Waited:        d.Waited,
 		Remaining:     d.Deadline.Sub(now),
+		ConfigAge:     age,
 	})
 }
 
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -44,6 +44,7 @@
 	Remaining     string `json:"left"`
 	Attempt       uint64 `json:"attempt"`
 	Instance      string `json:"instance,omitempty"`
+	ConfigAge     string `json:"configuration-age,omitempty"`
 	*reportFields
 	*rateFields
 }
@@ -105,6 +106,8 @@
 	Path   string `json:"path"`
 	Status int    `json:"status"`
 	Reason string `json:"why"`
+
+	ConfigAge string `json:"configuration-age,omitempty"`
 }
 
 type abandonedRecord struct {
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -55,6 +55,9 @@
 	RateUsed  float64
 	// Waited is the time since the arrival of the request, Remaining the time until its deadline.
 	Waited, Remaining time.Duration
+	// ConfigAge is for how long the configuration had not been known to be the newest when the
+	// request arrived; 0 if that is not known.
+	ConfigAge time.Duration
 }
 
 // AttemptFailed records why an attempt gave no response that could be forwarded.
@@ -112,6 +115,8 @@
 	Path   string
 	Status int
 	Reason string
+	// ConfigAge is as in Sent.
+	ConfigAge time.Duration
 }
 
 // Abandoned records that the caller canceled the request before the response.
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strings"
+	"time"
 
 	"daisyyoke/core/daisyendpoint"
 )
@@ -21,7 +22,7 @@
 	case Refused:
 		l.encode(n.record(l.commonFields(e, "request refused")))
 	case Rejected:
-		l.encode(&rejectedRecord{commonFields: l.commonFields(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Reason: n.Reason})
+		l.encode(&rejectedRecord{commonFields: l.commonFields(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Reason: n.Reason, ConfigAge: knownAge(n.ConfigAge)})
 	case Abandoned:
 		l.encode(&abandonedRecord{commonFields: l.commonFields(e, "request abandoned"), subjectFields: n.fields(), Attempts: n.Attempts, Duration: n.Duration.String()})
 	case Canceled:
@@ -112,6 +113,7 @@
 		Remaining:     n.Remaining.String(),
 		Attempt:       uint64(n.Attempt),
 		Instance:      string(n.Instance),
+		ConfigAge:     knownAge(n.ConfigAge),
 	}
 	if !n.Report.At.IsZero() {
 		r.reportFields = &reportFields{
@@ -127,6 +129,14 @@
 	return r
 }
 
+// knownAge returns an age as text; empty if it is not known.
+func knownAge(age time.Duration) string {
+	if age == 0 {
+		return ""
+	}
+	return age.String()
+}
+
 // perSecond returns a rate limit in requests per second, or nil if there is none.
 func perSecond(limit daisyendpoint.RateLimit) *float64 {
 	l, ok := limit.(daisyendpoint.Limited)
--- a/io/daisymetric/help.go
+++ b/io/daisymetric/help.go
@@ -25,6 +25,7 @@
 	"daisyyoke_endpoint_crashes_total":       "Crashes of endpoints, for each request that they were running.",
 	"daisyyoke_endpoint_notices_total":       "Notices of endpoints that leave, ask for a pause, or cannot be understood.",
 	"daisyyoke_refused_by_filters_total":     "Requests answered before routing, by HTTP status.",
+	"daisyyoke_configuration_age_seconds":    "Time before a request's arrival at which its configuration was last known to be the newest.",
 	"daisyyoke_platform_operations_total":    "Operations on the platform, by answer.",
 	"daisyyoke_service_messages_total":       "Messages between VMs about services, by direction and kind.",
 }
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -29,6 +29,8 @@
 	probes   cache[probeKey, *metrics.Counter]
 	limits   cache[endpointKey, *metrics.Gauge]
 	limited  cache[endpointKey, *metrics.Counter]
+
+	configAge *metrics.Histogram
 }
 
 type endpointKey struct {
@@ -51,7 +53,10 @@
 }
 
 // New returns metrics whose values are all zero.
-func New() *Metrics { return &Metrics{set: metrics.NewSet()} }
+func New() *Metrics {
+	set := metrics.NewSet()
+	return &Metrics{set: set, configAge: set.GetOrCreateHistogram("daisyyoke_configuration_age_seconds")}
+}
 
 // WritePrometheus writes all metrics, and those of the process, in the Prometheus text
 // format. It fails if writing to w fails.
@@ -155,6 +160,14 @@
 	}
 }
 
+// ConfigAge counts a request by how long before its arrival the configuration that it is
+// handled by was last known to be the newest.
+func (m *Metrics) ConfigAge(age time.Duration) {
+	if m != nil {
+		m.configAge.Update(seconds(age))
+	}
+}
+
 // PlatformOperation counts an operation on the platform by the kind of its answer.
 func (m *Metrics) PlatformOperation(operation, answer string) {
 	if m != nil {
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -334,6 +334,10 @@
 		Era:      daisyfeed.Era(w.GetEra()),
 		Held:     decodeRows(w.GetHeld()),
 		HoldTime: time.Duration(w.GetHoldMicroseconds()) * time.Microsecond,
+		Bookmark: daisyfeed.Bookmark{
+			Version: daisyfeed.Version(w.GetBookmarkVersion()),
+			Clock:   time.Duration(w.GetBookmarkMicroseconds()) * time.Microsecond,
+		},
 	}
 	rows := w.GetRows()
 	if packed := w.GetPacked(); len(packed) > 0 {
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -127,6 +127,9 @@
 		Era:               uint64(c.Era),
 		Held:              encodeRows(c.Held),
 		HoldMicroseconds:  c.HoldTime.Microseconds(),
+
+		BookmarkVersion:      uint64(c.Bookmark.Version),
+		BookmarkMicroseconds: c.Bookmark.Clock.Microseconds(),
 	}
 	if w.Packed = e.compressor.compress(c.Rows); w.Packed == nil {
 		w.Rows = encodeRows(c.Rows)
