Let VMs ask the store when nobody confirms that their rows are current

Cause: VMs took turns at the store by their position, whether or not the store answered them. A VM that was cut off in silence left its turn empty, and the readers noticed silence only when a call ran out of time after 3.5 s. No VM could tell that nothing had changed from that nobody was listening.

The first reader now confirms every 0.8 s that there were no changes, with the version and clock of the store. A VM whose rows are not known to be current for 1 to 1.5 s, one after the other, asks the store itself and passes on what it learns. A change is so known after 1.5 s and a round trip while any one VM reaches the store, and on a VM without peers too. Turns are gone.

Tests: the turns' test is replaced by one of what follows them; the bounds of calls hold for all VMs together, 116 a minute and table before, 100 now; a VM that is no reader retries sooner in a small fleet than the test of a large one allowed, which has 123 VMs now.

--- a/core/daisyfeed/bookmark.go
+++ b/core/daisyfeed/bookmark.go
@@ -45,12 +45,14 @@
 // adoptBookmark notes the bookmark of a peer whose changes are all known here. Without a
 // clock of the store it cannot be told how old it is.
 func (f *Follower) adoptBookmark(now time.Time, bookmark Bookmark) {
-	if bookmark.Clock == 0 || !f.eraComplete {
+	if !f.eraComplete {
 		return
 	}
-	f.noteClock(now, bookmark.Clock)
-	f.setBookmark(now, bookmark)
 	f.readUpTo = max(f.readUpTo, bookmark.Version)
+	if bookmark.Clock > 0 {
+		f.noteClock(now, bookmark.Clock)
+		f.setBookmark(now, bookmark)
+	}
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -4,7 +4,9 @@
 // from other VMs that know later ones, since the store may be unavailable to all VMs or
 // to this one only. The store's versions order all changes, whatever their source. Every
 // call to the store has a price, so a few VMs read on behalf of all and send the changes
-// to the others. The others read from time to time, in case all readers fail unnoticed.
+// to the others. They also confirm, about once a second, that there were none: a VM that
+// gets no such Bookmark for too long asks the store itself, so that a change is known
+// everywhere in time as long as one VM reaches the store.
 //
 // A store that is restored from a backup loses its latest changes and assigns their
 // versions again. Versions are therefore ordered within an Era only. What was in force at
@@ -196,8 +198,8 @@
 // RowsChanged, HistoryLost or ReadFailed.
 type AwaitChanges struct {
 	After Version
-	// Now makes the store reply at once instead of waiting for a change.
-	Now bool
+	// Wait is how long the store may hold the request until there is a change.
+	Wait time.Duration
 }
 
 // RequestChanges requests the changes after a version from another VM, which may never
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -15,11 +15,11 @@
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
 	// maxRetryingVMs is how many VMs, the first in the order of the readers, go on reading a
-	// store that does not reply at that pace. It may reply to some VMs only, and of several
-	// one notices soon. minStandbyRetryDelay is the shortest time between two reads of the
-	// others, and half the longest: they get what the first ones learn.
-	maxRetryingVMs       = readerCount + maxRotation
-	minStandbyRetryDelay = 5 * time.Second
+	// store that does not reply at that pace. It may reply to some VMs only, so the others
+	// retry too, the less often the more VMs there are: each once or twice in
+	// standbyRetryInterval for each VM.
+	maxRetryingVMs       = 8
+	standbyRetryInterval = 45 * time.Millisecond
 	// recoveryGrace is how long rows removed during an outage of the store are kept after
 	// it. Their writers write them again within 2 s, as the users' platform guarantees.
 	recoveryGrace = 2200 * time.Millisecond
@@ -36,16 +36,21 @@
 	// firstPeersDelay is how long after it has got its first peers a reader reads on. VMs
 	// that start together learn within that time that others are the readers.
 	firstPeersDelay = 250 * time.Millisecond
-	// rotationInterval is the time between two reads of the VMs that read in rotation in
-	// addition to the readers. If the store replies to neither reader, the readers notice
-	// only when their wait for changes ends, but a change has to reach all VMs within 2 s.
-	rotationInterval = time.Second
-	// maxRotation limits the VMs that read in rotation. There are enough of them that a
-	// store which does not reply to a third of the VMs rarely fails several in a row, and
-	// few enough that the last read of each is within the history that the store keeps.
-	maxRotation = 6
-	// standbyInterval is the time between two reads of all other VMs.
-	standbyInterval = 2 * time.Minute
+	// confirmInterval is the age at which the first reader confirms that the rows are
+	// current.
+	confirmInterval = 800 * time.Millisecond
+	// minPatience and maxPatience bound the age of the rows at which a VM that is no reader
+	// asks the store itself. A change has to be known to all VMs within 2 s, however many
+	// of them the store does not reply to, and the reply and its way to the others take time
+	// too. The VMs differ in patience so that the first reply spares the others the question.
+	minPatience = time.Second
+	maxPatience = 1500 * time.Millisecond
+	// minOwnReadInterval is the time between two such questions, even if the reply did not
+	// show the rows to be current.
+	minOwnReadInterval = 500 * time.Millisecond
+	// longWait is how long the store may hold the requests of VMs that need not confirm
+	// anything to others. It limits the time until a dead connection is noticed.
+	longWait = 2500 * time.Millisecond
 	// delayAfterFirstRead is how long a VM without peers waits after its first full read before
 	// it reads on. Links to peers open within that time, and they show who the readers are.
 	delayAfterFirstRead = time.Second
@@ -91,7 +96,10 @@
 	currentAsOf time.Time
 
 	readInFlight bool
-	nextReadAt   time.Time
+	// nextReadAt is when to read next, except for a VM whose reads depend on the age of its
+	// rows; see ownReadAt. answeredAt is when the store last replied.
+	nextReadAt time.Time
+	answeredAt time.Time
 	// awaitPeersUntil is until when the first read is left to peers; see AwaitPeers.
 	awaitPeersUntil time.Time
 	retryDelay      time.Duration
@@ -211,6 +219,9 @@
 		if f.admitsAnswer(now, e.Era, false) {
 			f.readUpTo = 0
 		}
+		if !f.reader {
+			f.nextReadAt = now
+		}
 	case ReadFailed:
 		f.readInFlight = false
 		f.storeFailed(now)
@@ -232,7 +243,7 @@
 func (f *Follower) NextWake() time.Time {
 	var wake time.Time
 	if !f.readInFlight {
-		wake = f.nextReadAt
+		wake = f.readAt()
 	}
 	if len(f.retained) > 0 {
 		wake = daisywake.Sooner(wake, f.graceUntil)
@@ -259,7 +270,7 @@
 		f.requestedAt = now
 		f.emit(RequestChanges{To: f.aheadPeer, After: f.knownVersion(), Era: f.era})
 	}
-	if f.readInFlight || now.Before(f.nextReadAt) {
+	if f.readInFlight || now.Before(f.readAt()) {
 		return
 	}
 	f.readInFlight = true
@@ -268,7 +279,7 @@
 		return
 	}
 	// All changes up to the last known one are known, whoever sent them.
-	f.emit(AwaitChanges{After: max(f.readUpTo, f.last), Now: !f.reader})
+	f.emit(AwaitChanges{After: max(f.readUpTo, f.last), Wait: f.readWait(now)})
 }
 
 // handleRowsChanged applies changes from the store and sends them to the peers, even if
@@ -278,11 +289,15 @@
 	advanced := f.applyChanges(now, e.Rows, f.inGrace(now))
 	f.readUpTo = max(f.readUpTo, e.AsOf)
 	f.setBookmark(now, Bookmark{Version: e.AsOf, Clock: e.Clock})
-	if !advanced {
+	c := Changes{After: f.last, Last: f.last, Era: f.era, Bookmark: f.bookmark}
+	switch {
+	case advanced:
+		c.Rows = slices.DeleteFunc(slices.Clone(e.Rows), func(r Row) bool { return r.Version <= after })
+		c.After, c.Grace = after, f.graceLeft(now)
+	case f.second, e.Clock == 0:
+		// Others confirm that the rows are current, or nobody can.
 		return
 	}
-	rows := slices.DeleteFunc(slices.Clone(e.Rows), func(r Row) bool { return r.Version <= after })
-	c := Changes{Rows: rows, After: after, Last: f.last, Era: f.era, Grace: f.graceLeft(now), Bookmark: f.bookmark}
 	for _, p := range f.peers {
 		f.emit(SendChanges{To: p, Changes: c})
 	}
@@ -405,10 +420,7 @@
 // first read.
 func (f *Follower) continueAfterPeer(now time.Time, asOf Version) {
 	f.readUpTo = asOf
-	f.nextReadAt = f.nextOwnRead(now)
-	if f.reader {
-		f.nextReadAt = now.Add(delayAfterFirstRead)
-	}
+	f.nextReadAt = now.Add(delayAfterFirstRead)
 }
 
 func later(a, b time.Time) time.Time {
--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -1,7 +1,6 @@
 package daisyfeed_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -101,7 +100,7 @@
 	h.readFirstRows()
 	assert.Equal(t, len(decisionsOf[daisyfeed.Publish](h.decisions)), 1)
 	await := decisionsOf[daisyfeed.AwaitChanges](h.advance(time.Second))
-	assert.DeepEqual(t, await, []daisyfeed.AwaitChanges{{After: 5}})
+	assert.DeepEqual(t, await, []daisyfeed.AwaitChanges{{After: 5, Wait: 2500 * time.Millisecond}})
 	h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 6), removed("a", 7)}, AsOf: 7})
 	assert.DeepEqual(t, h.keys(), []string{"b", "c"})
 	assert.Equal(t, h.follower.Last(), daisyfeed.Version(7))
@@ -239,36 +238,36 @@
 	assert.DeepEqual(t, h.keys(), []string{"b"})
 }
 
-// Every call to the store has a price, so the calls per minute are bounded.
+// Every call to the store has a price, so the calls per minute of all VMs are bounded.
 func TestStoreCallsPerMinuteAreBounded(t *testing.T) {
 	peers := make([]daisyvm.Name, 9)
 	count := func(position int, answers bool) int {
-		reader := position < 2
 		h := newHarness(t)
-		h.handle(daisyfeed.RoleChanged{Reader: reader, Position: position, Peers: peers})
-		h.readFirstRows()
+		h.handle(daisyfeed.RoleChanged{Reader: position < 2, Second: position == 1, Position: position, Peers: peers})
+		h.handle(daisyfeed.RowsRead{Rows: []daisyfeed.Row{row("a", 1), row("b", 2)}, AsOf: 5, Clock: time.Hour})
 		calls := 0
 		for end := h.now.Add(time.Minute); h.now.Before(end); {
-			for _, d := range h.advance(100 * time.Millisecond) {
-				if _, ok := d.(daisyfeed.AwaitChanges); !ok {
-					continue
-				}
+			if position > 1 && answers {
+				h.handle(confirmed(2, 5, time.Hour+h.now.Sub(start)))
+			}
+			for _, d := range decisionsOf[daisyfeed.AwaitChanges](h.advance(100 * time.Millisecond)) {
 				calls++
 				if !answers {
 					h.handle(daisyfeed.ReadFailed{})
 					continue
 				}
-				if reader {
-					h.advance(2500 * time.Millisecond)
-				}
-				h.handle(daisyfeed.RowsChanged{AsOf: 5})
+				h.advance(d.Wait)
+				h.handle(daisyfeed.RowsChanged{AsOf: 5, Clock: time.Hour + h.now.Sub(start)})
 			}
 		}
 		return calls
 	}
-	assert.Assert(t, count(0, true) <= 25, "a reader")
-	assert.Assert(t, count(3, true) <= 11, "a VM in the rotation")
-	assert.Equal(t, count(8, true), 0, "a standby VM")
+	first, second := count(0, true), count(1, true)
+	assert.Assert(t, first <= 75, "%d calls of the first reader", first)
+	assert.Assert(t, second <= 25, "%d calls of the second reader", second)
+	for position := 2; position < 10; position++ {
+		assert.Equal(t, count(position, true), 0, "a VM that readers confirm its rows to")
+	}
 	assert.Assert(t, count(0, false) <= 90, "a reader during an outage")
 }
 
@@ -326,7 +325,7 @@
 func TestVMThatBecomesReaderInAnOutageReadsAgainSoon(t *testing.T) {
 	h := newHarness(t)
 	h.readFirstRows()
-	peers := make([]daisyvm.Name, 9)
+	peers := make([]daisyvm.Name, 122)
 	h.handle(daisyfeed.RoleChanged{Position: 9, Peers: peers})
 	h.handle(daisyfeed.ReadFailed{})
 	assert.Equal(t, len(decisionsOf[daisyfeed.AwaitChanges](h.advance(2*time.Second))), 0)
@@ -374,50 +373,62 @@
 		// calls is the number of calls within a minute, after when the first one comes.
 		calls int
 		after time.Duration
+		// confirms is set if another VM reads and confirms that the rows are current.
+		confirms bool
 	}{
 		"alone":           {role: daisyfeed.RoleChanged{Reader: true}, calls: 1, after: time.Second},
 		"reads for peers": {role: daisyfeed.RoleChanged{Reader: true, Peers: peers}, calls: 1, after: 300 * time.Millisecond},
-		"peers read":      {role: daisyfeed.RoleChanged{Position: 8, Peers: make([]daisyvm.Name, 9)}},
+		"peers read":      {role: daisyfeed.RoleChanged{Position: 8, Peers: make([]daisyvm.Name, 9)}, confirms: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
-			h.readFirstRows()
+			h.handle(daisyfeed.RowsRead{Rows: []daisyfeed.Row{row("a", 1), row("b", 2)}, AsOf: 5, Clock: time.Hour})
 			assert.Equal(t, len(decisionsOf[daisyfeed.AwaitChanges](h.advance(300*time.Millisecond))), 0)
 			calls := decisionsOf[daisyfeed.AwaitChanges](h.handle(k.role))
 			calls = append(calls, decisionsOf[daisyfeed.AwaitChanges](h.advance(k.after))...)
 			assert.Equal(t, len(calls), k.calls)
-			calls = append(calls, decisionsOf[daisyfeed.AwaitChanges](h.advance(time.Minute))...)
+			for end := h.now.Add(time.Minute); h.now.Before(end); {
+				if k.confirms {
+					h.handle(confirmed(2, 5, time.Hour+h.now.Sub(start)))
+				}
+				calls = append(calls, decisionsOf[daisyfeed.AwaitChanges](h.advance(900*time.Millisecond))...)
+			}
 			assert.Equal(t, len(calls), k.calls)
 		})
 	}
 }
 
-// If the store replies to neither reader, another VM reads it within about a second and
-// sends on only the changes that it did not know.
-func TestOtherVMsReadInRotation(t *testing.T) {
+// If no reader confirms that the rows are current, the other VMs ask the store one after the
+// other, each in time for a change to be known within 2 s. They send on only the changes that
+// were not known, and spare the others the question if there are none.
+func TestOtherVMsReadIfTheRowsAreNotConfirmed(t *testing.T) {
 	const vms = 10
-	var reads []time.Time
+	last := start
 	for position := 2; position < vms; position++ {
 		h := newHarness(t)
-		h.readFirstRows()
+		h.handle(daisyfeed.RowsRead{Rows: []daisyfeed.Row{row("a", 1), row("b", 2)}, AsOf: 5, Clock: time.Hour})
 		h.handle(daisyfeed.RoleChanged{Position: position, Peers: make([]daisyvm.Name, vms-1)})
-		h.handle(daisyfeed.ChangesReceived{From: "vm-1", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{row("c", 7)}, After: 2, Last: 7}})
-		for end := start.Add(20 * time.Second); h.now.Before(end); {
-			if len(decisionsOf[daisyfeed.AwaitChanges](h.advance(50*time.Millisecond))) == 0 {
-				continue
-			}
-			reads = append(reads, h.now)
-			sent := decisionsOf[daisyfeed.SendChanges](h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 7)}, AsOf: 7}))
-			assert.Equal(t, len(sent), 0, "changes that the peers know are not sent")
+		for range 10 {
+			h.handle(confirmed(2, 5, time.Hour+h.now.Sub(start)))
+			assert.Equal(t, len(decisionsOf[daisyfeed.AwaitChanges](h.advance(900*time.Millisecond))), 0)
 		}
-		sent := decisionsOf[daisyfeed.SendChanges](h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 7), row("d", 9)}, AsOf: 9}))
+		h.handle(confirmed(2, 5, time.Hour+h.now.Sub(start)))
+		unconfirmedSince := h.now
+		for len(decisionsOf[daisyfeed.AwaitChanges](h.advance(10*time.Millisecond))) == 0 {
+			assert.Assert(t, h.now.Sub(unconfirmedSince) <= 1600*time.Millisecond, "VM %d", position)
+		}
+		assert.Assert(t, h.now.After(last), "VM %d reads with the one before", position)
+		last = h.now
+		sent := decisionsOf[daisyfeed.SendChanges](h.handle(daisyfeed.RowsChanged{AsOf: 6, Clock: time.Hour + h.now.Sub(start)}))
 		assert.Equal(t, len(sent), vms-1)
-		assert.DeepEqual(t, sent[0].Changes, daisyfeed.Changes{Rows: []daisyfeed.Row{row("d", 9)}, After: 7, Last: 9, Bookmark: daisyfeed.Bookmark{Version: 9}})
-	}
-	slices.SortFunc(reads, time.Time.Compare)
-	assert.Assert(t, len(reads) <= 20, "%d reads in 20 s", len(reads))
-	for i, at := range reads[1:] {
-		assert.Assert(t, at.Sub(reads[i]) <= 1100*time.Millisecond, "no read between %v and %v", reads[i], at)
+		bookmark := daisyfeed.Bookmark{Version: 6, Clock: time.Hour + h.now.Sub(start)}
+		assert.DeepEqual(t, sent[0].Changes, daisyfeed.Changes{After: 2, Last: 2, Bookmark: bookmark})
+		h.handle(daisyfeed.ChangesReceived{From: "vm-1", Changes: daisyfeed.Changes{Rows: []daisyfeed.Row{row("c", 7)}, After: 2, Last: 7}})
+		h.advance(2 * time.Second)
+		bookmark = daisyfeed.Bookmark{Version: 9, Clock: time.Hour + h.now.Sub(start)}
+		sent = decisionsOf[daisyfeed.SendChanges](h.handle(daisyfeed.RowsChanged{Rows: []daisyfeed.Row{row("c", 7), row("d", 9)}, AsOf: 9, Clock: bookmark.Clock}))
+		assert.Equal(t, len(sent), vms-1)
+		assert.DeepEqual(t, sent[0].Changes, daisyfeed.Changes{Rows: []daisyfeed.Row{row("d", 9)}, After: 7, Last: 9, Bookmark: bookmark})
 	}
 }
 
--- a/core/daisyfeed/propagation_test.go
+++ b/core/daisyfeed/propagation_test.go
@@ -45,9 +45,8 @@
 }
 
 const (
-	// longPoll is the time for which the store holds a call, and lostCall that after which a
-	// call without a reply has failed, beside the time that it may be held.
-	longPoll     = 2500 * time.Millisecond
+	// lostCall is the time after which a call without a reply has failed, beside the time that
+	// it may be held.
 	lostCall     = time.Second
 	storeDelay   = 4 * time.Millisecond
 	messageDelay = 5 * time.Millisecond
@@ -124,15 +123,11 @@
 
 func (s *propagationSim) await(name daisyvm.Name, d daisyfeed.AwaitChanges) {
 	v := s.vms[name]
-	wait := longPoll
-	if d.Now {
-		wait = 0
-	}
 	switch {
 	case v.cut:
-		s.later(wait+lostCall, func() { s.handle(name, daisyfeed.ReadFailed{}) })
+		s.later(d.Wait+lostCall, func() { s.handle(name, daisyfeed.ReadFailed{}) })
 	default:
-		v.awaiting, v.after = s.now.Add(wait), d.After
+		v.awaiting, v.after = s.now.Add(d.Wait), d.After
 	}
 }
 
--- a/core/daisyfeed/schedule.go
+++ b/core/daisyfeed/schedule.go
@@ -22,7 +22,7 @@
 }
 
 // handleRoleChanged lets a VM that becomes a reader read at once, and a reader that gets its
-// first peers soon, and moves a VM that is no longer a reader to the rotation.
+// first peers soon.
 func (f *Follower) handleRoleChanged(now time.Time, e RoleChanged) {
 	firstPeers := len(f.peers) == 0 && len(e.Peers) > 0
 	f.peers, f.position, f.second = e.Peers, e.Position, e.Second
@@ -39,34 +39,43 @@
 		f.nextReadAt = time.Time{}
 	case e.Reader && firstPeers:
 		f.nextReadAt = daisywake.Sooner(f.nextReadAt, now.Add(firstPeersDelay))
-	case !e.Reader && f.reader && f.complete:
-		f.nextReadAt = f.nextOwnRead(now)
 	}
 	f.reader = e.Reader
 }
 
-// nextOwnRead returns when a VM that is not a reader reads the store next.
-func (f *Follower) nextOwnRead(now time.Time) time.Time {
-	rotation := max(1, min(maxRotation, len(f.peers)+1-readerCount))
-	position := max(0, f.position-readerCount)
-	if position >= rotation {
-		return now.Add(standbyInterval)
+// readAt returns when to read the store next.
+func (f *Follower) readAt() time.Time {
+	if f.reader || f.readUpTo == 0 || !f.unavailableSince.IsZero() {
+		return f.nextReadAt
 	}
-	round := time.Duration(rotation) * rotationInterval
-	delay := time.Duration(position)*rotationInterval - f.turnClock(now)%round
-	if delay <= 0 {
-		delay += round
+	return f.ownReadAt()
+}
+
+// ownReadAt returns when a VM that is no reader reads the store because nobody has shown that
+// its rows are current.
+func (f *Follower) ownReadAt() time.Time {
+	return later(f.currentAsOf.Add(f.patience()), f.answeredAt.Add(minOwnReadInterval))
+}
+
+// patience returns the age of the rows at which this VM asks the store itself.
+func (f *Follower) patience() time.Duration {
+	others := len(f.peers) - readerCount
+	if others <= 0 {
+		return minPatience
 	}
-	return now.Add(delay)
+	turn := min(max(f.position-readerCount, 0), others)
+	return minPatience + (maxPatience-minPatience)*time.Duration(turn)/time.Duration(others)
 }
 
-// turnClock returns the time by which VMs take turns: that of the store, since their own
-// clocks differ and may be set, or that of this VM as long as the store has not said its own.
-func (f *Follower) turnClock(now time.Time) time.Duration {
-	if f.storeClockAt.IsZero() {
-		return time.Duration(now.UnixNano())
+// readWait returns how long the store may hold a request of this VM.
+func (f *Follower) readWait(now time.Time) time.Duration {
+	switch {
+	case !f.reader, !f.unavailableSince.IsZero():
+		return 0
+	case f.second, len(f.peers) == 0:
+		return longWait
 	}
-	return f.storeTime(now)
+	return min(max(f.currentAsOf.Add(confirmInterval).Sub(now), 0), confirmInterval)
 }
 
 // storeAnswered schedules the next read after a reply of the store and ends an outage. A
@@ -74,13 +83,10 @@
 // meanwhile.
 func (f *Follower) storeAnswered(now time.Time, late bool) {
 	f.retryDelay = minRetryDelay
-	switch {
-	case !f.reader:
-		f.nextReadAt = f.nextOwnRead(now)
-	case f.second:
+	f.answeredAt = now
+	f.nextReadAt = now.Add(readerInterval)
+	if f.second {
 		f.nextReadAt = now.Add(secondReaderInterval)
-	default:
-		f.nextReadAt = now.Add(readerInterval)
 	}
 	if late || !f.unavailableSince.IsZero() {
 		f.graceUntil = now.Add(recoveryGrace)
@@ -109,5 +115,5 @@
 
 // standbyRetryDelay spreads the retries of the VMs that retry seldom.
 func (f *Follower) standbyRetryDelay() time.Duration {
-	return minStandbyRetryDelay + minStandbyRetryDelay*time.Duration(f.position)/time.Duration(len(f.peers)+1)
+	return max(maxRetryDelay, time.Duration(len(f.peers)+1+f.position)*standbyRetryInterval)
 }
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// longPollTimeout is how long the store may hold a long poll for changes. It limits
-	// the time until a dead connection is noticed.
-	longPollTimeout = 2500 * time.Millisecond
 	// lostAnswerMargin is the time past the end of a poll after which its answer counts
 	// as lost.
 	lostAnswerMargin = time.Second
@@ -333,15 +330,11 @@
 }
 
 func (c *Follow) awaitChanges(topic daisyfeed.Topic, d daisyfeed.AwaitChanges) {
-	wait := longPollTimeout
-	if d.Now {
-		wait = 0
-	}
-	ctx, cancel := context.WithTimeout(c.ctx, wait+lostAnswerMargin)
+	ctx, cancel := context.WithTimeout(c.ctx, d.Wait+lostAnswerMargin)
 	defer cancel()
 	start := now()
-	answer := c.options.Feeds.AwaitChanges(ctx, topic, d.After, wait)
-	c.post(topic, c.eventFromAnswer(topic, answer, now().Sub(start) > wait+lateAnswerMargin))
+	answer := c.options.Feeds.AwaitChanges(ctx, topic, d.After, d.Wait)
+	c.post(topic, c.eventFromAnswer(topic, answer, now().Sub(start) > d.Wait+lateAnswerMargin))
 }
 
 func (c *Follow) eventFromAnswer(topic daisyfeed.Topic, answer FeedAnswer, late bool) daisyfeed.Event {
