Leave the streams of a link before its failed connection closes the session

Cause: a blocked yamux.Stream.Read loops without a pause from when its session is marked as closed until the receive loop has ended. The link leaves its streams before it closes a session, but yamux closes it by itself when a read or a write of the connection fails. The connection now tells the link first.

--- a/io/daisypeer/conn.go
+++ b/io/daisypeer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"io"
 	"net"
 	"time"
 )
@@ -22,6 +23,9 @@
 type sessionConn struct {
 	net.Conn
 	counters *counters
+	// onFailure is called before yamux learns of the failure of a read or a write and closes
+	// the session by itself; see streamUsers.
+	onFailure func(error)
 	// pendingHeader is the header of a data frame whose body has not been written yet, or
 	// empty.
 	pendingHeader []byte
@@ -37,13 +41,10 @@
 		return 0, Broken.Wrap(err, "deadline")
 	}
 	if len(c.pendingHeader) == 0 {
-		n, err := c.Conn.Write(p)
-		c.counters.bytesSent.Add(uint64(n))
-		return n, err
+		return c.write(p)
 	}
 	c.pendingHeader = append(c.pendingHeader, p...)
-	n, err := c.Conn.Write(c.pendingHeader)
-	c.counters.bytesSent.Add(uint64(n))
+	_, err := c.write(c.pendingHeader)
 	c.pendingHeader = c.pendingHeader[:0]
 	if err != nil {
 		return 0, err
@@ -51,10 +52,25 @@
 	return len(p), nil
 }
 
+func (c *sessionConn) write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counters.bytesSent.Add(uint64(n))
+	if err != nil {
+		c.onFailure(Broken.Wrap(err, "write"))
+	}
+	return n, err
+}
+
 // Read counts the bytes that it reads.
 func (c *sessionConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.counters.bytesReceived.Add(uint64(n))
+	switch {
+	case err == io.EOF:
+		c.onFailure(Broken.New("connection closed by peer"))
+	case err != nil:
+		c.onFailure(Broken.Wrap(err, "read"))
+	}
 	return n, err
 }
 
--- a/io/daisypeer/link.go
+++ b/io/daisypeer/link.go
@@ -65,29 +65,39 @@
 	return session, nil
 }
 
-// newLink starts the goroutines that send and receive over a session. They return when the
-// session is closed.
-func newLink(links *Links, session *yamux.Session, peer hello, dialer daisyvm.Name) *link {
+// newLink opens a session over a connection and starts the goroutines that send and receive
+// over it. They return when the session is closed.
+func newLink(links *Links, conn net.Conn, peer hello, dialer daisyvm.Name, dialed bool) (*link, error) {
 	l := &link{
-		links:   links,
-		peer:    peer,
-		dialer:  dialer,
-		session: session,
-		urgent:  newMessageQueue(urgentQueueLimit),
-		bulk:    newMessageQueue(bulkQueueLimit),
-		done:    make(chan struct{}),
+		links:  links,
+		peer:   peer,
+		dialer: dialer,
+		urgent: newMessageQueue(urgentQueueLimit),
+		bulk:   newMessageQueue(bulkQueueLimit),
+		done:   make(chan struct{}),
 	}
 	l.streamUsers = &streamUsers{done: l.done}
+	session, err := newSession(&sessionConn{Conn: conn, counters: &links.counters, onFailure: l.abandon}, dialed)
+	if err != nil {
+		return nil, err
+	}
+	l.session = session
 	l.goroutines.Go(func() { l.shutDown(l.send()) })
 	l.goroutines.Go(func() { l.shutDown(l.receive()) })
-	return l
+	return l, nil
 }
 
 // shutDown closes the link. The error of the first call is logged as the cause.
 func (l *link) shutDown(err error) {
+	l.abandon(err)
+	_ = l.session.Close()
+}
+
+// abandon removes the link and makes its goroutines leave the session. Their calls of
+// shutDown then close it.
+func (l *link) abandon(err error) {
 	l.links.removeLink(l, err)
 	l.streamUsers.interrupt()
-	_ = l.session.Close()
 }
 
 // wait blocks until all goroutines of the link have returned.
--- a/io/daisypeer/link_close_test.go
+++ b/io/daisypeer/link_close_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -57,10 +58,9 @@
 	server, err := newSession(remote, false)
 	assert.NilError(t, err)
 	defer func() { _ = server.Close() }()
-	session, err := newSession(&delayedErrorConn{Conn: local, delay: delay}, true)
-	assert.NilError(t, err)
 	links := &Links{options: Options{Receiver: discardingReceiver{}, Logger: hclog.NewNullLogger()}}
-	l := newLink(links, session, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0")
+	l, err := newLink(links, &delayedErrorConn{Conn: local, delay: delay}, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0", true)
+	assert.NilError(t, err)
 	for range 2 {
 		stream, err := server.OpenStream()
 		assert.NilError(t, err)
@@ -75,6 +75,70 @@
 	assert.Assert(t, used < delay/5, "used %v of CPU time in %v while idle", used, delay)
 }
 
+// failingConn fails writes from when failing is set. The session closes it first thing after
+// it is itself marked as closed.
+type failingConn struct {
+	net.Conn
+	failing atomic.Bool
+	closing func()
+}
+
+func (c *failingConn) Write(p []byte) (int, error) {
+	if c.failing.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *failingConn) Close() error {
+	c.closing()
+	return c.Conn.Close()
+}
+
+// Guards against goroutines that busy-loop in yamux when the connection fails, for instance by
+// a reset: yamux then closes the session by itself, before the link does, and no goroutine may
+// be blocked in one of its streams any more. The peer's ping makes yamux write.
+func TestStreamsAreLeftBeforeAFailedSessionCloses(t *testing.T) {
+	local, remote := net.Pipe()
+	server, err := newSession(remote, false)
+	assert.NilError(t, err)
+	defer func() { _ = server.Close() }()
+	var l *link
+	blocked := -1
+	var once sync.Once
+	failing := &failingConn{Conn: local, closing: func() { once.Do(func() { blocked = l.streamUsers.blocked() }) }}
+	links := &Links{options: Options{Receiver: discardingReceiver{}, Logger: hclog.NewNullLogger()}}
+	l, err = newLink(links, failing, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0", true)
+	assert.NilError(t, err)
+	for range 2 {
+		stream, err := server.OpenStream()
+		assert.NilError(t, err)
+		_, err = stream.Write(nil)
+		assert.NilError(t, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, l.streamUsers.blocked(), 4, "both directions of both streams")
+	failing.failing.Store(true)
+	go func() { _, _ = server.Ping() }()
+	l.wait()
+	assert.Equal(t, blocked, 0)
+}
+
+// blocked returns how many goroutines use streams.
+func (s *streamUsers) blocked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, u := range s.users {
+		select {
+		case <-u.released:
+		default:
+			count++
+		}
+	}
+	return count
+}
+
 // A write that is blocked because the peer does not read is not interrupted by the deadline of
 // its stream. Closing the link must close the session then, without waiting for writeTimeout.
 func TestBlockedWriteDoesNotDelayLinkClose(t *testing.T) {
@@ -86,10 +150,9 @@
 		close(peer.done)
 		_ = server.Close()
 	}()
-	session, err := newSession(local, true)
-	assert.NilError(t, err)
 	links := &Links{options: Options{Receiver: discardingReceiver{}, Logger: hclog.NewNullLogger()}}
-	l := newLink(links, session, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0")
+	l, err := newLink(links, local, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0", true)
+	assert.NilError(t, err)
 	time.Sleep(50 * time.Millisecond)
 	peer.stalled.Store(true)
 	for range 3 {
--- a/io/daisypeer/links.go
+++ b/io/daisypeer/links.go
@@ -223,13 +223,12 @@
 		_ = conn.Close()
 		return nil, Outdated.New("already linked to VM %q", peer.vm.Name)
 	}
-	session, err := newSession(&sessionConn{Conn: conn, counters: &s.counters}, dialed)
+	l, err := newLink(s, conn, peer, dialer, dialed)
 	if err != nil {
 		s.mu.Unlock()
 		_ = conn.Close()
 		return nil, err
 	}
-	l := newLink(s, session, peer, dialer)
 	s.links[peer.vm.Name] = l
 	if existing != nil {
 		existing.replaced = true
