Refuse requests in a planned stop by a bound of the response times

A request was sent 190 ms before the end of a planned stop, though all answers took 201 ms, and was cut off with 504 (its caller cannot tell that it ran). The histogram of response times has buckets of up to a quarter of a duration, and the 90th percentile was the middle of its bucket: 184 ms.

The check goes by the end of the bucket now, at most by the longest answer.

--- a/core/daisylatency/distribution.go
+++ b/core/daisylatency/distribution.go
@@ -28,6 +28,8 @@
 	samples uint64
 
 	median, p90, p95, p99 time.Duration
+	// p90Bound is the end of the bucket of p90, and longest the longest sample ever added.
+	p90Bound, longest time.Duration
 }
 
 // Add records a sample.
@@ -37,6 +39,7 @@
 	d.total++
 	d.sum += float64(took)
 	d.samples++
+	d.longest = max(d.longest, took)
 	if d.samples%halvingInterval == 0 {
 		d.halve()
 	}
@@ -62,6 +65,10 @@
 // P90 returns the 90th percentile, or 0 when the distribution is empty.
 func (d *Distribution) P90() time.Duration { return d.p90 }
 
+// P90Bound returns a duration that the 90th percentile does not exceed, or 0 when the
+// distribution is empty. The other percentiles may be an eighth too low.
+func (d *Distribution) P90Bound() time.Duration { return min(d.p90Bound, d.longest) }
+
 // P95 returns the 95th percentile, or 0 when the distribution is empty.
 func (d *Distribution) P95() time.Duration { return d.p95 }
 
@@ -78,7 +85,7 @@
 
 func (d *Distribution) updatePercentiles() {
 	var below float32
-	d.median, d.p90, d.p95, d.p99 = 0, 0, 0, 0
+	d.median, d.p90, d.p95, d.p99, d.p90Bound = 0, 0, 0, 0, 0
 	for i, c := range d.counts {
 		if c == 0 {
 			continue
@@ -88,7 +95,7 @@
 			d.median = bucketMidpoint(i)
 		}
 		if d.p90 == 0 && below >= 0.90*d.total {
-			d.p90 = bucketMidpoint(i)
+			d.p90, d.p90Bound = bucketMidpoint(i), bucketEnd(i)
 		}
 		if d.p95 == 0 && below >= 0.95*d.total {
 			d.p95 = bucketMidpoint(i)
@@ -111,10 +118,22 @@
 
 // bucketMidpoint returns the duration in the middle of a bucket.
 func bucketMidpoint(index int) time.Duration {
+	start, width := bucketSpan(index)
+	return start + width/2
+}
+
+// bucketEnd returns the longest duration in a bucket.
+func bucketEnd(index int) time.Duration {
+	start, width := bucketSpan(index)
+	return start + max(width-1, 0)
+}
+
+// bucketSpan returns the shortest duration in a bucket, and how many there are.
+func bucketSpan(index int) (start, width time.Duration) {
 	n := index / subBuckets
 	if n < subBucketBits {
-		return time.Duration(index)
+		return time.Duration(index), 0
 	}
-	step := time.Duration(1) << (n - subBucketBits)
-	return step*time.Duration(subBuckets+index%subBuckets) + step/2
+	width = time.Duration(1) << (n - subBucketBits)
+	return width * time.Duration(subBuckets+index%subBuckets), width
 }
--- a/core/daisylatency/distribution_test.go
+++ b/core/daisylatency/distribution_test.go
@@ -58,3 +58,17 @@
 		d.Add(time.Duration(i%1000+1) * time.Microsecond)
 	}
 }
+
+// Guards against an estimate that is too low where a request that takes longer is cut off.
+func TestBoundIsNotBelowThePercentile(t *testing.T) {
+	for took := time.Nanosecond; took < time.Hour; took += took/9 + 1 {
+		var d daisylatency.Distribution
+		d.Add(took / 2)
+		for range 20 {
+			d.Add(took)
+		}
+		assert.Equal(t, d.P90Bound(), took)
+		d.Add(2 * took)
+		assert.Assert(t, d.P90Bound() >= took && d.P90Bound() <= took*5/4, "%v of %v", d.P90Bound(), took)
+	}
+}
--- a/core/daisyroute/stop.go
+++ b/core/daisyroute/stop.go
@@ -33,7 +33,7 @@
 // failForStop fails a request that would hardly be answered before this VM stops, and reports
 // whether it did. Other VMs can take it at once.
 func (d *Dispatcher) failForStop(now time.Time, r *request) bool {
-	if !d.stopsBefore(now.Add(d.queue.ResponseTimes(r.item.Rank).P90())) {
+	if !d.stopsBefore(now.Add(d.queue.ResponseTimes(r.item.Rank).P90Bound())) {
 		return false
 	}
 	d.fail(now, r, Stopping, d.firstBackoff())
--- a/core/daisyroute/stop_test.go
+++ b/core/daisyroute/stop_test.go
@@ -43,6 +43,22 @@
 	assert.Equal(t, single[daisyroute.Fail](t, h.arrive(arrived)).Cause, daisyroute.Stopping)
 }
 
+// Guards against a request that is sent in a planned stop although answers have all taken
+// longer than the time that is left, and is cut off: response times are known to within a
+// quarter only.
+func TestRequestIsNotSentIfAnswersTakeLongerThanTheStop(t *testing.T) {
+	for answer := 100 * time.Millisecond; answer <= 400*time.Millisecond; answer += 7 * time.Millisecond {
+		h := newHarness(t, newService(1, 1), nil)
+		h.warmUp(1, answer)
+		h.handle(daisyroute.StopBegan{AnswerBy: h.now.Add(answer - time.Millisecond), AcceptUntil: h.now.Add(time.Second)})
+		arrived := h.request(1)
+		arrived.Deadline = h.now.Add(time.Minute)
+		all := h.arrive(arrived)
+		assert.Equal(t, len(ofType[daisyroute.Send](all)), 0, "%v", answer)
+		assert.Equal(t, single[daisyroute.Fail](t, all).Cause, daisyroute.Stopping)
+	}
+}
+
 // stopRequest is a request that arrives during a planned stop.
 type stopRequest struct {
 	daisyrequest.Request
