Tell the age of rows although clocks drift or the store's is set back

Found by reading: a VM whose clock runs faster than the store's took its rows for older and older, and after a store's clock was set back by some seconds none counted as current again, so that the store would be asked all the time.

The lower bound of the store's clock allows for drift, begins anew with an era of the store, and when a reply shows less than before the read was sent. TestClockOfTheVMRunsFast and TestClockOfTheStoreIsSetBack failed before, the first after 21 s with a clock that runs fast by one in 2,000.

--- a/core/daisyfeed/bookmark.go
+++ b/core/daisyfeed/bookmark.go
@@ -2,14 +2,15 @@
 
 import "time"
 
-// maxReplyAge is more than the time that a reply of the store may take. One that shows an
-// earlier clock than this is of a store whose clock was set back.
-const maxReplyAge = 10 * time.Second
-
-// storeTime returns what the clock of the store shows now, at least. It may be called once
-// a clock was noted.
-func (f *Follower) storeTime(now time.Time) time.Duration {
-	return f.storeClock + now.Sub(f.storeClockAt)
+// maxDrift is by how much a VM's clock may run faster than the store's, as one in maxDrift.
+// Clocks that are being adjusted differ by half of that.
+const maxDrift = 1000
+
+// storeTime returns what the clock of the store shows at a time, at least. It may be called
+// once a clock was noted.
+func (f *Follower) storeTime(at time.Time) time.Duration {
+	elapsed := at.Sub(f.storeClockAt)
+	return f.storeClock + elapsed - max(elapsed, 0)/maxDrift
 }
 
 // noteClock notes a clock that the store showed before now. What arrives late is overtaken
@@ -20,9 +21,10 @@
 	}
 }
 
-// noteReplyClock notes the clock in a reply of the store to this VM.
+// noteReplyClock notes the clock in a reply of the store to this VM. One that is lower than
+// before the request was sent was set back.
 func (f *Follower) noteReplyClock(now time.Time, clock time.Duration) {
-	if !f.storeClockAt.IsZero() && clock < f.storeTime(now)-maxReplyAge {
+	if !f.storeClockAt.IsZero() && clock < f.storeTime(f.readStartedAt) {
 		f.storeClockAt = time.Time{}
 	}
 	f.noteClock(now, clock)
--- a/core/daisyfeed/bookmark_test.go
+++ b/core/daisyfeed/bookmark_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisyfeed"
+	"daisyyoke/core/daisyvm"
 )
 
 // confirmed returns changes without rows that show as of when the rows of a peer are current.
@@ -65,13 +66,35 @@
 	assert.Equal(t, h.follower.CurrentAsOf(), start.Add(4*time.Second))
 }
 
-// Guards against rows that never count as current again once the store's clock was set back.
+// Guards against rows that never count as current again, so that the store is asked all the
+// time, once the store's clock was set back.
 func TestClockOfTheStoreIsSetBack(t *testing.T) {
+	for _, back := range []time.Duration{2 * time.Second, time.Hour - time.Second} {
+		for _, restored := range []bool{false, true} {
+			h := newReadHarness(t)
+			h.handle(daisyfeed.RoleChanged{Reader: true, Peers: []daisyvm.Name{"vm-1"}})
+			h.advance(time.Second)
+			if restored {
+				h.handle(daisyfeed.RowsRead{Rows: []daisyfeed.Row{row("a", 1)}, AsOf: 1, Era: 2, Clock: time.Hour - back})
+			} else {
+				h.handle(daisyfeed.RowsChanged{AsOf: 5, Clock: time.Hour - back})
+			}
+			assert.Equal(t, h.follower.CurrentAsOf(), h.now, "back %v, restored %t", back, restored)
+		}
+	}
+}
+
+// Guards against rows that seem older and older, because the VM's clock runs faster than the
+// store's.
+func TestClockOfTheVMRunsFast(t *testing.T) {
 	h := newReadHarness(t)
-	h.now = start.Add(time.Second)
-	h.handle(daisyfeed.RowsChanged{AsOf: 5, Clock: time.Second})
-	assert.Equal(t, h.follower.CurrentAsOf(), h.now)
-	h.now = start.Add(3 * time.Second)
-	h.handle(confirmed(2, 6, 2*time.Second))
-	assert.Equal(t, h.follower.CurrentAsOf(), start.Add(2*time.Second))
+	h.handle(daisyfeed.RoleChanged{Reader: true, Peers: []daisyvm.Name{"vm-1"}})
+	for h.now.Sub(start) < 2*time.Hour {
+		for _, d := range decisionsOf[daisyfeed.AwaitChanges](h.advance(100 * time.Millisecond)) {
+			h.now = h.now.Add(d.Wait)
+			elapsed := h.now.Sub(start)
+			h.handle(daisyfeed.RowsChanged{AsOf: 2, Clock: time.Hour + elapsed - elapsed/2000})
+			assert.Assert(t, h.now.Sub(h.follower.CurrentAsOf()) < 10*time.Millisecond, "after %v", elapsed)
+		}
+	}
 }
--- a/core/daisyfeed/era.go
+++ b/core/daisyfeed/era.go
@@ -69,7 +69,7 @@
 	f.tombstones = nil
 	f.era, f.eraComplete = era, false
 	f.last, f.readUpTo, f.prunedUpTo = 0, 0, 0
-	f.bookmark = Bookmark{}
+	f.bookmark, f.storeClockAt = Bookmark{}, time.Time{}
 	f.aheadPeer, f.requestedAt = "", time.Time{}
 	f.heldKnown = known
 	if !known {
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -16,8 +16,8 @@
 	maxRetryDelay = 800 * time.Millisecond
 	// maxRetryingVMs is how many VMs, the first in the order of the readers, go on reading a
 	// store that does not reply at that pace. It may reply to some VMs only, so the others
-	// retry too, the less often the more VMs there are: each once or twice in
-	// standbyRetryInterval for each VM.
+	// retry too, the less often the more VMs there are: the time between two retries of a VM
+	// is standbyRetryInterval for each VM there is, up to twice that for the last ones.
 	maxRetryingVMs       = 8
 	standbyRetryInterval = 45 * time.Millisecond
 	// recoveryGrace is how long rows removed during an outage of the store are kept after
@@ -84,7 +84,7 @@
 	// comes first.
 	reader, second bool
 	peers          []daisyvm.Name
-	// position is the index of this VM among all, which determines its turn in the rotation.
+	// position is the index of this VM among all, which determines its patience.
 	position int
 
 	// storeClock is what the store's clock showed at storeClockAt, at least.
@@ -97,9 +97,10 @@
 
 	readInFlight bool
 	// nextReadAt is when to read next, except for a VM whose reads depend on the age of its
-	// rows; see ownReadAt. answeredAt is when the store last replied.
+	// rows; see ownReadAt.
 	nextReadAt time.Time
-	answeredAt time.Time
+	// readStartedAt is when the last read began, and answeredAt when the store last replied.
+	readStartedAt, answeredAt time.Time
 	// awaitPeersUntil is until when the first read is left to peers; see AwaitPeers.
 	awaitPeersUntil time.Time
 	retryDelay      time.Duration
@@ -196,7 +197,6 @@
 	switch e := event.(type) {
 	case RowsRead:
 		f.readInFlight = false
-		f.noteReplyClock(now, e.Clock)
 		f.storeAnswered(now, false)
 		if !f.complete && len(f.peers) == 0 {
 			f.nextReadAt = now.Add(delayAfterFirstRead)
@@ -204,11 +204,11 @@
 		if f.admitsAnswer(now, e.Era, true) {
 			f.applyAll(now, e.Rows, e.AsOf, f.inGrace(now))
 			f.readUpTo = e.AsOf
+			f.noteReplyClock(now, e.Clock)
 			f.setBookmark(now, Bookmark{Version: e.AsOf, Clock: e.Clock})
 		}
 	case RowsChanged:
 		f.readInFlight = false
-		f.noteReplyClock(now, e.Clock)
 		f.storeAnswered(now, e.Late)
 		if f.admitsAnswer(now, e.Era, false) {
 			f.handleRowsChanged(now, e)
@@ -273,7 +273,7 @@
 	if f.readInFlight || now.Before(f.readAt()) {
 		return
 	}
-	f.readInFlight = true
+	f.readInFlight, f.readStartedAt = true, now
 	if f.readUpTo == 0 {
 		f.emit(ReadRows{})
 		return
@@ -288,6 +288,7 @@
 	after := max(f.readUpTo, f.last)
 	advanced := f.applyChanges(now, e.Rows, f.inGrace(now))
 	f.readUpTo = max(f.readUpTo, e.AsOf)
+	f.noteReplyClock(now, e.Clock)
 	f.setBookmark(now, Bookmark{Version: e.AsOf, Clock: e.Clock})
 	c := Changes{After: f.last, Last: f.last, Era: f.era, Bookmark: f.bookmark}
 	switch {
