--- a/io/daisypeer/link_close_test.go
+++ b/io/daisypeer/link_close_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisymessage"
@@ -49,6 +50,18 @@
 func (discardingReceiver) Receive(daisyvm.Name, daisymessage.Message) {}
 func (discardingReceiver) LinkOpened(daisyvm.VM)                      {}
 
+// openStreams opens the streams of a peer, and lets the link block in reading them.
+func openStreams(t *testing.T, peer *yamux.Session) {
+	t.Helper()
+	for range 2 {
+		stream, err := peer.OpenStream()
+		assert.NilError(t, err)
+		_, err = stream.Write(nil)
+		assert.NilError(t, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
 // After a yamux session is closed, a blocked read of one of its streams busy-loops until the
 // session's receive loop has ended. The test delays that end and checks the CPU time used.
 func TestReadersDoNotBusyLoopWhileSessionCloses(t *testing.T) {
@@ -61,13 +74,7 @@
 	links := &Links{options: Options{Receiver: discardingReceiver{}, Logger: hclog.NewNullLogger()}}
 	l, err := newLink(links, &delayedErrorConn{Conn: local, delay: delay}, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0", true)
 	assert.NilError(t, err)
-	for range 2 {
-		stream, err := server.OpenStream()
-		assert.NilError(t, err)
-		_, err = stream.Write(nil)
-		assert.NilError(t, err)
-	}
-	time.Sleep(50 * time.Millisecond)
+	openStreams(t, server)
 	before := cpuTime(t)
 	l.shutDown(Outdated.New("replaced"))
 	l.wait()
@@ -110,13 +117,7 @@
 	links := &Links{options: Options{Receiver: discardingReceiver{}, Logger: hclog.NewNullLogger()}}
 	l, err = newLink(links, failing, hello{vm: daisyvm.VM{Name: "vm-1"}}, "vm-0", true)
 	assert.NilError(t, err)
-	for range 2 {
-		stream, err := server.OpenStream()
-		assert.NilError(t, err)
-		_, err = stream.Write(nil)
-		assert.NilError(t, err)
-	}
-	time.Sleep(50 * time.Millisecond)
+	openStreams(t, server)
 	assert.Equal(t, l.streamUsers.blocked(), 4, "both directions of both streams")
 	failing.failing.Store(true)
 	go func() { _, _ = server.Ping() }()
