Reject responses whose status is not a status code

What callers saw: an endpoint responded with status 000. On the users' platform the caller got a 200 with its body and its signature; 007, 099 or +20 arrived as they were, and with the field that says a request did not run, each was passed on as that promise (503). In the product's own dialect the connection of the caller ended without a response, and the attempt kept its slot: after two such responses the endpoint with two slots got nothing more, and further callers got 504 or 429. An HTTP/2 endpoint's +200 and 0200 arrived as 200.

Cause: net/http takes any three characters that parse as a number of at least 0 for a status, in HTTP/2 any number. Nothing checked it after that, and the writer at callers takes 0 for "not set yet".

Change: the new daisyresponse.Transport, through which each connection to an endpoint sends its requests, fails unless the status has three digits and is at least 100. Such a response counts as broken off, so neither its load report nor a promise in it is believed, and its HTTP/1.1 connection carries nothing further. 600 to 999 are passed on as before: clients handle them as server errors (RFC 9110, section 15), and health counts them as such.

--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -12,9 +12,11 @@
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/net/http2"
 
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisyresponse"
 )
 
 // connection is a connection to an endpoint. The endpoint's lock guards requests,
@@ -22,7 +24,9 @@
 type connection struct {
 	endpoint *endpoint
 	client   *http.ClientConn
-	socket   *socket
+	// transport sends requests to client.
+	transport *daisyresponse.Transport
+	socket    *socket
 	// requests is the number of requests in flight.
 	requests int
 	lastUsed time.Time
@@ -37,7 +41,7 @@
 	if request.Body != nil {
 		c.socket.addBody(request.Body)
 	}
-	response, err := c.client.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		c.socket.removeBody(request.Body)
 		c.endpoint.release(c, false)
@@ -86,12 +90,15 @@
 	})
 }
 
-// classifyError wraps err as NotSent, Refused or BrokenOff. bytesBefore is the value
+// classifyError wraps err as Malformed, NotSent, Refused or BrokenOff. bytesBefore is the value
 // of socket.bytesStarted before the request. When classifyError runs,
 // either the write loop of the connection has ended, or other streams share the
 // connection. In the latter case, their bytes count as bytes of this request, so that
 // an unsent request may be reported as BrokenOff, which is the safe direction.
 func (c *connection) classifyError(err error, bytesBefore int64) error {
+	if errorx.IsOfType(err, daisyresponse.Malformed) {
+		return Malformed.Wrap(err, "response from %v is not valid", c.endpoint.target.Address)
+	}
 	if c.socket.bytesStarted.Load() == bytesBefore {
 		return NotSent.Wrap(err, "connection to %v failed before the request was sent", c.endpoint.target.Address)
 	}
--- a/io/daisyconnection/endpoint.go
+++ b/io/daisyconnection/endpoint.go
@@ -8,6 +8,7 @@
 
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisyresponse"
 )
 
 // endpoint contains the connections to one endpoint, guarded by its own lock.
@@ -184,7 +185,7 @@
 	if err != nil {
 		return nil, daisyerror.Unavailable.Wrap(err, "dial")
 	}
-	return &connection{endpoint: e, client: client, socket: d.socket, idleTimeout: e.limits.IdleTimeout}, nil
+	return &connection{endpoint: e, client: client, transport: daisyresponse.NewTransport(client), socket: d.socket, idleTimeout: e.limits.IdleTimeout}, nil
 }
 
 // release ends a request on a connection. An HTTP/1.1 connection can carry another
--- a/io/daisyconnection/pool.go
+++ b/io/daisyconnection/pool.go
@@ -31,6 +31,8 @@
 	BrokenOff = daisyerror.Unknown.NewSubtype("broken-off")
 	// Closed means the same, because the endpoint closed or reset the connection.
 	Closed = BrokenOff.NewSubtype("closed")
+	// Malformed means the same, because the endpoint sent a response that is not valid.
+	Malformed = BrokenOff.NewSubtype("malformed")
 )
 
 // Limits contains the limits and timeouts of the connections to endpoints.
--- /dev/null
+++ b/io/daisyforward/invalid_response_test.go
@@ -0,0 +1,122 @@
+package daisyforward_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"gotest.tools/v3/assert"
+
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisystand"
+)
+
+// startScript starts an endpoint that is closed at the end of the test.
+func startScript(t *testing.T, script daisystand.Script) *daisystand.ScriptServer {
+	t.Helper()
+	s, err := daisystand.ListenScript(script)
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// assertRefused asserts that callers get an error of the VM's own for each response of an
+// endpoint, and that no connection with such a response carries another request.
+func assertRefused(t *testing.T, response string) {
+	t.Helper()
+	endpoint := startScript(t, daisystand.Script{Response: response})
+	assertFails(t, newSettings(endpoint.Address()))
+	assert.Check(t, endpoint.Reused() == 0, "%d requests on connections with invalid responses", endpoint.Reused())
+}
+
+// assertHTTP2Refused is assertRefused for an HTTP/2 endpoint, where each response has a
+// stream of its own.
+func assertHTTP2Refused(t *testing.T, blocks ...[]hpack.HeaderField) {
+	t.Helper()
+	s := newSettings(startHTTP2Endpoint(t, blocks...))
+	s.protocol = daisyservice.HTTP2
+	assertFails(t, s)
+}
+
+// assertFails asserts that callers of a VM get an error of its own for each request, and
+// that no slot stays occupied.
+func assertFails(t *testing.T, s settings) {
+	t.Helper()
+	v := startVM(t, s)
+	for _, protocol := range []daisyservice.Protocol{daisyservice.HTTP1, daisyservice.HTTP2} {
+		for range 2 {
+			call := newCall(t, http.MethodPost, strings.NewReader("order"))
+			call.Header.Set("Daisy-Timeout", "5s")
+			got := roundTrip(t, v.client(t, protocol), call)
+			assert.Check(t, got == failed, "%v: %+v", protocol, got)
+		}
+	}
+	assert.Equal(t, v.inFlight(), 0)
+}
+
+// startHTTP2Endpoint starts an endpoint that responds to each request of HTTP/2 with the
+// given header blocks, the last of which ends the stream.
+func startHTTP2Endpoint(t *testing.T, blocks ...[]hpack.HeaderField) netip.AddrPort {
+	t.Helper()
+	return startRawEndpoint(t, func(_ *rawEndpoint, c net.Conn) {
+		if _, err := io.CopyN(io.Discard, c, int64(len(http2.ClientPreface))); err != nil {
+			return
+		}
+		f := http2.NewFramer(c, c)
+		_ = f.WriteSettings()
+		var block bytes.Buffer
+		encoder := hpack.NewEncoder(&block)
+		for {
+			frame, err := f.ReadFrame()
+			if err != nil {
+				return
+			}
+			headers, ok := frame.(*http2.HeadersFrame)
+			if !ok {
+				continue
+			}
+			for i, fields := range blocks {
+				block.Reset()
+				for _, field := range fields {
+					_ = encoder.WriteField(field)
+				}
+				_ = f.WriteHeaders(http2.HeadersFrameParam{StreamID: headers.StreamID, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: i == len(blocks)-1})
+			}
+		}
+	})
+}
+
+// Guards against a response without a valid status that reaches callers as a response, or
+// that ends their connection without one.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "000 OK", "001 OK", "007", "099 Odd", "+20 OK", "+00 OK", "-01 OK", "20 OK", "2000 OK", "2x0 OK", "OK"} {
+		t.Run(status, func(t *testing.T) {
+			assertRefused(t, "HTTP/1.1 "+status+"\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+	for _, status := range []string{"000", "7", "099", "+200", "0200", "-200", "20", "2000", "2x0", "", "200 OK"} {
+		t.Run("HTTP2 "+status, func(t *testing.T) {
+			assertHTTP2Refused(t, []hpack.HeaderField{{Name: ":status", Value: status}})
+		})
+	}
+}
+
+// Guards against a refusal of the statuses that HTTP leaves undefined: callers treat an
+// unknown status as the first one of its class, and one above 599 as a server error.
+func TestUndefinedStatusesArePassedOn(t *testing.T) {
+	for _, status := range []int{299, 499, 599, 600, 999} {
+		endpoint := startEndpoint(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		for _, protocol := range []daisyservice.Protocol{daisyservice.HTTP1, daisyservice.HTTP2} {
+			s := newSettings(endpoint)
+			s.protocol = protocol
+			got := roundTrip(t, startVM(t, s).client(t, daisyservice.HTTP1), newCall(t, http.MethodPost, nil))
+			assert.Check(t, got == result{status: status}, "%d over %v: %+v", status, protocol, got)
+		}
+	}
+}
--- /dev/null
+++ b/io/daisyresponse/transport.go
@@ -0,0 +1,40 @@
+// Package daisyresponse rejects responses that are not valid HTTP. The readers of net/http
+// accept some of them.
+package daisyresponse
+
+import (
+	"net/http"
+
+	"daisyyoke/core/daisyerror"
+)
+
+// Malformed means that what arrived is not a valid response. Nothing in it can be
+// believed, and the request may have been executed.
+var Malformed = daisyerror.Unknown.NewSubtype("malformed-response")
+
+// Transport is an http.RoundTripper that checks the responses of another one.
+type Transport struct{ base http.RoundTripper }
+
+// NewTransport returns a transport that checks the responses of base.
+func NewTransport(base http.RoundTripper) *Transport { return &Transport{base: base} }
+
+// RoundTrip returns the response to a request. In addition to the errors of the transport
+// that it checks, it fails with Malformed.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkStatus(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections of the checked transport, if it keeps any.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
