--- a/io/daisycaller/pipeline_test.go
+++ b/io/daisycaller/pipeline_test.go
@@ -157,6 +157,21 @@
 	}
 }
 
+// Guards against a status that no caller can read, or that turns into a success because it
+// looks as if none was set: such a response must not be sent.
+func TestInvalidStatusIsNotSent(t *testing.T) {
+	for _, status := range []int{-200, 0, 1, 99, 1000} {
+		_, c := startPipeline(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "body")
+		}, nil)
+		write(t, c, "GET /a HTTP/1.1\nHost: h\nConnection: close\n\n")
+		sent, err := io.ReadAll(c)
+		assert.NilError(t, err)
+		assert.Check(t, len(sent) == 0, "status %d: %q", status, sent)
+	}
+}
+
 func TestAbortedResponseIsTruncated(t *testing.T) {
 	_, c := startPipeline(t, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, "part")
