Release the slot of an endpoint when forwarding its response panics

What callers saw: after each response that could not be written at all (status 099 in HTTP/2 or with daisycaller.Server), one slot of the endpoint stayed occupied for good. After two of them an endpoint with two slots got nothing more: 504, later 429.

Cause: deliver told routing of the end of the response after the copy, and a panic in the copy skipped that. The connection stayed open too.

Change: both are released by a deferred call.

--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -15,17 +15,9 @@
 // http.ErrAbortHandler if the response breaks off after its header was written.
 func (x *exchange) deliver(a *attempt) {
 	x.outcome = daisymetric.Interrupted
-	response := a.takeResponse()
-	x.forwardInterim(a)
-	rc := newResponseCopier(x, a, response)
-	err := rc.run()
-	if err == nil {
-		x.forwardTrailers(response)
-	}
-	_ = response.Body.Close()
-	x.ticketFinished = true
-	x.ticket.Finish(a.send.Attempt, rc.ending)
-	x.logAnswered(a, response.StatusCode, err)
+	rc := newResponseCopier(x, a, a.takeResponse())
+	err := x.forwardResponse(rc)
+	x.logAnswered(a, rc.response.StatusCode, err)
 	switch {
 	case err == nil:
 		x.outcome = daisymetric.Served
@@ -37,6 +29,22 @@
 	}
 }
 
+// forwardResponse forwards a whole response. Its connection and its slot are released even
+// if a panic ends the request.
+func (x *exchange) forwardResponse(rc *responseCopier) error {
+	defer func() {
+		_ = rc.response.Body.Close()
+		x.ticketFinished = true
+		x.ticket.Finish(rc.attempt.send.Attempt, rc.ending)
+	}()
+	x.forwardInterim(rc.attempt)
+	if err := rc.run(); err != nil {
+		return err
+	}
+	x.forwardTrailers(rc.response)
+	return nil
+}
+
 // extendWriteDeadline gives the caller the stall timeout to take the next bytes.
 func (x *exchange) extendWriteDeadline() {
 	_ = x.control.SetWriteDeadline(time.Now().Add(x.forwarder.limits.StallTimeout))
--- a/io/daisyforward/vm_test.go
+++ b/io/daisyforward/vm_test.go
@@ -45,6 +45,8 @@
 	limits      daisyforward.Limits
 	callers     daisycaller.Limits
 	maxRequests int
+	// wrapHandler, if it is set, returns the handler of requests in place of the filter chain.
+	wrapHandler func(chain http.Handler) http.Handler
 }
 
 func newSettings(endpoints ...netip.AddrPort) settings {
@@ -90,7 +92,11 @@
 			daisyfilter.Classify{},
 		},
 	})
-	server := daisycaller.NewServer(daisycaller.Options{Listener: listen(t), Handler: chain, Limits: s.callers})
+	var handler http.Handler = chain
+	if s.wrapHandler != nil {
+		handler = s.wrapHandler(chain)
+	}
+	server := daisycaller.NewServer(daisycaller.Options{Listener: listen(t), Handler: handler, Limits: s.callers})
 	t.Cleanup(server.Close)
 	return &vm{server: server, routes: routes}
 }
