Reject responses with an invalid field in their header

What callers saw: a response whose header had a field name with a blank, or a blank before the colon, arrived without that line. Where the line was Content-Length or Transfer-Encoding, the body was not the endpoint's: it went on to the end of the connection, or had the framing of the chunks in it. Where it was the field that says a request did not run, a refusal was passed on as a failure of the endpoint. A refusal with such a line elsewhere was believed.

Cause: net/http keeps names with a blank under that name when it reads a header, and leaves them out when it writes one.

Change: daisyresponse.Transport fails unless all names are tokens and all values valid (RFC 9110, section 5). RFC 9112, section 5.1, lets a proxy remove a blank before the colon; that is only safe for one who then reads the header as others do, and net/http has framed the body by then.

Handled before, and now tested: control bytes, tabs and other bytes that are no token in a name, lines without a name or a colon, control bytes in values, all names of that kind in HTTP/2. Folded lines are joined.

--- a/io/daisyforward/invalid_response_test.go
+++ b/io/daisyforward/invalid_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -120,3 +121,43 @@
 		}
 	}
 }
+
+// invalidFields are header lines whose name or value is not valid, although net/http
+// accepts some of them.
+var invalidFields = []string{
+	"Odd Name: a", "Odd : a", "Content-Length : 4", "Content Length: 4", "Transfer-Encoding : chunked", "Transfer Encoding: chunked",
+	"Odd\t: a", "O\x00dd: a", "O\x7fdd: a", "O\rdd: a", "O\x01dd: a", "\u00f6dd: a", "O(dd): a", ": a", "Odd",
+	"Odd: a\x00b", "Odd: a\rb", "Odd: a\x7fb", "Odd: a\x01b",
+}
+
+// Guards against a response with an invalid line in its header that reaches callers with
+// that line, without it, or with another body.
+func TestInvalidFieldIsNoResponse(t *testing.T) {
+	for _, field := range invalidFields {
+		t.Run(fmt.Sprintf("%q", field), func(t *testing.T) {
+			assertRefused(t, "HTTP/1.1 200 OK\r\nServer: a\r\n"+field+"\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+	for _, name := range []string{"odd name", "odd ", "Odd", "o\x00dd", "", "content-length "} {
+		t.Run(fmt.Sprintf("HTTP2 %q", name), func(t *testing.T) {
+			assertHTTP2Refused(t, []hpack.HeaderField{{Name: ":status", Value: "200"}, {Name: name, Value: "a"}})
+		})
+	}
+}
+
+// Guards against a refusal of folded lines, which a recipient may join.
+func TestFoldedLinesAreJoined(t *testing.T) {
+	endpoint := startScript(t, daisystand.Script{Response: "HTTP/1.1 200 OK\r\nServer: a\r\n b\r\nContent-Length: 4\r\n\r\nbody"})
+	v := startVM(t, newSettings(endpoint.Address()))
+	response, err := v.client(t, daisyservice.HTTP1).RoundTrip(newCall(t, http.MethodPost, nil))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.Header.Get("Server"), "a b")
+}
+
+// Guards against a refusal that is believed, as a promise that the request did not run or
+// as a report of the endpoint's load, although its header is not valid.
+func TestInvalidRefusalIsNotBelieved(t *testing.T) {
+	assertRefused(t, "HTTP/1.1 503 Unavailable\r\nDaisy-Run: not-run\r\nDaisy-Load: in-flight=0, slots=2, leaving=?1\r\nOdd Name: a\r\nContent-Length: 0\r\n\r\n")
+	assertRefused(t, "HTTP/1.1 503 Unavailable\r\nDaisy-Run : not-run\r\nContent-Length: 0\r\n\r\n")
+}
--- a/io/daisyload/invalid_response_test.go
+++ b/io/daisyload/invalid_response_test.go
@@ -19,6 +19,8 @@
 	for _, text := range []string{
 		"HTTP/1.1 000\r\n" + report,
 		"HTTP/1.1 099 Odd\r\n" + report,
+		"HTTP/1.1 200 OK\r\nOdd Name: a\r\n" + report,
+		"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n" + report,
 	} {
 		endpoint, err := daisystand.ListenScript(daisystand.Script{Response: text})
 		assert.NilError(t, err)
--- a/io/daisyresponse/transport.go
+++ b/io/daisyresponse/transport.go
@@ -25,13 +25,20 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkStatus(response); err != nil {
+	if err := checkHead(response); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
 	return response, nil
 }
 
+func checkHead(response *http.Response) error {
+	if err := checkStatus(response); err != nil {
+		return err
+	}
+	return checkFields(response.Header)
+}
+
 // CloseIdleConnections closes the idle connections of the checked transport, if it keeps any.
 func (t *Transport) CloseIdleConnections() {
 	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
--- a/io/daisyresponse/transport_test.go
+++ b/io/daisyresponse/transport_test.go
@@ -63,3 +63,37 @@
 		assert.Check(t, errorx.IsOfType(err, daisyresponse.Malformed), "%q: %v", c.status, err)
 	}
 }
+
+// Guards against field lines that are not valid, whatever reader they came through.
+func TestFields(t *testing.T) {
+	cases := []struct {
+		name, value string
+		valid       bool
+	}{
+		{"Odd", "a b\tc", true},
+		{"odd-name_1", "", true},
+		{"Odd", "\xe9", true},
+		{"Odd Name", "a", false},
+		{"Odd ", "a", false},
+		{"", "a", false},
+		{"Odd:", "a", false},
+		{"Odd\x00", "a", false},
+		{"\u00f6dd", "a", false},
+		{"Odd", "a\x00", false},
+		{"Odd", "a\r", false},
+		{"Odd", "a\nb", false},
+		{"Odd", "a\x7f", false},
+	}
+	for _, c := range cases {
+		r, err := http.NewRequest(http.MethodGet, "http://127.0.0.1/", nil)
+		assert.NilError(t, err)
+		transport := daisyresponse.NewTransport(&fixedResponse{Status: "200 OK", StatusCode: 200, Header: http.Header{c.name: {"first", c.value}}})
+		response, err := transport.RoundTrip(r)
+		if c.valid {
+			assert.NilError(t, err, "%q: %q", c.name, c.value)
+			assert.NilError(t, response.Body.Close())
+			continue
+		}
+		assert.Check(t, errorx.IsOfType(err, daisyresponse.Malformed), "%q: %q: %v", c.name, c.value, err)
+	}
+}
