Reject responses behind an invalid interim response

What callers saw: an interim response (1xx) with a blank in a field name reached them without that line, and the response behind it as it came.

Cause: as for other headers, net/http accepts such names. The hook that gets interim responses belonged to each attempt, and probes had none.

Change: daisyresponse.Transport checks interim responses too, for every request, and passes the valid ones to the handler of the context. Their limit moves there from daisyforward, so it now holds for probes as well.

Handled before: control bytes in such a name, and HTTP/2.

--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -5,8 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
 	"sync"
 	"time"
@@ -18,6 +16,7 @@
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/io/daisyconnection"
 	"daisyyoke/io/daisycontroller"
+	"daisyyoke/io/daisyresponse"
 )
 
 var (
@@ -26,7 +25,6 @@
 	errStalled  = daisyerror.Unknown.New("endpoint sent no byte of the response body within the stall timeout")
 	errTooLong  = daisyerror.Unknown.New("response body took longer than the maximum response time")
 	errTooLarge = daisyerror.Unknown.New("response body is larger than the maximum response size")
-	errInterim  = daisyerror.Unknown.New("endpoint sent more than %d interim responses", maxInterim)
 )
 
 const (
@@ -52,8 +50,6 @@
 	response     *http.Response
 	responseTime time.Duration
 	interim      []interim
-	// interimCount counts all interim responses, also those that are not stored.
-	interimCount int
 	// closed reports whether the response was taken or is no longer needed.
 	closed bool
 }
@@ -61,7 +57,7 @@
 // interim is an interim response (status 1xx).
 type interim struct {
 	status int
-	header textproto.MIMEHeader
+	header http.Header
 }
 
 // startAttempt sends the request of x to the endpoint of send in a new goroutine.
@@ -101,8 +97,7 @@
 		header = maps.Clone(header)
 	}
 	x.forwarder.dialect.EncodeAttempt(header, Attempt{Remaining: a.send.Deadline.Sub(a.started), Instance: a.send.Instance})
-	trace := &httptrace.ClientTrace{Got1xxResponse: a.gotInterim}
-	request := new(http.Request).WithContext(httptrace.WithClientTrace(a.ctx, trace))
+	request := new(http.Request).WithContext(daisyresponse.WithInterimHandler(a.ctx, a.gotInterim))
 	request.Method = in.Method
 	request.URL = &target
 	request.Proto, request.ProtoMajor, request.ProtoMinor = "HTTP/1.1", 1, 1
@@ -117,24 +112,19 @@
 	return request
 }
 
-// gotInterim stores an interim response. It fails after maxInterim of them, because
-// net/http accepts any number. If the request is hedgeable, the interim
+// gotInterim stores an interim response. If the request is hedgeable, the interim
 // response is not forwarded before the final one, which may come from another attempt.
-func (a *attempt) gotInterim(status int, header textproto.MIMEHeader) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.interimCount++; a.interimCount > maxInterim {
-		return errInterim
-	}
+func (a *attempt) gotInterim(status int, header http.Header) {
 	if status == http.StatusContinue {
 		// The HTTP server sends 100 Continue to the caller when the body is read.
-		return nil
+		return
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.interim = append(a.interim, interim{status: status, header: header})
 	if !a.exchange.call.Request.Hedgeable {
 		a.exchange.notifyInterim(a)
 	}
-	return nil
 }
 
 // takeInterim returns the stored interim responses and removes them.
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -122,7 +122,7 @@
 	}
 	h := x.writer.Header()
 	for _, i := range a.takeInterim() {
-		copyEndToEnd(h, http.Header(i.header))
+		copyEndToEnd(h, i.header)
 		x.extendWriteDeadline()
 		x.writer.WriteHeader(i.status)
 		for k := range i.header {
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -22,6 +22,7 @@
 	"daisyyoke/io/daisylog"
 	"daisyyoke/io/daisymetric"
 	"daisyyoke/io/daisyproblem"
+	"daisyyoke/io/daisyresponse"
 )
 
 // Options are the settings and dependencies of a Forwarder.
@@ -136,7 +137,7 @@
 		outcome:   daisymetric.Abandoned,
 	}
 	if !call.Request.Hedgeable {
-		x.interim = make(chan *attempt, maxInterim)
+		x.interim = make(chan *attempt, daisyresponse.MaxInterim)
 	}
 	if x.source != nil {
 		x.bodyFailed = x.source.failed
--- a/io/daisyforward/invalid_response_test.go
+++ b/io/daisyforward/invalid_response_test.go
@@ -161,3 +161,21 @@
 	assertRefused(t, "HTTP/1.1 503 Unavailable\r\nDaisy-Run: not-run\r\nDaisy-Load: in-flight=0, slots=2, leaving=?1\r\nOdd Name: a\r\nContent-Length: 0\r\n\r\n")
 	assertRefused(t, "HTTP/1.1 503 Unavailable\r\nDaisy-Run : not-run\r\nContent-Length: 0\r\n\r\n")
 }
+
+// Guards against an interim response that is not valid and that reaches callers, or whose
+// final response does.
+func TestInvalidInterimResponse(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+	for _, status := range []string{"100 Continue", "102 Processing", "103 Early Hints"} {
+		for _, field := range []string{"Odd Name: a", "Link : </a>", "O\x00dd: a"} {
+			t.Run(fmt.Sprintf("%s/%q", status, field), func(t *testing.T) {
+				assertRefused(t, "HTTP/1.1 "+status+"\r\n"+field+"\r\n\r\n"+final)
+			})
+		}
+	}
+	t.Run("HTTP2", func(t *testing.T) {
+		assertHTTP2Refused(t,
+			[]hpack.HeaderField{{Name: ":status", Value: "103"}, {Name: "odd name", Value: "a"}},
+			[]hpack.HeaderField{{Name: ":status", Value: "200"}})
+	})
+}
--- a/io/daisyforward/limits.go
+++ b/io/daisyforward/limits.go
@@ -28,11 +28,6 @@
 	}
 }
 
-const (
-	// headerDelay is the time that the header of a response of known length waits for
-	// the first byte of the body, so that both can be sent in one write.
-	headerDelay = 2 * time.Millisecond
-	// maxInterim is the maximum number of interim responses (1xx) of an attempt. An
-	// endpoint that sends more is treated as one that sends no response.
-	maxInterim = 8
-)
+// headerDelay is the time that the header of a response of known length waits for the
+// first byte of the body, so that both can be sent in one write.
+const headerDelay = 2 * time.Millisecond
--- a/io/daisyload/invalid_response_test.go
+++ b/io/daisyload/invalid_response_test.go
@@ -20,6 +20,7 @@
 		"HTTP/1.1 000\r\n" + report,
 		"HTTP/1.1 099 Odd\r\n" + report,
 		"HTTP/1.1 200 OK\r\nOdd Name: a\r\n" + report,
+		"HTTP/1.1 103 Early Hints\r\nOdd Name: a\r\n\r\nHTTP/1.1 200 OK\r\n" + report,
 		"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n" + report,
 	} {
 		endpoint, err := daisystand.ListenScript(daisystand.Script{Response: text})
--- a/io/daisyresponse/status.go
+++ b/io/daisyresponse/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 )
 
@@ -19,7 +18,7 @@
 // any number of digits.
 func checkStatus(response *http.Response) error {
 	text, _, _ := strings.Cut(response.Status, " ")
-	if c := response.StatusCode; c < minStatus || c > maxStatus || text != strconv.Itoa(c) {
+	if c := response.StatusCode; c < minStatus || c > maxStatus || len(text) != 3 {
 		return Malformed.New("invalid status code %q", text)
 	}
 	return nil
--- a/io/daisyresponse/transport.go
+++ b/io/daisyresponse/transport.go
@@ -21,9 +21,10 @@
 // RoundTrip returns the response to a request. In addition to the errors of the transport
 // that it checks, it fails with Malformed.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	request, interim := withInterimCheck(request)
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
-		return nil, err
+		return nil, interim.failure(err)
 	}
 	if err := checkHead(response); err != nil {
 		_ = response.Body.Close()
