Cut responses whose trailers are not valid

What callers saw: a trailer with a blank in its name, with that line, as the end of a complete response.

Cause: net/http accepts such names in trailers, too, and these are read after the check of the header.

Change: daisyresponse.Transport checks the trailers where the body ends. If one is not valid, reading the body fails, so the caller gets a cut response, the endpoint a fault, and the connection no further request.

Handled before: control bytes in such a name, and lines without a name or a colon.

--- a/io/daisyforward/invalid_response_test.go
+++ b/io/daisyforward/invalid_response_test.go
@@ -179,3 +179,18 @@
 			[]hpack.HeaderField{{Name: ":status", Value: "200"}})
 	})
 }
+
+// Guards against a trailer that is not valid and that reaches callers, with or without the
+// invalid line, as the end of a complete response.
+func TestInvalidTrailerCutsTheResponse(t *testing.T) {
+	for _, field := range invalidFields {
+		t.Run(fmt.Sprintf("%q", field), func(t *testing.T) {
+			endpoint := startScript(t, daisystand.Script{Response: chunkedHead + "4\r\nbody\r\n0\r\nSum: 1\r\n" + field + "\r\n\r\n"})
+			v := startVM(t, newSettings(endpoint.Address()))
+			for _, protocol := range []daisyservice.Protocol{daisyservice.HTTP1, daisyservice.HTTP2} {
+				assert.Check(t, roundTrip(t, v.client(t, protocol), newCall(t, http.MethodPost, nil)) == cut, protocol)
+			}
+			assert.Equal(t, endpoint.Reused(), int64(0))
+		})
+	}
+}
--- a/io/daisyresponse/transport.go
+++ b/io/daisyresponse/transport.go
@@ -19,7 +19,7 @@
 func NewTransport(base http.RoundTripper) *Transport { return &Transport{base: base} }
 
 // RoundTrip returns the response to a request. In addition to the errors of the transport
-// that it checks, it fails with Malformed.
+// that it checks, it fails with Malformed, and so does reading the body.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	request, interim := withInterimCheck(request)
 	response, err := t.base.RoundTrip(request)
@@ -30,6 +30,9 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if mayHaveTrailers(response) {
+		response.Body = &trailerCheck{ReadCloser: response.Body, response: response}
+	}
 	return response, nil
 }
 
