Write no trailer that callers cannot read

What callers saw: the trailer of an endpoint with a blank in its name, as it came.

Cause: Pipeline's response writer writes trailers line by line, without the checks that http.Header.Write makes for the header.

Change: it writes them by http.Header.Write.

Evidence: TestInvalidTrailersAreNotSent failed with a trailer section that does not parse, and passes now.

--- a/io/daisycaller/answer.go
+++ b/io/daisycaller/answer.go
@@ -230,12 +230,9 @@
 	}
 	w.sendBuffer.WriteString("0\r\n")
 	for k, values := range w.header {
-		name, ok := strings.CutPrefix(k, http.TrailerPrefix)
-		if !ok {
-			continue
-		}
-		for _, v := range values {
-			fmt.Fprintf(&w.sendBuffer, "%s: %s\r\n", name, v)
+		if name, ok := strings.CutPrefix(k, http.TrailerPrefix); ok {
+			// Write leaves out names that are not valid.
+			_ = http.Header{name: values}.Write(&w.sendBuffer)
 		}
 	}
 	w.sendBuffer.WriteString("\r\n")
--- a/io/daisycaller/pipeline_test.go
+++ b/io/daisycaller/pipeline_test.go
@@ -172,6 +172,24 @@
 	}
 }
 
+// Guards against a trailer that breaks the line it is in, or that callers cannot read.
+func TestInvalidTrailersAreNotSent(t *testing.T) {
+	_, c := startPipeline(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "body")
+		_ = http.NewResponseController(w).Flush()
+		for _, name := range []string{"Odd Name", "Odd ", "Odd\r\nOther"} {
+			w.Header()[http.TrailerPrefix+name] = []string{"a"}
+		}
+		w.Header()[http.TrailerPrefix+"Sum"] = []string{"1\r\n2"}
+	}, nil)
+	write(t, c, requestA)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, response.Trailer, http.Header{"Sum": {"1  2"}})
+}
+
 func TestAbortedResponseIsTruncated(t *testing.T) {
 	_, c := startPipeline(t, func(w http.ResponseWriter, _ *http.Request) {
 		fmt.Fprint(w, "part")
