Cut responses whose connection was reset during the upload

What callers saw: an endpoint that responded before it had read the whole request, without a length, sent a part of the body, or none, and reset the connection. Callers got the part as a complete response, successes and failures alike, in both dialects.

Cause: the kernel reports a reset to one system call only. Where a write of the request got the report, the read that followed saw the end of the connection, and a response without a length ends there.

Change: the socket of a connection to an endpoint counts writes that are in progress or have failed.

--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -151,6 +151,8 @@
 type socket struct {
 	net.Conn
 	bytesStarted atomic.Int64
+	// writesUnfinished is the number of writes that are in progress or have failed.
+	writesUnfinished atomic.Int64
 
 	mu     sync.Mutex
 	closed bool
@@ -159,7 +161,12 @@
 
 func (s *socket) Write(p []byte) (int, error) {
 	s.bytesStarted.Add(int64(len(p)))
-	return s.Conn.Write(p)
+	s.writesUnfinished.Add(1)
+	n, err := s.Conn.Write(p)
+	if err == nil {
+		s.writesUnfinished.Add(-1)
+	}
+	return n, err
 }
 
 func (s *socket) Close() error {
--- a/io/daisystand/script.go
+++ b/io/daisystand/script.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // Script is what a ScriptServer sends in response to each request, whether it is valid HTTP
@@ -14,8 +15,9 @@
 	Response string
 	// Early is set if the response begins before the body of the request was read.
 	Early bool
-	// Ending is what happens to the connection after the response.
+	// Ending is what happens to the connection after the response and Pause.
 	Ending Ending
+	Pause  time.Duration
 }
 
 // Ending is what happens to a connection after a response.
@@ -75,6 +77,7 @@
 		if _, err := io.WriteString(c, s.script.Response); err != nil {
 			return
 		}
+		time.Sleep(s.script.Pause)
 		switch s.script.Ending {
 		case KeepAlive:
 			continue
