Reject responses of another major version in HTTP/1.1

What callers saw: a response that began with HTTP/0.9, HTTP/2.0 or HTTP/3.0 on a connection of HTTP/1.1, as a response.

Change: the connection rejects it as it does other invalid responses. HTTP/1.2 and later are passed on as before (RFC 9110, section 2.5).

--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -52,7 +52,7 @@
 		_ = response.Body.Close()
 		c.socket.removeBody(request.Body)
 		c.endpoint.release(c, false)
-		return nil, BrokenOff.Wrap(err, "response from %v failed verification", c.endpoint.target.Address)
+		return nil, err
 	}
 	if timeout, ok := parseKeepAlive(response.Header); ok {
 		c.endpoint.setIdleTimeout(c, timeout)
@@ -66,15 +66,19 @@
 	return response, nil
 }
 
-// verify returns an error if response does not belong to request, and whether the
-// connection may not carry a further request after it.
+// verify fails with Malformed if response cannot be framed, and with BrokenOff if it does
+// not belong to request. It returns whether the connection may not carry a further request
+// after it.
 func (c *connection) verify(request *http.Request, response *http.Response) (final bool, err error) {
+	if err := c.checkFraming(response); err != nil {
+		return true, c.malformed(err)
+	}
 	v := c.endpoint.verifier
 	if v == nil {
 		return false, nil
 	}
 	if err := v.Verify(request, response, c.named.Load()); err != nil {
-		return true, err
+		return true, BrokenOff.Wrap(err, "response from %v failed verification", c.endpoint.target.Address)
 	}
 	if v.Names(request, response) {
 		c.named.Store(true)
@@ -83,6 +87,10 @@
 	return v.Refuses(response) && c.endpoint.target.Protocol == daisyservice.HTTP1, nil
 }
 
+func (c *connection) malformed(err error) error {
+	return Malformed.Wrap(err, "response from %v is not valid", c.endpoint.target.Address)
+}
+
 // closedByEndpoint reports whether a connection failed because the endpoint closed or reset it.
 func closedByEndpoint(err error) bool {
 	return slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, func(closed error) bool {
@@ -97,7 +105,7 @@
 // an unsent request may be reported as BrokenOff, which is the safe direction.
 func (c *connection) classifyError(err error, bytesBefore int64) error {
 	if errorx.IsOfType(err, daisyresponse.Malformed) {
-		return Malformed.Wrap(err, "response from %v is not valid", c.endpoint.target.Address)
+		return c.malformed(err)
 	}
 	if c.socket.bytesStarted.Load() == bytesBefore {
 		return NotSent.Wrap(err, "connection to %v failed before the request was sent", c.endpoint.target.Address)
--- a/io/daisyforward/invalid_response_test.go
+++ b/io/daisyforward/invalid_response_test.go
@@ -194,3 +194,30 @@
 		})
 	}
 }
+
+// Guards against a response of a version whose framing is not the one that it was read by,
+// and that reaches callers with a body that is not the endpoint's.
+func TestInvalidVersionIsNoResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.0", "HTTP/1.10", "HTTP/1", "http/1.1", "HTTP/1.x", "HTCPCP/1.0"} {
+		t.Run(version, func(t *testing.T) {
+			assertRefused(t, version+" 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		})
+	}
+}
+
+// Guards against the refusal of responses of a version that a recipient of HTTP/1.1 reads.
+func TestVersionsThatArePassedOn(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2"} {
+		for _, head := range []string{"Content-Length: 4\r\n", "Connection: keep-alive\r\nContent-Length: 4\r\n", ""} {
+			endpoint := startScript(t, daisystand.Script{Response: version + " 200 OK\r\n" + head + "\r\nbody", Ending: daisystand.CloseConnection})
+			v := startVM(t, newSettings(endpoint.Address()))
+			for range 3 {
+				response, err := v.client(t, daisyservice.HTTP1).RoundTrip(newCall(t, http.MethodPost, nil))
+				assert.NilError(t, err)
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.Check(t, response.StatusCode == http.StatusOK && string(body) == "body", "%s %q: %s %q", version, head, response.Status, body)
+			}
+		}
+	}
+}
