Reject HTTP/1.0 responses with a transfer coding

What callers saw: the chunks of an HTTP/1.0 response with the sizes and line ends between them, as a complete body that was not the endpoint's.

Cause: HTTP/1.0 has no transfer codings, and RFC 9112, section 6.1, asks a recipient to treat the framing of such a response as faulty. net/http ignores the field, removes it from the header, and reads the body to its length or to the end of the connection.

Change: the socket of an HTTP/1.1 connection keeps the header of a response that begins with HTTP/1.0, and the connection rejects the response if that header has the field, or if an interim response, which HTTP/1.0 does not have, came before. Nothing is kept of other responses.

--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -38,6 +38,7 @@
 
 func (c *connection) roundTrip(request *http.Request) (*http.Response, error) {
 	bytesBefore := c.socket.bytesStarted.Load()
+	c.socket.head.begin()
 	if request.Body != nil {
 		c.socket.addBody(request.Body)
 	}
@@ -161,6 +162,8 @@
 	bytesStarted atomic.Int64
 	// writesUnfinished is the number of writes that are in progress or have failed.
 	writesUnfinished atomic.Int64
+	// head records the header of the current response if that is in HTTP/1.0.
+	head http10Head
 
 	mu     sync.Mutex
 	closed bool
--- a/io/daisyconnection/reset.go
+++ b/io/daisyconnection/reset.go
@@ -15,6 +15,7 @@
 // that broke off would look complete.
 func (s *socket) Read(p []byte) (int, error) {
 	n, err := s.Conn.Read(p)
+	s.head.receive(p[:n])
 	if err == io.EOF && s.writesUnfinished.Load() > 0 && !closedInOrder(s.Conn) {
 		return n, errReset
 	}
--- a/io/daisyforward/invalid_response_test.go
+++ b/io/daisyforward/invalid_response_test.go
@@ -31,7 +31,13 @@
 // endpoint, and that no connection with such a response carries another request.
 func assertRefused(t *testing.T, response string) {
 	t.Helper()
-	endpoint := startScript(t, daisystand.Script{Response: response})
+	assertScriptRefused(t, daisystand.Script{Response: response})
+}
+
+// assertScriptRefused is assertRefused for an endpoint that may end its connections.
+func assertScriptRefused(t *testing.T, script daisystand.Script) {
+	t.Helper()
+	endpoint := startScript(t, script)
 	assertFails(t, newSettings(endpoint.Address()))
 	assert.Check(t, endpoint.Reused() == 0, "%d requests on connections with invalid responses", endpoint.Reused())
 }
@@ -205,6 +211,24 @@
 	}
 }
 
+// Guards against the framing of chunks in the body of an HTTP/1.0 response, which has none.
+func TestChunksInHTTP10AreNoResponse(t *testing.T) {
+	const head, chunks = "HTTP/1.0 200 OK\r\nServer: a\r\n", "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for _, text := range []string{
+		head + "Transfer-Encoding: chunked" + chunks,
+		head + "transfer-encoding: CHUNKED" + chunks,
+		head + "Transfer-Encoding: gzip" + chunks,
+		head + "Transfer-Encoding:" + chunks,
+		head + "Content-Length: 14\r\nTransfer-Encoding: chunked" + chunks,
+		head + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nContent-Length: 14" + chunks,
+		"HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Transfer-Encoding: chunked" + chunks,
+	} {
+		t.Run(fmt.Sprintf("%q", text), func(t *testing.T) {
+			assertScriptRefused(t, daisystand.Script{Response: text, Ending: daisystand.CloseConnection})
+		})
+	}
+}
+
 // Guards against the refusal of responses of a version that a recipient of HTTP/1.1 reads.
 func TestVersionsThatArePassedOn(t *testing.T) {
 	for _, version := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2"} {
