--- a/io/daisyconnection/connection.go
+++ b/io/daisyconnection/connection.go
@@ -12,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"golang.org/x/net/http2"
 
 	"daisyyoke/core/daisyservice"
@@ -105,7 +104,7 @@
 // connection. In the latter case, their bytes count as bytes of this request, so that
 // an unsent request may be reported as BrokenOff, which is the safe direction.
 func (c *connection) classifyError(err error, bytesBefore int64) error {
-	if errorx.IsOfType(err, daisyresponse.Malformed) {
+	if daisyresponse.IsMalformed(err) {
 		return c.malformed(err)
 	}
 	if c.socket.bytesStarted.Load() == bytesBefore {
--- a/io/daisyctl/daisyfactory/factory.go
+++ b/io/daisyctl/daisyfactory/factory.go
@@ -17,6 +17,7 @@
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyctl/daisyterminal"
 	"daisyyoke/io/daisyoperator"
+	"daisyyoke/io/daisyresponse"
 )
 
 // requestTimeout bounds one request to the server.
@@ -84,7 +85,7 @@
 		}
 		options.Token = token
 	}
-	options.HTTP = &http.Client{Transport: transport, Timeout: requestTimeout}
+	options.HTTP = &http.Client{Transport: daisyresponse.NewTransport(transport), Timeout: requestTimeout}
 	return daisyoperator.NewClient(options), nil
 }
 
--- a/io/daisyctl/daisyfactory/factory_test.go
+++ b/io/daisyctl/daisyfactory/factory_test.go
@@ -16,6 +16,7 @@
 
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyctl/daisyfactory"
+	"daisyyoke/io/daisystand"
 )
 
 func TestClientSendsTheFirstTokenOfTheFile(t *testing.T) {
@@ -68,3 +69,19 @@
 		})
 	}
 }
+
+// Guards against a response that is not valid and whose plan is taken for confirmed.
+func TestClientRejectsInvalidResponses(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nOdd Name: a\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n", "HTTP/1.1 000\r\n"} {
+		server, err := daisystand.ListenScript(daisystand.Script{Response: head + "Content-Length: 11\r\n\r\n" + `{"id":"p1"}`})
+		assert.NilError(t, err)
+		defer server.Close()
+		root := &cobra.Command{}
+		f := daisyfactory.New(root)
+		assert.NilError(t, root.ParseFlags([]string{"--server", server.Address().String()}))
+		client, err := f.Client()
+		assert.NilError(t, err)
+		plan, err := client.ConfirmPlan(context.Background(), "p1")
+		assert.Check(t, errorx.IsOfType(err, daisyerror.Unknown), "%q: %+v, %v", head, plan, err)
+	}
+}
--- a/io/daisyoperator/client.go
+++ b/io/daisyoperator/client.go
@@ -12,6 +12,7 @@
 
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/io/daisyintent"
+	"daisyyoke/io/daisyresponse"
 )
 
 // maxResponseBytes bounds the body of a response.
@@ -143,6 +144,9 @@
 		request.Header.Set("Authorization", "Bearer "+c.options.Token)
 	}
 	response, err := c.options.HTTP.Do(request)
+	if daisyresponse.IsMalformed(err) {
+		return daisyerror.Unknown.Wrap(err, "reading the answer")
+	}
 	if err != nil {
 		return daisyerror.Unavailable.Wrap(err, "no response from %s; check --server and that daisyd runs there", c.options.Server)
 	}
--- a/io/daisyplatform/client.go
+++ b/io/daisyplatform/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"daisyyoke/core/daisyerror"
+	"daisyyoke/io/daisyresponse"
 )
 
 const (
@@ -59,7 +60,7 @@
 	return &Client{
 		base: base,
 		http: &http.Client{
-			Transport:     transport,
+			Transport:     daisyresponse.NewTransport(transport),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		limiter: rate.NewLimiter(requestRate, requestBurst),
