Count invalid responses of endpoints by kind

What callers saw: nothing; operators saw the failed attempts, but not how many of them were responses that are not valid, nor of which kind.

Change: Malformed errors have a subtype for each kind, and the metric daisyyoke_malformed_responses_total counts them for attempts, trailers and probes. The log has the endpoint, the request and what was wrong already, and health judges such an endpoint as a faulty one.

Evidence: TestInvalidResponsesAreCountedAndLogged and TestInvalidResponsesToProbesAreCounted need the metric, which did not exist. TestEndpointWithInvalidResponsesIsLeftAlone passes: of 200 requests to three endpoints, at most 20 reach the one that sends status 000.

--- a/io/daisyconnection/framing.go
+++ b/io/daisyconnection/framing.go
@@ -11,7 +11,7 @@
 	"daisyyoke/io/daisyresponse"
 )
 
-// checkFraming fails with daisyresponse.Malformed if the end of response cannot be known
+// checkFraming fails with daisyresponse.MalformedFraming if the end of response cannot be known
 // for certain. net/http reads a response with any version in its status line by the rules
 // of HTTP/1.1. Minor versions above 1 have the same ones (RFC 9110, section 2.5). HTTP/1.0
 // has no transfer codings, so that the framing of a response with one is faulty (RFC 9112,
@@ -21,7 +21,7 @@
 		return nil
 	}
 	if response.ProtoMajor != 1 {
-		return daisyresponse.Malformed.New("%s in the status line", response.Proto)
+		return daisyresponse.MalformedFraming.New("%s in the status line", response.Proto)
 	}
 	if response.ProtoMinor == 0 {
 		return c.socket.head.checkTransferEncoding()
@@ -75,7 +75,7 @@
 	return string(p[:n]) == prefix[:n]
 }
 
-// checkTransferEncoding fails with daisyresponse.Malformed unless the recorded header has
+// checkTransferEncoding fails with daisyresponse.MalformedFraming unless the recorded header has
 // no field Transfer-Encoding.
 func (h *http10Head) checkTransferEncoding() error {
 	h.mu.Lock()
@@ -84,14 +84,14 @@
 	h.skip, h.bytes = true, nil
 	if _, err := reader.ReadLine(); err != nil {
 		// An interim response, which HTTP/1.0 does not have, came before.
-		return daisyresponse.Malformed.New("HTTP/1.0 behind a response in another version")
+		return daisyresponse.MalformedFraming.New("HTTP/1.0 behind a response in another version")
 	}
 	header, err := reader.ReadMIMEHeader()
 	if err != nil {
-		return daisyresponse.Malformed.Wrap(err, "header in HTTP/1.0")
+		return daisyresponse.MalformedFraming.Wrap(err, "header in HTTP/1.0")
 	}
 	if coding, ok := header["Transfer-Encoding"]; ok {
-		return daisyresponse.Malformed.New("transfer coding %q in HTTP/1.0", coding)
+		return daisyresponse.MalformedFraming.New("transfer coding %q in HTTP/1.0", coding)
 	}
 	return nil
 }
--- a/io/daisycontroller/route_probe.go
+++ b/io/daisycontroller/route_probe.go
@@ -8,6 +8,7 @@
 
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/io/daisymetric"
+	"daisyyoke/io/daisyresponse"
 )
 
 const (
@@ -124,6 +125,9 @@
 	defer cancel()
 	report, notice, err := p.prober.Probe(ctx, next.service, next.endpoint)
 	p.metrics.Probe(next.service.ID, err == nil)
+	if kind := daisyresponse.KindOf(err); kind != "" {
+		p.metrics.MalformedResponse(next.service.ID, kind)
+	}
 	next.shard.finishProbe(next.endpoint, report, notice, err)
 }
 
--- a/io/daisycontroller/route_probe_test.go
+++ b/io/daisycontroller/route_probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,9 +12,12 @@
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
+	"daisyyoke/io/daisymetric"
+	"daisyyoke/io/daisyresponse"
 )
 
 // hangingProber blocks each probe until its context ends.
@@ -135,3 +139,28 @@
 		assert.Equal(t, running, 0)
 	})
 }
+
+// malformedProber fails each probe because the response is not valid.
+type malformedProber struct{}
+
+func (malformedProber) Probe(context.Context, daisyservice.Service, netip.AddrPort) (daisyendpoint.Report, daisyendpoint.Notice, error) {
+	return daisyendpoint.Report{}, nil, daisyerror.Unknown.Wrap(daisyresponse.MalformedStatus.New("invalid status code"), "probe")
+}
+
+// Guards against invalid responses to probes that are not counted by their kind.
+func TestInvalidResponsesToProbesAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		metrics := daisymetric.New()
+		c := NewRoute(RouteOptions{Self: daisyvm.VM{Name: "vm-1"}, Sender: discardSender{}, Prober: malformedProber{}, Metrics: metrics})
+		defer c.Close()
+		s := newProbeShard(c)
+		s.mu.Lock()
+		s.probe(s.service.Load().Endpoints[0].Address)
+		s.mu.Unlock()
+		synctest.Wait()
+		var text strings.Builder
+		assert.NilError(t, metrics.WritePrometheus(&text))
+		want := `daisyyoke_malformed_responses_total{fleet="vigia-lar",service="lookups",kind="status"} 1`
+		assert.Assert(t, strings.Contains(text.String(), want+"\n"), "%s", text.String())
+	})
+}
--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -142,6 +142,7 @@
 	responseTime := time.Since(a.started)
 	resolution := daisycontroller.Resolution{Attempt: a.send.Attempt, Outcome: a.outcome(response, err, responseTime)}
 	a.readLoad(response, &resolution)
+	a.exchange.countMalformed(err)
 	resolution.Fingerprint = a.exchange.fingerprint()
 	_, answered := resolution.Outcome.(daisyrequest.Answered)
 	if answered && a.storeResponse(response, responseTime) {
--- a/io/daisyforward/deliver.go
+++ b/io/daisyforward/deliver.go
@@ -17,6 +17,7 @@
 	x.outcome = daisymetric.Interrupted
 	rc := newResponseCopier(x, a, a.takeResponse())
 	err := x.forwardResponse(rc)
+	x.countMalformed(err)
 	x.logAnswered(a, rc.response.StatusCode, err)
 	switch {
 	case err == nil:
--- a/io/daisyforward/invalid_response_test.go
+++ b/io/daisyforward/invalid_response_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -15,6 +16,8 @@
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisylog"
+	"daisyyoke/io/daisymetric"
 	"daisyyoke/io/daisystand"
 )
 
@@ -245,3 +248,55 @@
 		}
 	}
 }
+
+// Guards against invalid responses that operators cannot find: each is counted by its kind,
+// and logged with the endpoint, the request and what was wrong.
+func TestInvalidResponsesAreCountedAndLogged(t *testing.T) {
+	cases := []struct{ kind, text, message, cause string }{
+		{"status", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n", "attempt failed", `invalid status code \"000\"`},
+		{"field", "HTTP/1.1 200 OK\r\nOdd Name: a\r\nContent-Length: 0\r\n\r\n", "attempt failed", `invalid field name \"Odd Name\"`},
+		{"interim", "HTTP/1.1 103 Early Hints\r\nOdd Name: a\r\n\r\n", "attempt failed", `interim response 103: invalid field name \"Odd Name\"`},
+		{"framing", "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", "attempt failed", "HTTP/2.0 in the status line"},
+		{"trailer", chunkedHead + "0\r\nOdd Name: a\r\n\r\n", "request answered", `invalid field name \"Odd Name\"`},
+	}
+	for _, c := range cases {
+		t.Run(c.kind, func(t *testing.T) {
+			endpoint := startScript(t, daisystand.Script{Response: c.text})
+			s := newSettings(endpoint.Address())
+			var lines bytes.Buffer
+			log, err := daisylog.New(daisylog.Options{Output: &lines, Level: "info"})
+			assert.NilError(t, err)
+			s.log, s.metrics = log, daisymetric.New()
+			v := startVM(t, s)
+			_ = roundTrip(t, v.client(t, daisyservice.HTTP1), newCall(t, http.MethodPost, nil))
+			log.Close()
+			want := []string{`"@message":"` + c.message + `"`, c.cause, `"endpoint":"` + endpoint.Address().String() + `"`, `"request":`}
+			assert.Check(t, slices.ContainsFunc(strings.Split(lines.String(), "\n"), func(line string) bool {
+				return !slices.ContainsFunc(want, func(w string) bool { return !strings.Contains(line, w) })
+			}), "%s", lines.String())
+			var counts strings.Builder
+			assert.NilError(t, s.metrics.WritePrometheus(&counts))
+			metric := `daisyyoke_malformed_responses_total{fleet="vigia-lar",service="lookups",kind="` + c.kind + `"} 1`
+			assert.Check(t, strings.Contains(counts.String(), metric+"\n"), "%s", counts.String())
+		})
+	}
+}
+
+// Guards against an endpoint that goes on getting requests although its responses are not
+// valid.
+func TestEndpointWithInvalidResponsesIsLeftAlone(t *testing.T) {
+	const requests = 200
+	broken := startScript(t, daisystand.Script{Response: "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"})
+	sound := func() netip.AddrPort {
+		return startEndpoint(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	}
+	v := startVM(t, newSettings(broken.Address(), sound(), sound()))
+	failures := 0
+	for range requests {
+		if got := roundTrip(t, v.client(t, daisyservice.HTTP1), newCall(t, http.MethodPost, strings.NewReader("order"))); got != served {
+			assert.Equal(t, got, failed)
+			failures++
+		}
+	}
+	assert.Check(t, failures > 0 && failures <= requests/10, "%d of %d requests failed", failures, requests)
+}
--- a/io/daisyforward/log.go
+++ b/io/daisyforward/log.go
@@ -8,6 +8,7 @@
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/io/daisylog"
+	"daisyyoke/io/daisyresponse"
 )
 
 // subject returns the fields that identify the request in log lines.
@@ -64,6 +65,13 @@
 	})
 }
 
+// countMalformed counts a response that is not valid, if one led to err.
+func (x *exchange) countMalformed(err error) {
+	if kind := daisyresponse.KindOf(err); kind != "" {
+		x.forwarder.metrics.MalformedResponse(x.call.Service.ID, kind)
+	}
+}
+
 // describe returns the kind of an outcome in kebab case and the text of the error
 // that caused it.
 func describe(outcome daisyrequest.Outcome) (kind, cause string) {
--- a/io/daisyforward/vm_test.go
+++ b/io/daisyforward/vm_test.go
@@ -22,6 +22,8 @@
 	"daisyyoke/io/daisycontroller"
 	"daisyyoke/io/daisyfilter"
 	"daisyyoke/io/daisyforward"
+	"daisyyoke/io/daisylog"
+	"daisyyoke/io/daisymetric"
 	"daisyyoke/io/daisystand"
 )
 
@@ -45,6 +47,9 @@
 	limits      daisyforward.Limits
 	callers     daisycaller.Limits
 	maxRequests int
+	// log and metrics are nil for none.
+	log     *daisylog.Log
+	metrics *daisymetric.Metrics
 	// wrapHandler, if it is set, returns the handler of requests in place of the filter chain.
 	wrapHandler func(chain http.Handler) http.Handler
 }
@@ -78,7 +83,7 @@
 	index := daisycontroller.NewIndex()
 	index.Apply(snapshot)
 	pool.Apply(snapshot)
-	forwarder := daisyforward.New(daisyforward.Options{Self: "vm-1", Routes: routes, Pool: pool, Limits: s.limits})
+	forwarder := daisyforward.New(daisyforward.Options{Self: "vm-1", Routes: routes, Pool: pool, Limits: s.limits, Log: s.log, Metrics: s.metrics})
 	t.Cleanup(forwarder.Close)
 	chain := daisyfilter.NewChain(daisyfilter.Options{
 		Forwarder:    forwarder,
--- a/io/daisymetric/help.go
+++ b/io/daisymetric/help.go
@@ -23,6 +23,7 @@
 	"daisyyoke_endpoint_rate_limit":          "Requests per second that an endpoint accepts from all VMs, +Inf without a limit.",
 	"daisyyoke_endpoint_limited_sends_total": "Attempts and probes of this VM at an endpoint with a rate limit.",
 	"daisyyoke_endpoint_crashes_total":       "Crashes of endpoints, for each request that they were running.",
+	"daisyyoke_malformed_responses_total":    "Responses of endpoints that were rejected because they are not valid, by kind.",
 	"daisyyoke_endpoint_notices_total":       "Notices of endpoints that leave, ask for a pause, or cannot be understood.",
 	"daisyyoke_refused_by_filters_total":     "Requests answered before routing, by HTTP status.",
 	"daisyyoke_configuration_age_seconds":    "Time before a request's arrival at which its configuration was last known to be the newest.",
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -144,6 +144,14 @@
 	m.counter(fmt.Sprintf(`daisyyoke_endpoint_notices_total{fleet=%q,service=%q,kind=%q}`, string(service.Fleet), service.Name, kind)).Inc()
 }
 
+// MalformedResponse counts a response of an endpoint of the service that is not valid.
+func (m *Metrics) MalformedResponse(service daisyservice.ID, kind string) {
+	if m == nil {
+		return
+	}
+	m.counter(fmt.Sprintf(`daisyyoke_malformed_responses_total{fleet=%q,service=%q,kind=%q}`, string(service.Fleet), service.Name, kind)).Inc()
+}
+
 // EndpointCrash counts a crash of an endpoint of a service under a request. A crash under
 // several requests counts for each.
 func (m *Metrics) EndpointCrash(service daisyservice.ID) {
--- a/io/daisyresponse/interim.go
+++ b/io/daisyresponse/interim.go
@@ -57,7 +57,7 @@
 	if c.received > MaxInterim {
 		c.err = daisyerror.Unknown.New("more than %d interim responses", MaxInterim)
 	} else if err := checkFields(http.Header(header)); err != nil {
-		c.err = Malformed.Wrap(err, "interim response %d", status)
+		c.err = MalformedInterim.Wrap(err, "interim response %d", status)
 	}
 	if c.err == nil {
 		c.handler(status, http.Header(header))
--- a/io/daisyresponse/status.go
+++ b/io/daisyresponse/status.go
@@ -13,13 +13,13 @@
 	maxStatus = 999
 )
 
-// checkStatus fails with Malformed unless the status code has three digits and is at least
+// checkStatus fails with MalformedStatus unless the status code has three digits and is at least
 // 100. net/http also accepts smaller numbers and numbers with a sign and, in HTTP/2, with
 // any number of digits.
 func checkStatus(response *http.Response) error {
 	text, _, _ := strings.Cut(response.Status, " ")
 	if c := response.StatusCode; c < minStatus || c > maxStatus || len(text) != 3 {
-		return Malformed.New("invalid status code %q", text)
+		return MalformedStatus.New("invalid status code %q", text)
 	}
 	return nil
 }
--- a/io/daisyresponse/trailer.go
+++ b/io/daisyresponse/trailer.go
@@ -10,7 +10,7 @@
 	return response.Body != http.NoBody && (response.ProtoMajor > 1 || len(response.TransferEncoding) > 0)
 }
 
-// trailerCheck is a body that fails with Malformed instead of ending if the trailers behind
+// trailerCheck is a body that fails with MalformedTrailer instead of ending if the trailers behind
 // it are not valid. To pass such a response on as complete would vouch for it.
 type trailerCheck struct {
 	io.ReadCloser
@@ -23,7 +23,7 @@
 		return n, err
 	}
 	if invalid := checkFields(c.response.Trailer); invalid != nil {
-		return n, Malformed.Wrap(invalid, "trailers")
+		return n, MalformedTrailer.Wrap(invalid, "trailers")
 	}
 	return n, err
 }
--- a/io/daisyresponse/transport.go
+++ b/io/daisyresponse/transport.go
@@ -2,24 +2,7 @@
 // accept some of them.
 package daisyresponse
 
-import (
-	"errors"
-	"net/http"
-
-	"github.com/joomcode/errorx"
-
-	"daisyyoke/core/daisyerror"
-)
-
-// Malformed means that what arrived is not a valid response. Nothing in it can be
-// believed, and the request may have been executed.
-var Malformed = daisyerror.Unknown.NewSubtype("malformed-response")
-
-// IsMalformed reports whether err is a Malformed error, or one of net/http that wraps it.
-func IsMalformed(err error) bool {
-	var x *errorx.Error
-	return errors.As(err, &x) && x.IsOfType(Malformed)
-}
+import "net/http"
 
 // Transport is an http.RoundTripper that checks the responses of another one.
 type Transport struct{ base http.RoundTripper }
--- a/io/daisyresponse/transport_test.go
+++ b/io/daisyresponse/transport_test.go
@@ -25,11 +25,11 @@
 func ExampleTransport() {
 	client := &http.Client{Transport: daisyresponse.NewTransport(&fixedResponse{Status: "099 Odd", StatusCode: 99})}
 	_, err := client.Get("http://127.0.0.1/")
-	fmt.Println(daisyresponse.IsMalformed(err))
+	fmt.Println(daisyresponse.IsMalformed(err), daisyresponse.KindOf(err))
 	fmt.Println(err)
 	// Output:
-	// true
-	// Get "http://127.0.0.1/": daisyyoke.unknown.malformed-response: invalid status code "099"
+	// true status
+	// Get "http://127.0.0.1/": daisyyoke.unknown.malformed-response.status: invalid status code "099"
 }
 
 // Guards against a number that is no status code and that passes for one.
