Reject HTTP/2 responses with an invalid Content-Length

What callers saw: an HTTP/2 endpoint that sent two different lengths broke the connection of callers of HTTP/1.1, whose libraries refuse such a response. Callers of HTTP/2 got the fields as they were.

Cause: in HTTP/2 the field frames nothing, and net/http ignores it unless it is one number. The field was passed on in HTTP/1.1, where it frames the response.

Change: daisyresponse.Transport fails unless there is at most one Content-Length, and it is a number.

Evidence: TestInvalidLengthInHTTP2IsNoResponse failed in 8 of 8 cases and passes now. In HTTP/1.1 net/http refuses such fields by itself.

--- a/io/daisyforward/invalid_response_test.go
+++ b/io/daisyforward/invalid_response_test.go
@@ -300,3 +300,17 @@
 	}
 	assert.Check(t, failures > 0 && failures <= requests/10, "%d of %d requests failed", failures, requests)
 }
+
+// Guards against a length that callers of HTTP/1.1 take for the end of the response although
+// HTTP/2, where it frames nothing, does not have it checked.
+func TestInvalidLengthInHTTP2IsNoResponse(t *testing.T) {
+	for _, lengths := range [][]string{{"0", "4"}, {"0", "0"}, {"abc"}, {"+0"}, {"-1"}, {"0, 0"}, {""}, {"99999999999999999999"}} {
+		t.Run(strings.Join(lengths, "/"), func(t *testing.T) {
+			block := []hpack.HeaderField{{Name: ":status", Value: "200"}}
+			for _, l := range lengths {
+				block = append(block, hpack.HeaderField{Name: "content-length", Value: l})
+			}
+			assertHTTP2Refused(t, block)
+		})
+	}
+}
--- a/io/daisyresponse/transport.go
+++ b/io/daisyresponse/transport.go
@@ -32,7 +32,10 @@
 	if err := checkStatus(response); err != nil {
 		return err
 	}
-	return checkFields(response.Header)
+	if err := checkFields(response.Header); err != nil {
+		return err
+	}
+	return checkLength(response)
 }
 
 // CloseIdleConnections closes the idle connections of the checked transport, if it keeps any.
