--- a/io/daisycaller/answer.go
+++ b/io/daisycaller/answer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"daisyyoke/core/daisyerror"
+	"daisyyoke/io/daisyresponse"
 )
 
 const (
@@ -21,9 +22,6 @@
 	maxBufferedBytes = 256 << 10
 	// writeThresholdBytes is the size at which buffered data is written to the connection.
 	writeThresholdBytes = 16 << 10
-	// minStatus and maxStatus are the lowest and the highest number of three digits that can
-	// be a status code (RFC 9110, section 15).
-	minStatus, maxStatus = 100, 999
 )
 
 var errWriteFailed = daisyerror.Unavailable.New("writing to the caller failed")
@@ -113,7 +111,7 @@
 // WriteHeader sets the status. An interim (1xx) response is sent without waiting for the
 // final one. Like that of net/http, it panics if the status does not have three digits.
 func (w *responseWriter) WriteHeader(status int) {
-	if status < minStatus || status > maxStatus {
+	if !daisyresponse.ValidStatus(status) {
 		panic(fmt.Sprintf("invalid status code %d", status))
 	}
 	if status >= 100 && status < 200 {
--- a/io/daisyresponse/trailer.go
+++ b/io/daisyresponse/trailer.go
@@ -10,8 +10,8 @@
 	return response.Body != http.NoBody && (response.ProtoMajor > 1 || len(response.TransferEncoding) > 0)
 }
 
-// trailerCheck is a body that fails with MalformedTrailer instead of ending if the trailers behind
-// it are not valid. To pass such a response on as complete would vouch for it.
+// trailerCheck is a body that fails with MalformedTrailer instead of ending if the trailers
+// behind it are not valid. To pass such a response on as complete would vouch for it.
 type trailerCheck struct {
 	io.ReadCloser
 	response *http.Response
--- a/io/daisyresponse/transport_test.go
+++ b/io/daisyresponse/transport_test.go
@@ -32,6 +32,12 @@
 	// Get "http://127.0.0.1/": daisyyoke.unknown.malformed-response.status: invalid status code "099"
 }
 
+func ExampleValidStatus() {
+	fmt.Println(daisyresponse.ValidStatus(0), daisyresponse.ValidStatus(99), daisyresponse.ValidStatus(200), daisyresponse.ValidStatus(1000))
+	// Output:
+	// false false true false
+}
+
 // Guards against a number that is no status code and that passes for one.
 func TestStatusCodes(t *testing.T) {
 	cases := []struct {
