Decode client accounts, evacuations, cold starts and limits of VMs

Client accounts, evacuations and cold starts were not decoded at all.

Rows that evacuate an availability zone mark its endpoints. Nothing decides on any of it yet.

--- a/core/daisyconfig/config.go
+++ b/core/daisyconfig/config.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisypath"
 	"daisyyoke/core/daisyrank"
@@ -30,6 +31,9 @@
 	Routes []daisypath.Route
 	// CallerLimits limits the requests of callers; its zero value means the defaults.
 	CallerLimits CallerLimits
+	// Accounts are the client accounts of the fleet. If there are any, a request has to
+	// show a key of one of them unless its route is public.
+	Accounts []daisyaccount.Account
 }
 
 // CallerLimits limits the size of the requests that callers send and the time
@@ -60,6 +64,19 @@
 	ConfirmedAt time.Time
 	ConfirmedBy string
 	PlanID      string
+	// Evacuated are the availability zones whose endpoints get no new requests.
+	Evacuated []daisyfleet.ZoneID
+	// Adjustments are the entries that could not be taken as they were written.
+	Adjustments []Adjustment
+}
+
+// Adjustment is an entry of a configuration that could not be taken as it was written, and
+// what was done with it so that the other entries take effect.
+type Adjustment struct {
+	// Entry names the entry, for instance "route r-1".
+	Entry string
+	// Problem is what is wrong with it, Effect what it was taken for.
+	Problem, Effect string
 }
 
 // FindService returns the service with the given ID and reports whether it exists.
--- a/core/daisyconfig/index.go
+++ b/core/daisyconfig/index.go
@@ -1,6 +1,8 @@
 package daisyconfig
 
 import (
+	"daisyyoke/core/daisyaccount"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisypath"
 	"daisyyoke/core/daisyservice"
 )
@@ -12,12 +14,15 @@
 	revision Revision
 	routes   *daisypath.Table
 	services map[daisyservice.ID]daisyservice.Service
+	// accounts has the client accounts of the fleets that declare any.
+	accounts map[daisyfleet.Name]*daisyaccount.Table
 }
 
 // NewIndex returns the index of a snapshot.
 func NewIndex(snapshot *Snapshot) *Index {
 	var routes []daisypath.Route
 	services := make(map[daisyservice.ID]daisyservice.Service)
+	accounts := make(map[daisyfleet.Name]*daisyaccount.Table)
 	for _, f := range snapshot.Intent.Fleets {
 		for _, r := range f.Routes {
 			r.Revision = uint64(snapshot.Revision)
@@ -26,8 +31,11 @@
 		for _, v := range f.Services {
 			services[v.ID] = v
 		}
+		if len(f.Accounts) > 0 {
+			accounts[f.Name] = daisyaccount.NewTable(f.Accounts)
+		}
 	}
-	return &Index{revision: snapshot.Revision, routes: daisypath.NewTable(routes), services: services}
+	return &Index{revision: snapshot.Revision, routes: daisypath.NewTable(routes), services: services, accounts: accounts}
 }
 
 // Revision returns the revision of the snapshot.
@@ -43,3 +51,6 @@
 	s, ok := x.services[id]
 	return s, ok
 }
+
+// Accounts returns the client accounts of a fleet; nil if it declares none.
+func (x *Index) Accounts(fleet daisyfleet.Name) *daisyaccount.Table { return x.accounts[fleet] }
--- a/core/daisyconfig/merge.go
+++ b/core/daisyconfig/merge.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyservice"
 )
 
@@ -41,8 +42,10 @@
 		}
 	}
 	registered := make(map[daisyservice.ID][]daisyendpoint.Endpoint)
+	evacuated := declared.evacuatedZones()
 	for _, r := range registrations {
 		if latest[r.Endpoint.Address].Compare(r) == 0 {
+			r.Endpoint.Evacuated = evacuated[r.Endpoint.Zone]
 			registered[r.Service] = append(registered[r.Service], r.Endpoint)
 		}
 	}
@@ -59,6 +62,15 @@
 	return &merged
 }
 
+// evacuatedZones returns the availability zones whose endpoints get no new requests.
+func (s *Snapshot) evacuatedZones() map[daisyfleet.ZoneID]bool {
+	zones := make(map[daisyfleet.ZoneID]bool, len(s.Evacuated))
+	for _, z := range s.Evacuated {
+		zones[z] = true
+	}
+	return zones
+}
+
 // services returns the services that the snapshot declares.
 func (s *Snapshot) services() map[daisyservice.ID]bool {
 	known := make(map[daisyservice.ID]bool)
--- a/core/daisyendpoint/endpoint.go
+++ b/core/daisyendpoint/endpoint.go
@@ -26,6 +26,12 @@
 	// Started is the time at which the endpoint started by its own clock, in
 	// milliseconds since 1970; 0 if unknown.
 	Started int64
+	// Evacuated means that the endpoint gets nothing new while operators keep its
+	// availability zone evacuated.
+	Evacuated bool
+	// ColdFor is how long the endpoint stayed cold after it said so in its declaration; 0
+	// if it was not cold.
+	ColdFor time.Duration
 }
 
 // Instance identifies one incarnation of an endpoint, from its start to its stop.
@@ -77,4 +83,6 @@
 	Slowdown float64
 	// RateLimit is the rate limit that the endpoint named; nil means unknown.
 	RateLimit RateLimit
+	// ColdFor is how long the endpoint stays cold; 0 if it is not cold, or does not say.
+	ColdFor time.Duration
 }
--- a/core/daisypath/path.go
+++ b/core/daisypath/path.go
@@ -26,6 +26,8 @@
 	// have executed. The dispatcher's own limit on all attempts applies too; 0 means
 	// only that limit.
 	Attempts int
+	// Public routes need no key of a client account.
+	Public bool
 	// Parts are the services among which the requests are split.
 	Parts []Part
 	// Revision is the revision of the configuration that the route belongs to.
--- a/core/daisyrequest/request.go
+++ b/core/daisyrequest/request.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
 )
@@ -30,6 +31,8 @@
 	Rank     daisyrank.Name
 	Arrived  time.Time
 	Deadline time.Time
+	// Account is the client account whose key the request has; empty if it needs none.
+	Account daisyaccount.Name
 	// Idempotent means that running the request twice has the same effect as
 	// running it once (RFC 9110, 9.2.2).
 	Idempotent bool
--- a/core/daisyservice/service.go
+++ b/core/daisyservice/service.go
@@ -2,6 +2,8 @@
 package daisyservice
 
 import (
+	"time"
+
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyrank"
@@ -30,7 +32,12 @@
 	// the number of connections that an endpoint accepts from all VMs together. 0
 	// means unknown.
 	Connections int
-	Endpoints   []daisyendpoint.Endpoint
+	// ColdStart is how long an endpoint is cold after its start, and ColdRate the number of
+	// requests per second that it tolerates from all VMs together while it is cold; 0 means
+	// that no limit is known.
+	ColdStart time.Duration
+	ColdRate  float64
+	Endpoints []daisyendpoint.Endpoint
 }
 
 // Slots returns the total number of slots of all endpoints.
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyfeed"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/core/daisywake"
@@ -74,6 +77,9 @@
 	// DecodeConfiguration returns the configuration without endpoints. It returns nil
 	// for a row that does not contain a configuration.
 	DecodeConfiguration(row daisyfeed.Row) (*daisyconfig.Snapshot, error)
+	// DecodeEvacuation returns the availability zone that a row evacuates, and reports
+	// whether it evacuates one.
+	DecodeEvacuation(row daisyfeed.Row) (daisyfleet.ZoneID, bool)
 	// DecodeEndpoint returns the registration of an endpoint.
 	DecodeEndpoint(row daisyfeed.Row) (daisyconfig.Registration, error)
 }
@@ -113,6 +119,8 @@
 	storeUnavailable bool
 	// declared is the configuration in force, without endpoints.
 	declared *daisyconfig.Snapshot
+	// evacuated are the availability zones that are evacuated, in the order of their names.
+	evacuated []daisyfleet.ZoneID
 	// registrations are the registered endpoints by row key.
 	registrations map[string]daisyconfig.Registration
 	// invalidRows contains the versions of the current rows that could not be decoded.
@@ -371,7 +379,9 @@
 	for _, r := range c.registrations {
 		registrations = append(registrations, r)
 	}
-	snapshot := daisyconfig.MergeRegistrations(c.declared, registrations)
+	declared := *c.declared
+	declared.Evacuated = c.evacuated
+	snapshot := daisyconfig.MergeRegistrations(&declared, registrations)
 	for _, a := range c.options.Appliers {
 		a.Apply(snapshot)
 	}
@@ -379,7 +389,12 @@
 
 func (c *Follow) applyConfiguration(rows []daisyfeed.Row, from provenance) {
 	invalid := make(map[string]daisyfeed.Version)
+	var evacuated []daisyfleet.ZoneID
 	for _, r := range rows {
+		if zone, ok := c.options.Decoder.DecodeEvacuation(r); ok {
+			evacuated = append(evacuated, zone)
+			continue
+		}
 		s, err := c.options.Decoder.DecodeConfiguration(r)
 		if err != nil {
 			c.logInvalidRow(daisyfeed.Configuration, r, err)
@@ -391,9 +406,29 @@
 		}
 		c.options.Logger.Info("configuration in force",
 			append(from.fields(), "revision", uint64(s.Revision), "row-version", uint64(r.Version), "era", uint64(r.Era))...)
+		for _, a := range s.Adjustments {
+			c.options.Logger.Warn("entry of the configuration adjusted", "revision", uint64(s.Revision), "entry", a.Entry, "problem", a.Problem, "effect", a.Effect)
+		}
 		c.declared = s
 	}
 	c.invalidRows[daisyfeed.Configuration] = invalid
+	c.applyEvacuations(evacuated, from)
+}
+
+// applyEvacuations puts the evacuations of availability zones in force.
+func (c *Follow) applyEvacuations(zones []daisyfleet.ZoneID, from provenance) {
+	slices.SortFunc(zones, func(a, b daisyfleet.ZoneID) int { return strings.Compare(a.String(), b.String()) })
+	for _, z := range zones {
+		if !slices.Contains(c.evacuated, z) {
+			c.options.Logger.Info("availability zone evacuated", append(from.fields(), "zone", z.String())...)
+		}
+	}
+	for _, z := range c.evacuated {
+		if !slices.Contains(zones, z) {
+			c.options.Logger.Info("evacuation of availability zone ended", append(from.fields(), "zone", z.String())...)
+		}
+	}
+	c.evacuated = zones
 }
 
 func (c *Follow) applyEndpoints(rows []daisyfeed.Row) {
--- a/io/daisysetting/managed.go
+++ b/io/daisysetting/managed.go
@@ -44,4 +44,22 @@
 	RetryShare   float64
 	RetryReserve float64
 	RetryWindow  time.Duration
+	// Cores is the processor time that the VM has, as a number of cores; 0 if unknown.
+	// LinkBitsPerSecond is the speed of its link; 0 if unknown.
+	Cores             float64
+	LinkBitsPerSecond float64
+	// PropagationTime is the time within which a configuration has to be in force everywhere.
+	PropagationTime time.Duration
+	// RevocationTime is the time after which no VM may accept a key that was taken away,
+	// whatever has happened to that VM; 0 if keys may be accepted for longer.
+	RevocationTime time.Duration
+	// In any QuotaWindow, all VMs together may pass on the quota of an account times
+	// 1 + QuotaOverage, and QuotaSlack requests more.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
+	// In any second, a cold endpoint may get its rate times ColdOver, and ColdSlack requests
+	// more, from all VMs together.
+	ColdOver  float64
+	ColdSlack float64
 }
