Give calls the client account that they belong to

Cause: the parts on keys, quotas and fair queuing each need it. Change: one field that nothing sets yet. Result: builds; no test, since nothing uses it.

--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisypath"
 	"daisyyoke/core/daisyrequest"
@@ -32,6 +33,9 @@
 	Service daisyservice.Service
 	// Route is the route in Config, set by Match.
 	Route daisypath.Route
+	// Account is the client account whose key the request has; its zero value if the request
+	// needs none.
+	Account daisyaccount.Account
 	// Request is filled in by the filters, each setting some of the fields.
 	Request daisyrequest.Request
 }
