Authenticate requests by the keys of client accounts

Cause: configurations with client accounts were in force without anyone checking a key: requests without one ran, and keys were forwarded to endpoints.

Change: the filter Authenticate, after Match, finds the account by the digest of the key, sets its rank if the service declares it, and removes the key and the account's field that the client sent. It answers 401, or 503 for an unknown key while the configuration may be too old to have it. The dialect reads the key and writes the account's name for the endpoint. The fingerprint has the account in place of the key. The log line of a request that cannot be parsed no longer quotes it: a malformed Authorization line was logged with its key.

The call of newFingerprint in fingerprint_test.go has one argument more.

--- a/io/daisycaller/connection.go
+++ b/io/daisycaller/connection.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -303,7 +304,7 @@
 		c.cancel()
 		return
 	}
-	c.pipeline.logger.Info("request rejected while reading it", "caller", c.conn.RemoteAddr().String(), "status", status, "cause", err.Error())
+	c.pipeline.logger.Info("request rejected while reading it", "caller", c.conn.RemoteAddr().String(), "status", status, "cause", causeOf(err))
 	c.handlers.Wait()
 	_ = c.conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
 	_, err = io.WriteString(c.conn, encodeRejection(status))
@@ -314,6 +315,19 @@
 	}
 }
 
+// causeOf returns the text of an error without what it quotes from the request, which may be
+// the key of an account: parsers quote it after a colon or in quotation marks.
+func causeOf(err error) string {
+	if errors.Is(err, errHeaderTooLarge) || errors.Is(err, errBodyTooLarge) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return err.Error()
+	}
+	text := err.Error()
+	if i := strings.IndexAny(text, `:"`); i >= 0 {
+		text = text[:i]
+	}
+	return strings.TrimSpace(text)
+}
+
 func isNetError(err error) bool {
 	var n *net.OpError
 	return errors.As(err, &n)
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -57,6 +57,7 @@
 type Dialect interface {
 	daisyforward.Dialect
 	daisyfilter.CallReader
+	daisyfilter.KeyReader
 	daisyconnection.Verifier
 }
 
@@ -265,6 +266,7 @@
 			daisyfilter.RejectUnsupported{},
 			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
 			daisyfilter.Match{Timeouts: daisycontroller.NewTimeout(), Reader: d.adapter.Dialect},
+			daisyfilter.Authenticate{Reader: d.adapter.Dialect, MaxAge: d.settings.PropagationTime},
 		},
 	})
 	d.callers = daisycaller.NewPipeline(daisycaller.PipelineOptions{
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -36,6 +36,9 @@
 	// Account is the client account whose key the request has; its zero value if the request
 	// needs none.
 	Account daisyaccount.Account
+	// WithheldTrailers are the names of the trailers that are not forwarded to endpoints. The
+	// trailers arrive with the end of the body, after the filters.
+	WithheldTrailers []string
 	// Request is filled in by the filters, each setting some of the fields.
 	Request daisyrequest.Request
 }
@@ -50,7 +53,7 @@
 }
 
 // Filter is one step of the chain. It is one of *Admit, RejectUnsupported, Addresses,
-// AwaitConfiguration, Identify, Classify and Match.
+// AwaitConfiguration, Identify, Classify, Match and Authenticate.
 type Filter interface{ filter() }
 
 // Verdict is the decision of a filter. It is one of Continue, Reject, Reply and Forward.
@@ -138,6 +141,7 @@
 			Reason: v.Problem.Title,
 
 			ConfigAge: age,
+			Account:   call.Account.Name,
 		})
 	case Reply:
 		c.setDeadlines(w, r)
@@ -174,6 +178,8 @@
 		return f.apply(call)
 	case Match:
 		return f.apply(call)
+	case Authenticate:
+		return f.apply(call)
 	}
 	return Continue{}
 }
@@ -185,7 +191,7 @@
 		switch f := f.(type) {
 		case *Admit:
 			f.release()
-		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match:
+		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match, Authenticate:
 		}
 	}
 }
--- a/io/daisyforward/dialect.go
+++ b/io/daisyforward/dialect.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyrank"
@@ -29,6 +30,8 @@
 type Dialect interface {
 	// EncodeRequest adds the header fields that are the same for all attempts of a request.
 	EncodeRequest(to http.Header, request *http.Request, rank daisyrank.Name)
+	// EncodeAccount adds the client account that a request belongs to.
+	EncodeAccount(to http.Header, account daisyaccount.Name)
 	// EncodeAttempt adds the header fields that are specific to one attempt.
 	EncodeAttempt(to http.Header, attempt Attempt)
 	// EncodeResponse adds header fields for the caller to an endpoint's response.
@@ -71,6 +74,9 @@
 	to["Forwarded"] = appendCopy(to["Forwarded"], forwarded(request, n.self))
 }
 
+// EncodeAccount adds nothing: services of daisyyoke's own interface have no client accounts.
+func (n *Native) EncodeAccount(http.Header, daisyaccount.Name) {}
+
 // EncodeAttempt adds Daisy-Timeout and a new Daisy-Attempt.
 func (n *Native) EncodeAttempt(to http.Header, attempt Attempt) {
 	values := [...]string{formatTimeout(attempt.Remaining), strconv.FormatUint(rand.Uint64(), 36)}
--- a/io/daisyforward/fingerprint.go
+++ b/io/daisyforward/fingerprint.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/io/daisyfilter"
 )
@@ -18,12 +19,16 @@
 // emptyBody is the digest of the body of a request that has none.
 var emptyBody = digest(nil)
 
-// newFingerprint returns the fingerprint of a request, without its body if it has one.
-func newFingerprint(request *http.Request, body *source) daisyrequest.Fingerprint {
+// newFingerprint returns the fingerprint of a request, without its body if it has one. The
+// key of a client account is removed before; its account takes its place.
+func newFingerprint(request *http.Request, account daisyaccount.Name, body *source) daisyrequest.Fingerprint {
 	parts := []string{request.Method, request.Host, request.URL.RequestURI()}
 	for _, name := range fingerprintHeaders {
 		parts = append(parts, request.Header.Get(name))
 	}
+	if account != "" {
+		parts = append(parts, string(account))
+	}
 	var head []byte
 	for _, p := range parts {
 		head = binary.AppendUvarint(head, uint64(len(p)))
--- a/io/daisyforward/fingerprint_test.go
+++ b/io/daisyforward/fingerprint_test.go
@@ -16,7 +16,7 @@
 func fingerprintOf(t *testing.T, request *http.Request) daisyrequest.Fingerprint {
 	t.Helper()
 	s := newSource(request, http.NewResponseController(httptest.NewRecorder()), Limits{MaxReplayBytes: 1 << 10, StallTimeout: DefaultLimits().StallTimeout})
-	f := newFingerprint(request, s)
+	f := newFingerprint(request, "", s)
 	if s != nil {
 		_, err := io.Copy(io.Discard, s.newReader())
 		assert.NilError(t, err)
@@ -98,3 +98,13 @@
 		s.close()
 	}
 }
+
+// Guards against a request of one account that is refused because of another account's, and
+// against one that is not recognized under the account's second key, which was removed.
+func TestFingerprintTellsAccountsApart(t *testing.T) {
+	request := httptest.NewRequest(http.MethodGet, "http://visits.vigia-lar/a/b", nil)
+	north, south := newFingerprint(request, "north", nil), newFingerprint(request, "south", nil)
+	assert.Assert(t, north != south)
+	assert.Assert(t, north != newFingerprint(request, "", nil))
+	assert.Equal(t, north, newFingerprint(request, "north", nil))
+}
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -78,7 +78,8 @@
 // caller's connection or stream is aborted too, and if the caller has disconnected.
 func (f *Forwarder) Forward(w http.ResponseWriter, call *daisyfilter.Call) {
 	body := newSource(call.HTTP, http.NewResponseController(w), f.limits)
-	call.Request.Fingerprint = newFingerprint(call.HTTP, body)
+	body.withholdTrailers(call.WithheldTrailers)
+	call.Request.Fingerprint = newFingerprint(call.HTTP, call.Request.Account, body)
 	f.readSuspectBody(call, body)
 	ticket, err := f.routes.Begin(call.Request)
 	if err != nil {
--- a/io/daisyforward/header.go
+++ b/io/daisyforward/header.go
@@ -64,6 +64,9 @@
 		}
 	}
 	f.dialect.EncodeRequest(h, r, rank)
+	if account := call.Account.Name; account != "" {
+		f.dialect.EncodeAccount(h, account)
+	}
 	return h
 }
 
--- a/io/daisyforward/log.go
+++ b/io/daisyforward/log.go
@@ -21,6 +21,7 @@
 		Name:     r.Name,
 		Route:    x.call.Route.Name,
 		Revision: x.call.Route.Revision,
+		Account:  r.Account,
 	}
 }
 
--- a/io/daisyforward/source.go
+++ b/io/daisyforward/source.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 	limits  Limits
 	// demand requests one read from the goroutine that reads the body.
 	demand chan struct{}
+	// withheldTrailers are the names of the trailers that readers do not get.
+	withheldTrailers []string
 	// failed is closed when the caller's body breaks off or stalls.
 	failed chan struct{}
 
@@ -199,13 +202,22 @@
 	closed   chan struct{}
 }
 
+// withholdTrailers sets the names of the trailers that later readers do not get.
+func (s *source) withholdTrailers(names []string) {
+	if s != nil {
+		s.withheldTrailers = names
+	}
+}
+
 // newReader returns a reader of the body with the trailers that the caller announced.
 func (s *source) newReader() *sourceReader {
 	r := &sourceReader{source: s, closed: make(chan struct{})}
 	if len(s.request.Trailer) > 0 {
 		r.trailer = make(http.Header, len(s.request.Trailer))
 		for k := range s.request.Trailer {
-			r.trailer[k] = nil
+			if !slices.Contains(s.withheldTrailers, k) {
+				r.trailer[k] = nil
+			}
 		}
 	}
 	return r
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -30,6 +30,7 @@
 	Name     string `json:"name,omitempty"`
 	Route    string `json:"route,omitempty"`
 	Revision uint64 `json:"revision,omitempty"`
+	Account  string `json:"account,omitempty"`
 }
 
 type sentRecord struct {
@@ -108,6 +109,7 @@
 	Reason string `json:"why"`
 
 	ConfigAge string `json:"configuration-age,omitempty"`
+	Account   string `json:"account,omitempty"`
 }
 
 type abandonedRecord struct {
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyrank"
@@ -29,6 +30,8 @@
 	// with this Revision; empty if the configuration has no routes.
 	Route    string
 	Revision uint64
+	// Account is the client account of the request; empty if it has none.
+	Account daisyaccount.Name
 }
 
 // Sent records to which endpoint an attempt was sent and why.
@@ -117,6 +120,8 @@
 	Reason string
 	// ConfigAge is as in Sent.
 	ConfigAge time.Duration
+	// Account is as in Subject.
+	Account daisyaccount.Name
 }
 
 // Abandoned records that the caller canceled the request before the response.
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -22,7 +22,8 @@
 	case Refused:
 		l.encode(n.record(l.commonFields(e, "request refused")))
 	case Rejected:
-		l.encode(&rejectedRecord{commonFields: l.commonFields(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Reason: n.Reason, ConfigAge: knownAge(n.ConfigAge)})
+		l.encode(&rejectedRecord{commonFields: l.commonFields(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Reason: n.Reason, ConfigAge: knownAge(n.ConfigAge),
+			Account: string(n.Account)})
 	case Abandoned:
 		l.encode(&abandonedRecord{commonFields: l.commonFields(e, "request abandoned"), subjectFields: n.fields(), Attempts: n.Attempts, Duration: n.Duration.String()})
 	case Canceled:
@@ -156,6 +157,7 @@
 		Name:     string(s.Name),
 		Route:    s.Route,
 		Revision: s.Revision,
+		Account:  string(s.Account),
 	}
 }
 
--- a/io/daisyproblem/problem.go
+++ b/io/daisyproblem/problem.go
@@ -22,6 +22,9 @@
 	RetryAfter time.Duration
 	// Allow lists the allowed methods for status 405. If it is empty, the header is omitted.
 	Allow string
+	// Challenge is the value of WWW-Authenticate for status 401. If it is empty, the header is
+	// omitted.
+	Challenge string
 }
 
 // RunHeader is the name of the header that reports whether an endpoint may have run the request.
@@ -74,6 +77,9 @@
 	if p.Allow != "" {
 		h.Set("Allow", p.Allow)
 	}
+	if p.Challenge != "" {
+		h.Set("WWW-Authenticate", p.Challenge)
+	}
 	w.WriteHeader(p.Status)
 	_, _ = w.Write(body)
 }
