Choose owners and readers among the VMs with capacity

With VMs of 0.8 and 0.16 of a core, a hash picked any of them as the owner of a service, which costs four messages and a probe for each request.

A VM now announces its processor time and the speed of its link with its description, and owners of keys and readers of the store are chosen among the VMs with at least half of the largest known processor time. Without any announced capacity all VMs remain candidates. A VM that was first described by an earlier build gets its capacity from its own heartbeat.

--- a/core/daisyfeed/follower_test.go
+++ b/core/daisyfeed/follower_test.go
@@ -1,6 +1,7 @@
 package daisyfeed_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -460,4 +461,11 @@
 	assert.Equal(t, second[0], first[1])
 	assert.Assert(t, second[1] != first[0])
 	assert.DeepEqual(t, readers("vm-0", "vm-1", "vm-2", "vm-3"), first)
+	// A VM with a fifth of the processor of another has more urgent work.
+	for i := range vms {
+		vms[i].Capacity = daisyvm.NewCapacity(0.16, 0)
+	}
+	large := slices.IndexFunc(vms, func(v daisyvm.VM) bool { return !slices.Contains(first, string(v.Name)) })
+	vms[large].Capacity = daisyvm.NewCapacity(0.8, 0)
+	assert.DeepEqual(t, readers(), []string{string(vms[large].Name), first[0]})
 }
--- a/core/daisyfeed/readers.go
+++ b/core/daisyfeed/readers.go
@@ -15,6 +15,8 @@
 type Readers struct {
 	self  daisyvm.Name
 	peers []daisyvm.Name
+	// small holds the VMs that do not have the capacity to coordinate others.
+	small map[daisyvm.Name]bool
 	// unavailable holds the VMs to which the store does not reply.
 	unavailable map[daisyvm.Name]bool
 	// lastRole is the last result of Role.
@@ -30,7 +32,13 @@
 // SetVMs sets the live VMs, and those that are leaving.
 func (r *Readers) SetVMs(vms, leaving []daisyvm.VM) {
 	r.peers = r.peers[:0:0]
-	for _, v := range slices.Concat(vms, leaving) {
+	r.small = make(map[daisyvm.Name]bool)
+	all := slices.Concat(vms, leaving)
+	minMillicores := daisyvm.MinCoordinator(all)
+	for _, v := range all {
+		if !v.Coordinates(minMillicores) {
+			r.small[v.Name] = true
+		}
 		if v.Name != r.self {
 			r.peers = append(r.peers, v.Name)
 		}
@@ -58,7 +66,7 @@
 	index := slices.Index(r.selected, r.self)
 	role := RoleChanged{Reader: index >= 0, Second: index > 0, Peers: r.peers}
 	for _, p := range r.peers {
-		if daisyvm.CompareByOwnerHash(readersKey, p, r.self) < 0 {
+		if r.compare(p, r.self) < 0 {
 			role.Position++
 		}
 	}
@@ -67,7 +75,7 @@
 	return role, changed
 }
 
-// selectReaders returns the first VMs in hash order among those to which the store
+// selectReaders returns the first VMs in the order of compare among those to which the store
 // replies, or among all if it replies to none.
 func (r *Readers) selectReaders() []daisyvm.Name {
 	all := append([]daisyvm.Name{r.self}, r.peers...)
@@ -75,11 +83,21 @@
 	if len(candidates) == 0 {
 		candidates = all
 	}
-	slices.SortFunc(candidates, func(a, b daisyvm.Name) int {
-		return daisyvm.CompareByOwnerHash(readersKey, a, b)
-	})
+	slices.SortFunc(candidates, r.compare)
 	return candidates[:min(readerCount, len(candidates))]
 }
 
+// compare orders VMs by who reads the store first: those with the capacity to coordinate
+// others come first, and then the hash decides.
+func (r *Readers) compare(a, b daisyvm.Name) int {
+	switch {
+	case r.small[a] == r.small[b]:
+		return daisyvm.CompareByOwnerHash(readersKey, a, b)
+	case r.small[b]:
+		return -1
+	}
+	return 1
+}
+
 // readersKey is the key whose owner hash orders the VMs.
 const readersKey = "store-readers"
--- a/core/daisyvm/members.go
+++ b/core/daisyvm/members.go
@@ -220,6 +220,7 @@
 	}
 	m := s.members[vm.Name]
 	if m != nil && vm.Incarnation <= m.VM.Incarnation {
+		s.learnCapacity(m, vm)
 		return m, nil
 	}
 	if m == nil {
@@ -238,6 +239,15 @@
 	return m, decisions
 }
 
+// learnCapacity takes over the capacity of a VM that was first described by one of an
+// earlier build, which leaves the capacity out. An incarnation never changes its capacity.
+func (s *Membership) learnCapacity(m *member, vm VM) {
+	if vm.Incarnation == m.VM.Incarnation && m.VM.Capacity == (Capacity{}) && vm.Capacity != (Capacity{}) {
+		m.VM.Capacity = vm.Capacity
+		s.ownersOutdated = true
+	}
+}
+
 // handlePeerReport applies a peer's report that a VM is alive and whether it is leaving.
 func (s *Membership) handlePeerReport(now time.Time, m *member, report HeartbeatReport) []MemberDecision {
 	if report.Sequence > m.sequence && report.Leaving != m.Status.Leaving {
--- a/core/daisyvm/owner.go
+++ b/core/daisyvm/owner.go
@@ -6,13 +6,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Owner returns the VM that owns a key by rendezvous hashing: every VM that sees the
-// same live VMs picks the same owner, and the loss of a VM moves only the keys that it
-// owned. It returns the empty name when vms is empty.
+// Owner returns the VM that owns a key by rendezvous hashing among the VMs that have the
+// capacity to coordinate others: every VM that sees the same live VMs picks the same owner,
+// and the loss of a VM moves only the keys that it owned, unless that changes which VMs
+// have the capacity. It returns the empty name when vms is empty.
 func Owner(vms []VM, key string) Name {
 	var owner Name
 	var bestHash uint64
+	minMillicores := MinCoordinator(vms)
 	for _, v := range vms {
+		if !v.Coordinates(minMillicores) {
+			continue
+		}
 		h := ownerHash(v.Name, key)
 		if owner == "" || h > bestHash || h == bestHash && v.Name < owner {
 			owner, bestHash = v.Name, h
--- a/core/daisyvm/vm.go
+++ b/core/daisyvm/vm.go
@@ -26,6 +26,8 @@
 	Callers netip.AddrPort
 	// Peers is the address that other VMs connect to.
 	Peers netip.AddrPort
+	// Capacity is what the VM has to serve with; the zero value if it does not say.
+	Capacity Capacity
 }
 
 // CompareNames orders VMs by name.
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -172,6 +172,7 @@
 		Zone:        s.Zone,
 		Callers:     s.Callers,
 		Peers:       s.Peers,
+		Capacity:    daisyvm.NewCapacity(s.Cores, s.LinkBitsPerSecond),
 	}
 	seed := uint64(d.self.Incarnation)
 	listener, err := listen("peers", s.Peers)
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -146,6 +146,7 @@
 		Zone:        decodeZone(w.GetZone()),
 		Callers:     r.address(w.GetCallers()),
 		Peers:       r.address(w.GetPeers()),
+		Capacity:    daisyvm.Capacity{Millicores: w.GetMillicores(), LinkBitsPerSecond: w.GetLinkBitsPerSecond()},
 	}
 	if !daisyfleet.ValidName(string(v.Name)) {
 		r.fail("invalid VM name %q", v.Name)
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -194,6 +194,9 @@
 		Zone:        encodeZone(v.Zone),
 		Callers:     encodeAddress(v.Callers),
 		Peers:       encodeAddress(v.Peers),
+		Millicores:  v.Capacity.Millicores,
+
+		LinkBitsPerSecond: v.Capacity.LinkBitsPerSecond,
 	}
 }
 
