Deal the services over the VMs with capacity

A hash of each service by itself gives two of three services to one of six large VMs in four cases of nine, while others own none.

Where capacities are known, the services are dealt in the order of their names, as wholes and within each availability zone: each goes to the VM that owns the fewest for its processor time, and among equals to the first by hash. The Route controller deals once for each change of the VMs or services and passes the result on with PeersChanged. Without capacities each owner is chosen by its hash as before.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -129,12 +129,19 @@
 // fallback mode.
 func (b *Borrower) SetShare(vms int) { b.vms = max(1, vms) }
 
-// SetVMs sets the live VMs that share the service, including this VM. If the owner
-// changes, the borrower asks the new one for a term.
+// SetVMs sets the live VMs that share the service, including this VM, and among them the
+// owner that ChooseOwner returns.
 func (b *Borrower) SetVMs(now time.Time, vms []daisyvm.VM) {
 	b.SetShare(len(vms))
-	owner, ok := ChooseOwner(b.service.ID, b.zone, vms)
-	if !ok || owner.Name == b.owner.Name && owner.Incarnation == b.owner.Incarnation {
+	if owner, ok := ChooseOwner(b.service.ID, b.zone, vms); ok {
+		b.SetOwner(now, owner)
+	}
+}
+
+// SetOwner sets the VM to which reports are sent. If it changes, the borrower asks the new
+// one for a term.
+func (b *Borrower) SetOwner(now time.Time, owner daisyvm.VM) {
+	if owner.Name == b.owner.Name && owner.Incarnation == b.owner.Incarnation {
 		return
 	}
 	if last := b.latestTerms[owner.Name]; last.Incarnation > owner.Incarnation {
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -102,8 +102,11 @@
 		s.borrower.SetShare(len(vms))
 		return
 	}
-	s.borrower.SetVMs(now, vms)
-	owner, ok := daisycredit.ChooseOwner(d.service.ID, s.zone, vms)
+	s.borrower.SetShare(len(vms))
+	owner, ok := event.Owners.Choose(d.service.ID, s.zone, vms)
+	if ok {
+		s.borrower.SetOwner(now, owner)
+	}
 	if !ok || owner.Name != s.self.Name {
 		s.endOwnership()
 		return
--- a/core/daisyroute/event.go
+++ b/core/daisyroute/event.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"daisyyoke/core/daisycrash"
+	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyrequest"
@@ -103,6 +104,8 @@
 	// one. None of them owns the service; they keep credits until their last request
 	// has ended.
 	Leaving []daisyvm.VM
+	// Owners has the owners of all services among VMs; nil chooses that of each by its hash.
+	Owners *daisycredit.Owners
 }
 
 // StopBegan means that this VM stops and has to answer all requests by a time.
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -120,7 +120,7 @@
 			d.updateRateShare(now, e)
 		}
 	}
-	owner, ok := daisycredit.ChooseOwner(d.service.ID, daisyfleet.ZoneID{}, vms)
+	owner, ok := event.Owners.Choose(d.service.ID, daisyfleet.ZoneID{}, vms)
 	d.ownsService = !ok || owner.Name == d.self.Name
 	if d.introduces(vms, arrived) {
 		d.introduceLeaving(arrived)
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -5,11 +5,13 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"daisyyoke/core/daisyconfig"
+	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisymessage"
@@ -69,7 +71,10 @@
 	// changeMu serializes changes of the shard map and of peers; requests never lock it.
 	changeMu sync.Mutex
 	// peers are the VMs that share the services; new shards are initialized with them.
-	peers         daisyroute.PeersChanged
+	peers daisyroute.PeersChanged
+	// services are the declared services in the order of the configuration, guarded by
+	// changeMu.
+	services      []daisyservice.ID
 	lastRequestID atomic.Uint64
 	// activeRequests counts the requests of all services that have begun and not ended.
 	activeRequests atomic.Int64
@@ -138,6 +143,7 @@
 func (c *Route) Apply(snapshot *daisyconfig.Snapshot) {
 	c.changeMu.Lock()
 	defer c.changeMu.Unlock()
+	dealt := c.setServices(snapshot.Intent.Fleets)
 	shards := maps.Clone(*c.shards.Load())
 	declared := make(map[daisyservice.ID]bool)
 	for _, f := range snapshot.Intent.Fleets {
@@ -153,6 +159,9 @@
 		}
 	}
 	c.shards.Store(&shards)
+	if dealt {
+		c.announcePeers()
+	}
 }
 
 func (c *Route) applyService(shards map[daisyservice.ID]*routeShard, service daisyservice.Service) {
@@ -225,12 +234,33 @@
 func (c *Route) SetPeers(vms, leaving []daisyvm.VM) {
 	c.changeMu.Lock()
 	defer c.changeMu.Unlock()
-	c.peers = daisyroute.PeersChanged{VMs: vms, Leaving: leaving}
+	c.peers = daisyroute.PeersChanged{VMs: vms, Leaving: leaving, Owners: daisycredit.DealOwners(c.services, vms)}
+	c.announcePeers()
+}
+
+func (c *Route) announcePeers() {
 	for _, s := range *c.shards.Load() {
 		s.handle(c.peers)
 	}
 }
 
+// setServices deals the owners anew if the declared services have changed. It reports
+// whether the shards have to be told. The caller must hold c.changeMu.
+func (c *Route) setServices(fleets []daisyconfig.Fleet) bool {
+	var services []daisyservice.ID
+	for _, f := range fleets {
+		for _, s := range f.Services {
+			services = append(services, s.ID)
+		}
+	}
+	if slices.Equal(services, c.services) {
+		return false
+	}
+	c.services = services
+	c.peers.Owners = daisycredit.DealOwners(services, c.peers.VMs)
+	return c.peers.Owners != nil
+}
+
 // LimitRequests sets the time by which all requests have to be answered, because this VM
 // stops, and until when it accepts those that may take longer.
 func (c *Route) LimitRequests(by, acceptUntil time.Time) {
