--- a/io/daisysnapshot/document.go
+++ b/io/daisysnapshot/document.go
@@ -19,6 +19,9 @@
 	ConfirmedBy string         `json:"confirmed-by,omitempty"`
 	ConfirmedAt time.Time      `json:"confirmed-at"`
 	Intent      intentDocument `json:"intent"`
+	// Evacuated are availability zones as FLEET/NAME.
+	Evacuated   []string             `json:"evacuated,omitempty"`
+	Adjustments []adjustmentDocument `json:"adjustments,omitempty"`
 }
 
 type intentDocument struct {
@@ -32,6 +35,7 @@
 	Services          []serviceDocument `json:"services,omitempty"`
 	Routes            []routeDocument   `json:"routes,omitempty"`
 	CallerLimits      *limitsDocument   `json:"caller-limits,omitempty"`
+	Accounts          []accountDocument `json:"accounts,omitempty"`
 }
 
 type zoneDocument struct {
@@ -53,6 +57,8 @@
 	Protocol    string             `json:"protocol,omitempty"`
 	HealthPath  string             `json:"health-path,omitempty"`
 	Connections int                `json:"connections,omitempty"`
+	ColdStart   string             `json:"cold-start,omitempty"`
+	ColdRate    float64            `json:"cold-rate-per-second,omitempty"`
 	Endpoints   []endpointDocument `json:"endpoints,omitempty"`
 }
 
@@ -64,6 +70,8 @@
 	Draining    bool           `json:"draining,omitempty"`
 	Instance    string         `json:"instance,omitempty"`
 	Started     int64          `json:"started-milliseconds,omitempty"`
+	Evacuated   bool           `json:"evacuated,omitempty"`
+	ColdFor     string         `json:"cold-for,omitempty"`
 }
 
 func newSnapshotDocument(s *daisyconfig.Snapshot) snapshotDocument {
@@ -74,6 +82,8 @@
 		ConfirmedBy: s.ConfirmedBy,
 		ConfirmedAt: s.ConfirmedAt.UTC().Round(0),
 		Intent:      newIntentDocument(s.Intent),
+		Evacuated:   encodeZones(s.Evacuated),
+		Adjustments: newAdjustmentDocuments(s.Adjustments),
 	}
 }
 
@@ -104,6 +114,9 @@
 	for _, r := range f.Routes {
 		d.Routes = append(d.Routes, newRouteDocument(r))
 	}
+	for _, a := range f.Accounts {
+		d.Accounts = append(d.Accounts, newAccountDocument(a))
+	}
 	if f.CallerLimits != (daisyconfig.CallerLimits{}) {
 		d.CallerLimits = newLimitsDocument(f.CallerLimits)
 	}
@@ -111,7 +124,14 @@
 }
 
 func newServiceDocument(s daisyservice.Service) serviceDocument {
-	d := serviceDocument{Name: s.ID.Name, DefaultRank: int(s.DefaultRank), HealthPath: s.HealthPath, Connections: s.Connections}
+	d := serviceDocument{
+		Name:        s.ID.Name,
+		DefaultRank: int(s.DefaultRank),
+		HealthPath:  s.HealthPath,
+		Connections: s.Connections,
+		ColdStart:   encodeDuration(s.ColdStart),
+		ColdRate:    s.ColdRate,
+	}
 	if s.Protocol != daisyservice.HTTP1 {
 		d.Protocol = s.Protocol.String()
 	}
@@ -127,6 +147,8 @@
 			Draining:    e.Draining,
 			Instance:    string(e.Instance),
 			Started:     e.Started,
+			Evacuated:   e.Evacuated,
+			ColdFor:     encodeDuration(e.ColdFor),
 		})
 	}
 	return d
@@ -140,6 +162,10 @@
 	if d.Revision == 0 {
 		return nil, daisyerror.InvalidRequest.New("snapshot without a revision")
 	}
+	evacuated, err := decodeZones(d.Evacuated)
+	if err != nil {
+		return nil, err
+	}
 	return &daisyconfig.Snapshot{
 		Revision:    daisyconfig.Revision(d.Revision),
 		Previous:    daisyconfig.Hash(d.Previous),
@@ -147,6 +173,8 @@
 		ConfirmedBy: d.ConfirmedBy,
 		ConfirmedAt: d.ConfirmedAt,
 		Intent:      intent,
+		Evacuated:   evacuated,
+		Adjustments: d.adjustments(),
 	}, nil
 }
 
@@ -192,6 +220,13 @@
 		}
 		f.Routes = append(f.Routes, route)
 	}
+	for _, a := range d.Accounts {
+		account, err := a.account()
+		if err != nil {
+			return f, err
+		}
+		f.Accounts = append(f.Accounts, account)
+	}
 	if d.CallerLimits != nil {
 		limits, err := d.CallerLimits.limits()
 		if err != nil {
@@ -208,6 +243,7 @@
 		DefaultRank: daisyrank.Index(d.DefaultRank),
 		HealthPath:  d.HealthPath,
 		Connections: d.Connections,
+		ColdRate:    d.ColdRate,
 	}
 	for _, n := range d.Ranks {
 		r, ok := findRank(fleet.Ranks, daisyrank.Name(n))
@@ -223,21 +259,56 @@
 	if s.Protocol, ok = parseProtocol(d.Protocol); !ok {
 		return s, daisyerror.InvalidRequest.New("service %s: protocol %q", s.ID, d.Protocol)
 	}
+	var err error
+	if s.ColdStart, err = decodeDuration(d.ColdStart); err != nil {
+		return s, err
+	}
+	s.Endpoints, err = d.endpoints(s.ID)
+	return s, err
+}
+
+func (d serviceDocument) endpoints(service daisyservice.ID) ([]daisyendpoint.Endpoint, error) {
+	var endpoints []daisyendpoint.Endpoint
 	for _, e := range d.Endpoints {
+		coldFor, err := decodeDuration(e.ColdFor)
+		if err != nil {
+			return nil, err
+		}
 		if !e.Address.IsValid() || e.Slots < 0 || e.Connections < 0 {
-			return s, daisyerror.InvalidRequest.New("service %s: endpoint %s", s.ID, e.Address)
+			return nil, daisyerror.InvalidRequest.New("service %s: endpoint %s", service, e.Address)
 		}
-		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{
+		endpoints = append(endpoints, daisyendpoint.Endpoint{
 			Address:     e.Address,
-			Zone:        daisyfleet.ZoneID{Fleet: fleet.Name, Zone: e.Zone},
+			Zone:        daisyfleet.ZoneID{Fleet: service.Fleet, Zone: e.Zone},
 			Slots:       e.Slots,
 			Connections: e.Connections,
 			Draining:    e.Draining,
 			Instance:    daisyendpoint.Instance(e.Instance),
 			Started:     e.Started,
+			Evacuated:   e.Evacuated,
+			ColdFor:     coldFor,
 		})
 	}
-	return s, nil
+	return endpoints, nil
+}
+
+// encodeDuration returns a time in the notation of time.ParseDuration; empty if it is 0.
+func encodeDuration(t time.Duration) string {
+	if t == 0 {
+		return ""
+	}
+	return t.String()
+}
+
+func decodeDuration(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	t, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, daisyerror.InvalidRequest.Wrap(err, "time %q", text)
+	}
+	return t, nil
 }
 
 // parseProtocol parses the name of a protocol. An empty name means HTTP/1, which
--- a/io/daisysnapshot/route.go
+++ b/io/daisysnapshot/route.go
@@ -20,6 +20,7 @@
 	Timeout    string         `json:"timeout"`
 	Target     string         `json:"target"`
 	Attempts   int            `json:"attempts,omitempty"`
+	Public     bool           `json:"public,omitempty"`
 	Revision   uint64         `json:"revision,omitempty"`
 	Parts      []partDocument `json:"parts"`
 }
@@ -47,6 +48,7 @@
 		Timeout:    r.Timeout.String(),
 		Target:     r.Target.String(),
 		Attempts:   r.Attempts,
+		Public:     r.Public,
 		Revision:   r.Revision,
 	}
 	for _, p := range r.Parts {
@@ -73,6 +75,7 @@
 		Timeout:    timeout,
 		Target:     target,
 		Attempts:   d.Attempts,
+		Public:     d.Public,
 		Revision:   d.Revision,
 	}
 	for _, p := range d.Parts {
