Send nothing new to evacuated endpoints

Cause: rows that evacuate an availability zone were decoded and marked its endpoints, but nothing decided on the mark.

Change: a dispatcher sends no attempt, retry, hedge, trial, probe or check to an evacuated endpoint, which has the condition "evacuated"; what runs there goes on. Owners lend nothing there and recall idle credits, and the even share of a VM without an owner leaves its slots out, as do estimates of capacity and the groups of zones that are asked for credits. Requests that wait for capacity that is lost are refused at once with 503 (capacity-lost), the least urgent first. After the evacuation each VM ramps up as after an ejection, and the owner gives the slots of an endpoint back over 2 s: without that a VM's ramp alone let several VMs send to one endpoint at once.

TestDispatcherInvariants also draws evacuations, and checks that nothing is sent there.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -51,7 +51,7 @@
 	fallback  bool
 	endpoints map[netip.AddrPort]*endpointCredits
 	// totalHeld is the number of credits held at all endpoints, totalInFlight the
-	// number of attempts, totalSlots the number of declared slots, and maxSlots the
+	// number of attempts, totalSlots the number of declared slots that are not evacuated, and maxSlots the
 	// largest number of slots of one endpoint.
 	totalHeld, totalInFlight, totalSlots, maxSlots int
 	// addresses has the keys of endpoints in the order of their addition, for a stable
@@ -104,13 +104,13 @@
 
 func (b *Borrower) setService(service daisyservice.Service) {
 	b.service = service
-	b.totalSlots, b.maxSlots = service.Slots(), 0
+	b.totalSlots, b.maxSlots = service.OpenSlots(), 0
 	for _, c := range b.endpoints {
 		c.draining, c.slots = true, 0
 	}
 	for _, e := range service.Endpoints {
 		c := b.creditsAt(e.Address)
-		c.draining, c.slots = e.Draining, e.Slots
+		c.draining, c.slots = e.Draining || e.Evacuated, e.Slots
 		b.maxSlots = max(b.maxSlots, e.Slots)
 	}
 }
@@ -273,7 +273,7 @@
 }
 
 // SetRestricted sets whether this VM sends only trials or nothing to an endpoint,
-// because it is ejected, draining or removed.
+// because it is ejected, draining, evacuated or removed.
 func (b *Borrower) SetRestricted(now time.Time, endpoint netip.AddrPort, restricted bool) {
 	c := b.creditsAt(endpoint)
 	if c.restricted == restricted {
--- a/core/daisycredit/eligibility.go
+++ b/core/daisycredit/eligibility.go
@@ -76,12 +76,12 @@
 
 // estimateBacklog estimates how long it takes until the waiting requests of a rank and
 // of more urgent ones have got endpoints that are neither slow nor nearly full.
-func (o *Owner) estimateBacklog(waiting [][]int, rank int) {
+func (o *Owner) estimateBacklog(now time.Time, waiting [][]int, rank int) {
 	o.backlog = 0
 	usableSlots, waitingRequests := 0.0, 0
 	for _, e := range o.endpoints {
-		if !e.Draining && !e.leaving && !o.restrictedByMost(e) {
-			usableSlots += o.usableSlots(e, max(e.Slots-1, 1))
+		if slots := o.openSlots(now, e); slots > 0 {
+			usableSlots += o.usableSlots(e, max(slots-1, 1))
 		}
 	}
 	for _, w := range waiting {
--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -76,13 +76,19 @@
 
 // capacity returns the number of credits that may be lent at an endpoint.
 func (o *Owner) capacity(now time.Time, e *endpointState) int {
-	if e.Draining || e.leaving || o.restrictedByMost(e) {
-		return 0
+	slots := o.openSlots(now, e)
+	if slots == e.Slots && now.Before(o.overcommitUntil) && now.After(e.shedCooldownEnd) {
+		return slots + o.options.Overcommit
 	}
-	if now.Before(o.overcommitUntil) && now.After(e.shedCooldownEnd) {
-		return e.Slots + o.options.Overcommit
+	return slots
+}
+
+// openSlots returns the number of slots of an endpoint that new requests may use.
+func (o *Owner) openSlots(now time.Time, e *endpointState) int {
+	if e.Draining || e.Evacuated || e.leaving || o.restrictedByMost(e) {
+		return 0
 	}
-	return e.Slots
+	return min(e.Slots, o.returnedSlots(now, e))
 }
 
 // restrictedByMost reports whether most borrowers send only trials or nothing to an endpoint.
--- a/core/daisycredit/on_demand.go
+++ b/core/daisycredit/on_demand.go
@@ -29,7 +29,7 @@
 	o.updateRankWaitingSince(now, waiting)
 	shares := Allocate(slots, declared, needs)
 	for r := range ranks {
-		o.estimateBacklog(waiting, r)
+		o.estimateBacklog(now, waiting, r)
 		for started[r] < shares[r] {
 			i := mostWaiting(o.accounts, waiting, r)
 			if i < 0 {
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -119,6 +119,9 @@
 	holdTimes                  holdStats
 	// lastGrant is when a credit was last granted.
 	lastGrant time.Time
+	// returnedAt is when the evacuation of the endpoint ended; the zero time if it was not
+	// evacuated.
+	returnedAt time.Time
 	// leaving is set if the endpoint said that it is going to stop, and pausedUntil is the
 	// end of the pause that it asked this VM for, which sends the probes.
 	leaving     bool
@@ -211,7 +214,7 @@
 		options.Lending = InAdvance{}
 	}
 	o := &Owner{options: options, lastTerm: options.LastTerm, claimDeadline: now.Add(claimTimeout)}
-	o.setService(options.Service)
+	o.setService(now, options.Service)
 	return o
 }
 
@@ -220,11 +223,11 @@
 
 // SetService applies a newly confirmed declaration of the service.
 func (o *Owner) SetService(now time.Time, service daisyservice.Service) {
-	o.setService(service)
+	o.setService(now, service)
 	o.lend(now)
 }
 
-func (o *Owner) setService(service daisyservice.Service) {
+func (o *Owner) setService(now time.Time, service daisyservice.Service) {
 	if !slices.Equal(o.service.Ranks, service.Ranks) {
 		// What was recorded by position would count for other ranks.
 		o.rankWaitingSince, o.lastGrant, o.rankHoldTimes, o.grantRank = nil, nil, nil, 0
@@ -240,6 +243,7 @@
 		if e == nil || !e.SameIncarnation(d) {
 			e = &endpointState{}
 		}
+		e.noteEvacuation(now, d.Evacuated)
 		e.Endpoint = d
 		o.endpoints = append(o.endpoints, e)
 		o.byAddress[d.Address] = e
--- a/core/daisyhealth/eject.go
+++ b/core/daisyhealth/eject.go
@@ -57,6 +57,13 @@
 	e.state = Ramping{Allowed: 1}
 }
 
+// Return lets an endpoint that got no work for a long time start with one attempt at a time,
+// as after an ejection.
+func (g *Group) Return(e *Endpoint) {
+	g.readmit(e, 1)
+	g.changes++
+}
+
 // PostponeTrial delays a due trial of a faulty endpoint if the group has sent too few
 // attempts since its last trial. It reports whether the trial was delayed.
 func (g *Group) PostponeTrial(now time.Time, e *Endpoint) bool {
--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -103,7 +103,10 @@
 		}
 		ahead += time.Duration(q.ranks[i].len()) * q.ranks[i].account.slotTime()
 	}
-	slots := max(float64(q.inFlight), q.evenShare)
+	slots := max(float64(q.inFlight-q.evacuatedInFlight), q.evenShare)
+	if slots <= 0 {
+		slots = 1
+	}
 	r := q.ranks[index]
 	own := time.Duration(r.len()) * r.account.slotTime()
 	byPriority := float64(ahead+own) / slots
@@ -118,6 +121,23 @@
 // minSlotShare keeps the estimate finite for a rank without a floor.
 const minSlotShare = 0.001
 
+// Unservable returns a waiting request that is not expected to finish by its deadline, of the
+// least urgent rank that has any, or nil if there is none. Capacity may have been lost since
+// the requests were admitted.
+func (q *Queue[T]) Unservable(now time.Time) *Item[T] {
+	q.accrue(now)
+	for _, i := range slices.Backward(q.urgency) {
+		if q.ranks[i].len() == 0 {
+			continue
+		}
+		item := q.rankEvictionCandidate(i)
+		if expected := q.estimateCompletion(i); expected > 0 && now.Add(expected).After(item.Deadline) {
+			return item
+		}
+	}
+	return nil
+}
+
 // RetryAfter returns the estimated time until the queue of a rank has drained, within
 // bounds.
 func (q *Queue[T]) RetryAfter(index daisyrank.Index) time.Duration {
--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -107,6 +107,8 @@
 	accruedAt time.Time
 	// evenShare is the number of slots of this VM when all VMs have the same demand.
 	evenShare float64
+	// evacuatedInFlight counts the attempts at endpoints that get nothing new.
+	evacuatedInFlight int
 	// rateLimited is set if the endpoints' rate limits leave slots unused.
 	rateLimited bool
 }
@@ -129,6 +131,10 @@
 // needs them.
 func (q *Queue[T]) SetEvenShare(slots float64) { q.evenShare = slots }
 
+// SetEvacuatedInFlight sets how many of the attempts in flight are at endpoints that get
+// nothing new: their slots will not be free for waiting requests.
+func (q *Queue[T]) SetEvacuatedInFlight(attempts int) { q.evacuatedInFlight = attempts }
+
 // SetRateLimited sets whether the endpoints' rate limits leave slots unused, so that
 // requests wait although none is in flight.
 func (q *Queue[T]) SetRateLimited(limited bool) { q.rateLimited = limited }
--- a/core/daisyroute/condition.go
+++ b/core/daisyroute/condition.go
@@ -30,6 +30,9 @@
 	Leaving
 	// Pausing means that the endpoint asked for nothing to be sent to it for a time.
 	Pausing
+	// Evacuated means that the endpoint gets no new requests while its availability zone is
+	// evacuated.
+	Evacuated
 )
 
 // String returns the condition in kebab case.
@@ -51,6 +54,8 @@
 		return "leaving"
 	case Pausing:
 		return "pausing"
+	case Evacuated:
+		return "evacuated"
 	}
 	return "unknown"
 }
@@ -62,6 +67,9 @@
 	if e.leaving {
 		return Leaving
 	}
+	if e.declared.Evacuated {
+		return Evacuated
+	}
 	if e.declared.Draining || now.Before(e.drainingUntil) {
 		return Draining
 	}
@@ -93,13 +101,13 @@
 	}
 }
 
-// updateExclusion excludes an endpoint from the health comparison while it drains, and
+// updateExclusion excludes an endpoint from the health comparison while it gets no new work, and
 // includes it again afterwards.
 func (d *Dispatcher) updateExclusion(now time.Time, e *endpoint, c Condition) {
 	if c == Removed {
 		return
 	}
-	d.health.SetExcluded(now, e.health, c == Draining || c == Leaving)
+	d.health.SetExcluded(now, e.health, c == Draining || c == Leaving || c == Evacuated)
 	d.refreshOnHealthChange(now)
 }
 
--- a/core/daisyroute/crash.go
+++ b/core/daisyroute/crash.go
@@ -70,10 +70,11 @@
 	})
 }
 
-// leaves reports whether the endpoint of an attempt was going to stop anyway.
+// leaves reports whether the endpoint of an attempt was going to stop anyway, or is evacuated:
+// a check is new work, and whatever led to the evacuation may break connections.
 func (d *Dispatcher) leaves(now time.Time, a *attempt) bool {
 	e := a.endpoint
-	return e.removed || e.leaving || e.declared.Draining || now.Before(e.drainingUntil) || !a.declared.SameIncarnation(e.declared)
+	return e.closed(now) || !a.declared.SameIncarnation(e.declared)
 }
 
 // handleChecked records the crash of an endpoint that no longer listens, for each request
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -60,7 +60,8 @@
 	demand []daisycredit.Demand
 	// inFlight is the number of attempts of each rank at the endpoints.
 	inFlight []int
-	// endpoints is the number of endpoints that this VM uses through the group.
+	// endpoints is the number of endpoints that this VM uses through the group, without those
+	// that are evacuated.
 	endpoints int
 	// changed is set if credits were gained or lost since the endpoints were last
 	// refreshed.
@@ -243,7 +244,7 @@
 // changeService sets the endpoints that the borrower uses and those that the owner lends.
 func (s *slotSharing) changeService(now time.Time, used, lent daisyservice.Service) {
 	s.changed = true
-	s.service, s.endpoints = lent, len(used.Endpoints)
+	s.service, s.endpoints = lent, used.OpenEndpoints()
 	s.borrower.SetService(now, used)
 	if s.owner != nil {
 		s.owner.SetService(now, lent)
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -175,7 +175,7 @@
 	CannotFinish
 	// Expired means that the deadline passed.
 	Expired
-	// NoneUsable means that every endpoint is draining or removed, or that a retry
+	// NoneUsable means that every endpoint is draining, evacuated or removed, or that a retry
 	// has no other usable endpoint to go to.
 	NoneUsable
 	// AttemptsSpent means that the maximum number of attempts was reached.
@@ -191,6 +191,9 @@
 	Stopping
 	// CrashesEndpoints means that requests which are the same have crashed endpoints.
 	CrashesEndpoints
+	// CapacityLost means that the request waited for endpoints of which too few are left
+	// after an evacuation.
+	CapacityLost
 )
 
 // String returns the cause in kebab case.
@@ -216,6 +219,8 @@
 		return "stopping"
 	case CrashesEndpoints:
 		return "crashes-endpoints"
+	case CapacityLost:
+		return "capacity-lost"
 	}
 	return "unknown"
 }
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -67,9 +67,11 @@
 	free, trials []*endpoint
 	// spare is the number of further attempts that may start at the free endpoints.
 	spare int
-	// usable is the number of endpoints that are neither draining, leaving nor removed, and
+	// usable is the number of endpoints that are neither draining, leaving, evacuated nor removed, and
 	// paused the number of those that asked for a pause which has not ended.
 	usable, paused int
+	// evacuated is the number of declared endpoints that are evacuated.
+	evacuated int
 	// roundRobinIndex is the index in endpoints that RoundRobin selected last.
 	roundRobinIndex int
 
--- a/core/daisyroute/endpoint.go
+++ b/core/daisyroute/endpoint.go
@@ -67,11 +67,11 @@
 // refresh updates the lists, counts and timer after a change of the endpoint or when
 // its timer has expired.
 func (d *Dispatcher) refresh(now time.Time, e *endpoint) {
-	draining := e.removed || e.leaving || e.declared.Draining || now.Before(e.drainingUntil)
-	d.countUsable(e, !draining)
-	d.countPaused(e, !draining && e.pausing(now))
+	closed := e.closed(now)
+	d.countUsable(e, !closed)
+	d.countPaused(e, !closed && e.pausing(now))
 	spare, trial := 0, false
-	if !draining && !e.paused && !now.Before(e.backoffUntil) {
+	if !closed && !e.paused && !now.Before(e.backoffUntil) {
 		spare, trial = d.spareAttempts(now, e)
 		spare, trial = d.limitRate(now, e, spare, trial)
 	}
@@ -86,6 +86,12 @@
 	d.reportCondition(now, e)
 }
 
+// closed reports whether the endpoint gets no new requests until something changes about it
+// that this VM is told.
+func (e *endpoint) closed(now time.Time) bool {
+	return e.removed || e.leaving || e.declared.Evacuated || e.declared.Draining || now.Before(e.drainingUntil)
+}
+
 func (d *Dispatcher) countUsable(e *endpoint, usable bool) {
 	if usable == e.usable {
 		return
--- a/core/daisyroute/invariant_test.go
+++ b/core/daisyroute/invariant_test.go
@@ -132,6 +132,7 @@
 	assert.Assert(m.t, i >= 0, "sent to an undeclared endpoint")
 	e := m.service.Endpoints[i]
 	assert.Assert(m.t, !e.Draining && !m.now.Before(m.draining[e.Address]), "sent to a draining endpoint")
+	assert.Assert(m.t, !e.Evacuated, "sent to an evacuated endpoint")
 	m.inFlight[e.Address]++
 	assert.Assert(m.t, m.inFlight[e.Address] <= e.Slots, "%d attempts at %d slots", m.inFlight[e.Address], e.Slots)
 	a := &modelAttempt{request: r, id: d.Attempt, endpoint: d.Endpoint}
@@ -234,12 +235,12 @@
 	m.handle(daisyroute.AttemptResolved{Attempt: a.id, Outcome: outcome, Resendable: rapid.Bool().Draw(m.t, "resendable")})
 }
 
-// usable returns the number of endpoints that are neither draining nor removed,
+// usable returns the number of endpoints that are neither draining, evacuated nor removed,
 // including ejected ones.
 func (m *model) usable() int {
 	n := 0
 	for _, e := range m.dispatcher.Endpoints(m.now) {
-		if e.Condition != daisyroute.Draining && e.Condition != daisyroute.Removed {
+		if e.Condition != daisyroute.Draining && e.Condition != daisyroute.Evacuated && e.Condition != daisyroute.Removed {
 			n++
 		}
 	}
@@ -260,13 +261,14 @@
 }
 
 // changeService changes the declaration of the service: other endpoints, some of them
-// draining, and some of the ranks in any order. Reports of an endpoint that is not declared are discarded.
+// draining or evacuated, and some of the ranks in any order. Reports of an endpoint that is not declared are discarded.
 func (m *model) changeService() {
 	n := rapid.IntRange(1, 6).Draw(m.t, "endpoints")
 	s := newService(n, 2)
 	s.Ranks = rapid.Permutation(ranks).Draw(m.t, "ranks")[:rapid.IntRange(0, len(ranks)).Draw(m.t, "rank count")]
 	for i := range s.Endpoints {
 		s.Endpoints[i].Draining = rapid.IntRange(0, 4).Draw(m.t, "draining") == 0
+		s.Endpoints[i].Evacuated = rapid.IntRange(0, 4).Draw(m.t, "evacuated") == 0
 	}
 	m.service = s
 	for a := range m.draining {
--- a/core/daisyroute/probe.go
+++ b/core/daisyroute/probe.go
@@ -106,7 +106,7 @@
 	}
 	for t := d.probes.Due(now); t != nil; t = d.probes.Due(now) {
 		e := d.byAddress[t.Address()]
-		if !e.rate.bucket.Allows(now) || e.pausing(now) {
+		if !e.rate.bucket.Allows(now) || e.pausing(now) || e.declared.Evacuated {
 			d.probes.Skip(now, t)
 			continue
 		}
--- a/core/daisyroute/rate.go
+++ b/core/daisyroute/rate.go
@@ -184,6 +184,9 @@
 func (d *Dispatcher) usableSlots() (slots float64, limited bool) {
 	slotTime := d.queue.SlotTime()
 	for _, e := range d.endpoints {
+		if e.declared.Evacuated {
+			continue
+		}
 		n := float64(e.slots)
 		if limit, ok := e.rate.limit.(daisyendpoint.Limited); ok && slotTime > 0 {
 			n = min(n, float64(slotTime)/float64(limit.Interval))
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -61,6 +61,7 @@
 	d.attemptTimers.Remove(a.timerIndex)
 	d.queue.Ended(now, a.rank, now.Sub(a.sent), a.charge)
 	e.inFlight--
+	d.countEvacuated(e)
 	a.sharing.release(now, a)
 	d.refresh(now, e)
 	if e.removed && e.inFlight == 0 {
@@ -249,7 +250,7 @@
 		return daisyrequest.Overloaded{RetryAfter: retryAfter}
 	case CrashesEndpoints:
 		return daisyrequest.Quarantined{RetryAfter: retryAfter}
-	case NoneUsable, AttemptsSpent, BudgetSpent, NotRepeatable, AllPausing, Stopping, Expired:
+	case NoneUsable, AttemptsSpent, BudgetSpent, NotRepeatable, AllPausing, Stopping, Expired, CapacityLost:
 	}
 	return daisyrequest.NoEndpoint{RetryAfter: retryAfter}
 }
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -37,6 +37,7 @@
 	}
 	d.changeSharings(now)
 	d.updateEvenShare()
+	d.applyEvacuation(now)
 	for _, e := range d.byAddress {
 		if !kept[e] && !e.removed {
 			d.remove(now, e)
@@ -54,6 +55,9 @@
 	if !e.removed && !e.declared.SameIncarnation(declared) {
 		d.forgetIncarnation(now, e)
 	}
+	if !e.removed && e.declared.Evacuated && !declared.Evacuated {
+		d.health.Return(e.health)
+	}
 	e.declared = declared
 	e.leaving = e.leaving || d.departures.contains(declared.Identity())
 	e.slots = declared.Slots
--- a/core/daisyservice/service.go
+++ b/core/daisyservice/service.go
@@ -49,6 +49,28 @@
 	return slots
 }
 
+// OpenSlots returns the number of slots of the endpoints that are not evacuated.
+func (s Service) OpenSlots() int {
+	slots := 0
+	for _, e := range s.Endpoints {
+		if !e.Evacuated {
+			slots += e.Slots
+		}
+	}
+	return slots
+}
+
+// OpenEndpoints returns the number of endpoints that are not evacuated.
+func (s Service) OpenEndpoints() int {
+	n := 0
+	for _, e := range s.Endpoints {
+		if !e.Evacuated {
+			n++
+		}
+	}
+	return n
+}
+
 // FindRank returns the rank with the given name, and reports whether the service has it.
 func (s Service) FindRank(name daisyrank.Name) (daisyrank.Rank, bool) {
 	for _, r := range s.Ranks {
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -97,7 +97,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(service.Slots()-len(s.tickets), 0)
+	return max(service.OpenSlots()-len(s.tickets), 0)
 }
 
 // begin adds a request. It reports false when the shard is closed.
--- a/io/daisycontroller/route_work.go
+++ b/io/daisycontroller/route_work.go
@@ -33,7 +33,7 @@
 	defer s.mu.Unlock()
 	for _, e := range s.dispatcher.Endpoints(now()) {
 		switch e.Condition {
-		case daisyroute.Draining, daisyroute.Leaving, daisyroute.Removed:
+		case daisyroute.Draining, daisyroute.Leaving, daisyroute.Removed, daisyroute.Evacuated:
 		case daisyroute.InUse, daisyroute.Ramping, daisyroute.EjectedSlow, daisyroute.EjectedFaulty, daisyroute.Pausing:
 			return true
 		}
