Limit the requests to cold endpoints

Cause: an endpoint that has just started, or says that it is cold, tolerates few requests a second and crashes above; VMs sent it as many as to others. In virtual time one of them got 41 to 157 requests in a second.

Change: a VM derives until when an endpoint is cold from its declaration, from answers to probes, from the service for incarnations that start while the VM serves, and from other VMs. Meanwhile the lower of the rate of cold endpoints and of the limit that it names is in force: owners lend credits at it, those lent before included, and VMs without an owner use half of an even share. Afterwards the endpoint ramps up. A declaration that counts down is neither news nor logged. Probes count against the rate. A bucket of daisyrate can save for another time than a second; its property test draws that time too.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
@@ -54,6 +55,8 @@
 	// number of attempts, totalSlots the number of declared slots, and maxSlots the
 	// largest number of slots of one endpoint.
 	totalHeld, totalInFlight, totalSlots, maxSlots int
+	// coldLimited is set if cold endpoints have a rate limit.
+	coldLimited bool
 	// addresses has the keys of endpoints in the order of their addition, for a stable
 	// order in reports.
 	addresses []netip.AddrPort
@@ -104,6 +107,7 @@
 
 func (b *Borrower) setService(service daisyservice.Service) {
 	b.service = service
+	b.coldLimited = daisyendpoint.ColdRateLimit(service.ColdRate) != nil
 	b.totalSlots, b.maxSlots = service.Slots(), 0
 	for _, c := range b.endpoints {
 		c.draining, c.slots = true, 0
@@ -243,7 +247,7 @@
 		c.claimed = c.inFlight
 		return
 	}
-	if (b.lendsOnDemand() || c.limited()) && c.idle() > 0 && b.term != (Term{}) {
+	if (b.lendsOnDemand() || b.limited(now, c)) && c.idle() > 0 && b.term != (Term{}) {
 		// The owner has the demand of all VMs and the state of the endpoint, and
 		// decides where the next credit is lent, and to which VM.
 		b.returnCredits(now, c, 1)
@@ -311,7 +315,7 @@
 	if b.lendsOnDemand() {
 		surplus = max(surplus, b.held()-b.totalInFlight-b.totalWaiting())
 	}
-	if c.limited() && b.totalWaiting() == 0 {
+	if b.limited(now, c) && b.totalWaiting() == 0 {
 		surplus = idle
 	}
 	if c.draining || c.restricted {
@@ -344,6 +348,7 @@
 		if g.RateLimit != nil && c.rateLimitNews <= b.timer.acknowledged {
 			c.rateLimit = g.RateLimit
 		}
+		c.noteGrantedCold(now, g.ColdFor)
 	}
 	if grant.Sequence > 0 {
 		b.timer.scheduleAck(now, ackDelay)
@@ -360,7 +365,7 @@
 	b.timer.forgetUnacked()
 	for _, c := range b.endpoints {
 		*c = c.renewed(uint32(max(c.held(), int(c.inFlight))))
-		if c.claimed > 0 || c.restricted || c.limited() {
+		if c.claimed > 0 || c.restricted || c.limited() || c.cold.learned && now.Before(c.cold.until) {
 			c.changed = b.timer.nextSequence()
 		}
 	}
@@ -383,7 +388,7 @@
 		return Report{}, false
 	case b.timer.updateDue(now):
 		if b.term != (Term{}) {
-			r.Held = b.changes()
+			r.Held = b.changes(now)
 		}
 		r.Demand = slices.Clone(b.demand)
 		b.reportedDemand = append(b.reportedDemand[:0], b.demand...)
@@ -397,14 +402,14 @@
 }
 
 // changes returns the endpoints that changed since the latest acknowledged report.
-func (b *Borrower) changes() []Held {
+func (b *Borrower) changes(now time.Time) []Held {
 	var held []Held
 	for _, a := range b.addresses {
 		c := b.endpoints[a]
 		if c.changed <= b.timer.acknowledged {
 			continue
 		}
-		held = append(held, Held{Endpoint: a, Claimed: c.claimed, Returned: c.returned, InFlight: c.inFlight, Shed: c.shed, Restricted: c.restricted, RateLimit: c.rateLimit, Answers: c.answers})
+		held = append(held, Held{Endpoint: a, Claimed: c.claimed, Returned: c.returned, InFlight: c.inFlight, Shed: c.shed, Restricted: c.restricted, RateLimit: c.rateLimit, Answers: c.answers, ColdFor: c.cold.remaining(now)})
 	}
 	return held
 }
--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -11,6 +11,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
@@ -54,6 +55,8 @@
 	// whether it is news.
 	RateLimit daisyendpoint.RateLimit
 	Answers   uint64
+	// ColdFor is how long the endpoint stays cold as known to the borrower; 0 if it is not cold.
+	ColdFor time.Duration
 }
 
 // Demand is the demand of a borrower for slots for one rank.
@@ -91,6 +94,8 @@
 	Recalled uint64
 	// RateLimit is the rate limit of the endpoint as known to the owner; nil if unknown.
 	RateLimit daisyendpoint.RateLimit
+	// ColdFor is how long the endpoint stays cold as known to the owner; 0 if it is not cold.
+	ColdFor time.Duration
 }
 
 // Grant is a message from the owner to a borrower.
--- a/core/daisycredit/endpoint_credits.go
+++ b/core/daisycredit/endpoint_credits.go
@@ -28,6 +28,8 @@
 	// rateLimitNews is the sequence number of the first report that includes the latest
 	// limit that an answer to this VM named.
 	rateLimitNews uint64
+	// cold is the coldness of the endpoint, which may have ended.
+	cold coldness
 	// changed is the sequence number of the first report that includes the latest change.
 	changed uint64
 }
@@ -42,6 +44,7 @@
 		draining:   c.draining,
 		rateLimit:  c.rateLimit,
 		answers:    c.answers,
+		cold:       c.cold,
 	}
 }
 
--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -22,6 +22,7 @@
 	if !countsWereValid {
 		o.updateBuckets(now)
 	}
+	o.endColdness(now)
 	o.updateSaturation(now)
 	if _, ok := o.options.Lending.(OnDemand); !ok || !countsWereValid {
 		o.recallExcess(now)
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -68,6 +68,9 @@
 	totalSlots int
 	// byAddress maps the addresses of endpoints to their state.
 	byAddress map[netip.AddrPort]*endpointState
+	// cold has the endpoints that are cold, and coldLimit the limit that applies to them.
+	cold      map[netip.AddrPort]coldness
+	coldLimit daisyendpoint.RateLimit
 	// countsValid reports whether the counts of credits are up to date. Some changes
 	// update them; the others clear countsValid.
 	countsValid bool
@@ -210,7 +213,7 @@
 	if options.Lending == nil {
 		options.Lending = InAdvance{}
 	}
-	o := &Owner{options: options, lastTerm: options.LastTerm, claimDeadline: now.Add(claimTimeout)}
+	o := &Owner{options: options, lastTerm: options.LastTerm, claimDeadline: now.Add(claimTimeout), cold: make(map[netip.AddrPort]coldness)}
 	o.setService(options.Service)
 	return o
 }
@@ -232,6 +235,7 @@
 	old := o.byAddress
 	o.byAddress = make(map[netip.AddrPort]*endpointState, len(service.Endpoints))
 	o.service = service
+	o.coldLimit = daisyendpoint.ColdRateLimit(service.ColdRate)
 	o.totalSlots = service.Slots()
 	o.countsValid = false
 	o.endpoints = nil
@@ -239,6 +243,8 @@
 		e := old[d.Address]
 		if e == nil || !e.SameIncarnation(d) {
 			e = &endpointState{}
+			e.rate.cold = o.cold[d.Address]
+			e.rate.chargeDue = e.rate.cold.inForce()
 		}
 		e.Endpoint = d
 		o.endpoints = append(o.endpoints, e)
@@ -372,6 +378,7 @@
 			o.setRateLimit(now, e, h.RateLimit)
 		}
 	}
+	o.noteHeldCold(now, e, h.ColdFor)
 	if h.Shed > l.shed {
 		l.shed = h.Shed
 		o.recordShed(now, h.Endpoint)
@@ -474,6 +481,7 @@
 		granted := Granted{Endpoint: address, Granted: l.granted, Recalled: l.recalled}
 		if e := o.endpoint(address); e != nil {
 			granted.RateLimit = e.rate.limit
+			granted.ColdFor = e.rate.cold.remaining(now)
 		}
 		g.Granted = append(g.Granted, granted)
 		return false
--- a/core/daisycredit/rate.go
+++ b/core/daisycredit/rate.go
@@ -22,11 +22,18 @@
 type rateState struct {
 	// limit is the latest limit, and announced the one that the borrowers were told.
 	limit, announced daisyendpoint.RateLimit
-	bucket           daisyrate.Bucket
+	// cold is the coldness of the endpoint, and inForce the lower of limit and the limit of
+	// cold endpoints, or limit while the endpoint is not cold.
+	cold    coldness
+	inForce daisyendpoint.RateLimit
+	// chargeDue is set while the credits that were lent before the coldness began have not
+	// been charged.
+	chargeDue bool
+	bucket    daisyrate.Bucket
 }
 
 func (s *rateState) limited() bool {
-	_, ok := s.limit.(daisyendpoint.Limited)
+	_, ok := s.inForce.(daisyendpoint.Limited)
 	return ok
 }
 
@@ -53,7 +60,7 @@
 // announceRateLimits tells a borrower all rate limits, at the beginning of its term.
 func (o *Owner) announceRateLimits(now time.Time, a *account) {
 	for _, e := range o.endpoints {
-		if e.rate.limited() {
+		if _, named := e.rate.limit.(daisyendpoint.Limited); named || e.rate.cold.learned {
 			o.announceRateLimit(now, a, e.Address)
 		}
 	}
@@ -80,7 +87,11 @@
 // updateBucket sets the rate at which the owner lends credits at an endpoint: the shares
 // of the borrowers that rely on its credits there.
 func (o *Owner) updateBucket(now time.Time, e *endpointState) {
-	limit, ok := e.rate.limit.(daisyendpoint.Limited)
+	e.rate.inForce = e.rate.limit
+	if e.rate.cold.inForce() {
+		e.rate.inForce = daisyendpoint.LowerRateLimit(e.rate.limit, o.coldLimit)
+	}
+	limit, ok := e.rate.inForce.(daisyendpoint.Limited)
 	if !ok {
 		e.rate.bucket.Unlimit()
 		return
@@ -88,13 +99,15 @@
 	relying := max(o.reportedAccounts-e.restrictedReported, 1)
 	shares := max(len(o.accounts)+o.silentVMs, relying)
 	interval := float64(limit.Interval) * float64(shares) / float64(relying)
+	e.rate.bucket.SaveFor(e.rate.cold.saveTime())
 	e.rate.bucket.Limit(now, time.Duration(interval), 1)
+	o.chargeLent(now, e)
 }
 
 // updateBuckets updates the buckets after a change of the borrowers.
 func (o *Owner) updateBuckets(now time.Time) {
 	for _, e := range o.endpoints {
-		if e.rate.limited() {
+		if e.rate.limited() || e.rate.cold.inForce() {
 			o.updateBucket(now, e)
 		}
 	}
@@ -113,7 +126,7 @@
 // usableSlots returns how many of the slots of an endpoint its rate limit lets the VMs
 // use on average.
 func (o *Owner) usableSlots(e *endpointState, slots int) float64 {
-	limit, ok := e.rate.limit.(daisyendpoint.Limited)
+	limit, ok := e.rate.inForce.(daisyendpoint.Limited)
 	if !ok || o.otherHoldTimes.samples < minHoldSamples {
 		return float64(slots)
 	}
--- a/core/daisyendpoint/endpoint.go
+++ b/core/daisyendpoint/endpoint.go
@@ -43,6 +43,13 @@
 	return e.Instance == o.Instance && e.Started == o.Started
 }
 
+// SameDeclaration reports whether two declarations agree in all but ColdFor, which counts
+// down while nothing else changes.
+func (e Endpoint) SameDeclaration(o Endpoint) bool {
+	e.ColdFor = o.ColdFor
+	return e == o
+}
+
 // Identity names one incarnation of the endpoint at an address.
 type Identity struct {
 	Address  netip.AddrPort
--- a/core/daisyendpoint/rate_limit.go
+++ b/core/daisyendpoint/rate_limit.go
@@ -63,3 +63,16 @@
 	longer, shorter := max(x.Interval, y.Interval), min(x.Interval, y.Interval)
 	return float64(longer) <= rateTolerance*float64(shorter)
 }
+
+// LowerRateLimit returns the lower of two limits; one that is not known does not limit.
+func LowerRateLimit(a, b RateLimit) RateLimit {
+	x, limitedA := a.(Limited)
+	y, limitedB := b.(Limited)
+	switch {
+	case limitedA && limitedB && y.Interval > x.Interval, limitedB && !limitedA:
+		return b
+	case a == nil:
+		return b
+	}
+	return a
+}
--- a/core/daisyhealth/group.go
+++ b/core/daisyhealth/group.go
@@ -83,6 +83,14 @@
 	return e
 }
 
+// Ramp lets a steady endpoint start with one attempt at a time again.
+func (g *Group) Ramp(e *Endpoint) {
+	if _, ok := e.state.(Steady); ok {
+		e.state = Ramping{Allowed: 1}
+		g.changes++
+	}
+}
+
 // Leave removes an endpoint and compares the others again, so that the remaining ones
 // do not all stay ejected.
 func (g *Group) Leave(now time.Time, e *Endpoint) {
--- a/core/daisymeasure/endpoint.go
+++ b/core/daisymeasure/endpoint.go
@@ -28,6 +28,7 @@
 	// attempts and probes reached it.
 	rateLimit daisyendpoint.RateLimit
 	arrivals  []time.Duration
+	coldUntil time.Time
 	// history contains past loads, for delayed reports.
 	history []loadSample
 }
@@ -50,6 +51,12 @@
 
 func (sm *Simulation) receiveAttempt(a *attempt) {
 	e := a.endpoint
+	if a.misdirected() {
+		if a.state != done {
+			sm.respond(a, daisyrequest.Misdirected{})
+		}
+		return
+	}
 	e.arrivals = append(e.arrivals, sm.now.Sub(sm.start))
 	switch {
 	case a.state == done:
--- a/core/daisymeasure/event.go
+++ b/core/daisymeasure/event.go
@@ -120,7 +120,7 @@
 		sm.cancelAtEndpoint(e.attempt)
 	case faultChanged:
 		sm.applyFault(e)
-	case outcomeReceived, deadlinePassed, dispatcherWoken, messageReceived, probeFinished, livenessChecked:
+	case outcomeReceived, deadlinePassed, dispatcherWoken, messageReceived, probeFinished, livenessChecked, serviceDeclared:
 		sm.handleVMEvent(ev)
 	}
 }
@@ -148,6 +148,8 @@
 		}
 	case messageReceived:
 		sm.handle(v, e.service, e.message)
+	case serviceDeclared:
+		sm.handle(v, e.service, e.change)
 	case probeFinished:
 		sm.finishProbe(e)
 	case livenessChecked:
@@ -172,6 +174,8 @@
 		return e.vm
 	case livenessChecked:
 		return e.vm
+	case serviceDeclared:
+		return e.vm
 	case callerArrived, attemptReached, workFinished, attemptCanceled, faultChanged:
 	}
 	return nil
--- a/core/daisymeasure/fault.go
+++ b/core/daisymeasure/fault.go
@@ -14,7 +14,7 @@
 func (s Span) span() (begin, length time.Duration) { return s.Begin, s.Length }
 
 // Fault is a fault that is present for a time. It is one of Slow, FailFast, Drain,
-// Crash, LimitRate, KillVM, PauseVM and Partition.
+// Crash, LimitRate, Cold, KillVM, PauseVM and Partition.
 type Fault interface {
 	span() (begin, length time.Duration)
 	fault()
@@ -103,6 +103,10 @@
 			sm.crash(sm.endpointAt(f.EndpointRef))
 		}
 		sm.endpointAt(f.EndpointRef).down = c.begins
+	case Cold:
+		if c.begins {
+			sm.beginCold(f)
+		}
 	case LimitRate:
 		sm.endpointAt(f.EndpointRef).rateLimit = daisyendpoint.Unlimited{}
 		if c.begins {
--- a/core/daisymeasure/fleet.go
+++ b/core/daisymeasure/fleet.go
@@ -23,6 +23,10 @@
 	// LocalDelay and CrossZoneDelay are the one-way network delays within and
 	// between availability zones.
 	LocalDelay, CrossZoneDelay time.Duration
+	// ColdRate is the number of requests per second that cold endpoints tolerate, and
+	// ColdStart how long they are cold after a start; 0 means that they are never cold.
+	ColdRate  float64
+	ColdStart time.Duration
 }
 
 // Portugal returns the fleet vigia-lar with the first maxServices of its services.
@@ -89,7 +93,7 @@
 }
 
 func (f Fleet) service(i int) daisyservice.Service {
-	s := daisyservice.Service{ID: daisyservice.ID{Fleet: f.Name, Name: fmt.Sprint("service-", i)}, Ranks: f.ranks()}
+	s := daisyservice.Service{ID: daisyservice.ID{Fleet: f.Name, Name: fmt.Sprint("service-", i)}, Ranks: f.ranks(), ColdRate: f.ColdRate, ColdStart: f.ColdStart}
 	for j := range f.Endpoints[i] {
 		address := netip.AddrFrom4([4]byte{10, 2, byte(i), byte(j)})
 		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{
--- a/core/daisymeasure/route.go
+++ b/core/daisymeasure/route.go
@@ -81,7 +81,7 @@
 
 func (sm *Simulation) sendAttempt(v *vm, s *service, d daisyroute.Send) {
 	c := sm.callByID(d.Request)
-	a := &attempt{id: d.Attempt, call: c, vm: v, endpoint: s.endpoints[d.Endpoint], work: c.work[min(c.sendCount, 1)]}
+	a := &attempt{id: d.Attempt, call: c, vm: v, endpoint: s.endpoints[d.Endpoint], instance: d.Instance, work: c.work[min(c.sendCount, 1)]}
 	c.sendCount++
 	v.attempts[s.index][d.Attempt] = a
 	sm.tally.recordSend(sm, a, d.Reason)
@@ -171,7 +171,9 @@
 	sm.tally.Probes++
 	e.arrivals = append(e.arrivals, sm.now.Add(sm.scenario.Fleet.delay(v.Zone, e.Zone)).Sub(sm.start))
 	after := 2*sm.scenario.Fleet.delay(v.Zone, e.Zone) + probeWork
-	sm.schedule(after, probeFinished{vm: v, service: s, endpoint: e, address: d.Endpoint, report: sm.loadReport(e), failed: e.down})
+	report := sm.loadReport(e)
+	report.ColdFor = e.coldFor(sm.now)
+	sm.schedule(after, probeFinished{vm: v, service: s, endpoint: e, address: d.Endpoint, report: report, failed: e.down})
 }
 
 func (sm *Simulation) finishProbe(e probeFinished) {
--- a/core/daisymeasure/simulation.go
+++ b/core/daisymeasure/simulation.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyrank"
@@ -112,6 +113,8 @@
 	vm       *vm
 	endpoint *endpoint
 	work     time.Duration
+	// instance is the incarnation for which the attempt is meant.
+	instance daisyendpoint.Instance
 	state    attemptState
 	resolved bool
 	outcome  daisyrequest.Outcome
--- a/core/daisyrate/bucket.go
+++ b/core/daisyrate/bucket.go
@@ -3,19 +3,34 @@
 
 import "time"
 
-// saveTime is the time for which a Bucket saves what it does not use.
-const saveTime = time.Second
+// defaultSaveTime is the time for which a Bucket saves what it does not use, unless
+// SaveFor sets another one.
+const defaultSaveTime = time.Second
 
 // Bucket limits requests to one per interval on average. It saves the requests of the
 // last second, or a single one if the interval is longer. A single saved request is lost
 // after a second, and the next one is due an interval later: many VMs with a small share
-// of a rate each must not send what they saved at the same time.
+// of a rate each must not send what they saved at the same time. SaveFor sets another
+// time than a second.
 //
 // The zero value does not limit.
 type Bucket struct {
 	interval time.Duration
 	// next is when the next request is due.
 	next time.Time
+	// save is the time for which unused requests are saved; 0 means defaultSaveTime.
+	save time.Duration
+}
+
+// SaveFor sets the time for which the bucket saves what it does not use; 0 means the
+// default, a second.
+func (b *Bucket) SaveFor(save time.Duration) { b.save = save }
+
+func (b *Bucket) saveTime() time.Duration {
+	if b.save == 0 {
+		return defaultSaveTime
+	}
+	return b.save
 }
 
 // Limit sets the interval, which must be positive. A bucket that did not limit before
@@ -40,10 +55,11 @@
 // Next returns when the next request is allowed, which may be in the past.
 func (b *Bucket) Next(now time.Time) time.Time {
 	late := now.Sub(b.next)
-	if b.interval <= saveTime || late < saveTime {
+	save := b.saveTime()
+	if b.interval <= save || late < save {
 		return b.next
 	}
-	lost := (late-saveTime)/b.interval + 1
+	lost := (late-save)/b.interval + 1
 	return b.next.Add(lost * b.interval)
 }
 
@@ -55,7 +71,7 @@
 	if !b.Limiting() {
 		return
 	}
-	earliest := now.Add(min(0, b.interval-saveTime))
+	earliest := now.Add(min(0, b.interval-b.saveTime()))
 	if next := b.Next(now); next.After(earliest) {
 		earliest = next
 	}
--- a/core/daisyrate/bucket_test.go
+++ b/core/daisyrate/bucket_test.go
@@ -31,14 +31,19 @@
 }
 
 // Guards against more requests in a window than the rate allows in it, with a burst of
-// one second or of one request.
+// the saved time or of one request.
 func TestRequestsOfAnyWindowStayWithinTheRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		interval := time.Duration(rapid.IntRange(1, 5000).Draw(t, "interval ms")) * time.Millisecond
 		window := time.Duration(rapid.IntRange(1, 20).Draw(t, "window s")) * time.Second
+		save := time.Duration(rapid.IntRange(0, 1000).Draw(t, "save ms")) * time.Millisecond
 		var b daisyrate.Bucket
 		now := start
+		b.SaveFor(save)
 		b.Limit(now, interval, 1)
+		if save == 0 {
+			save = time.Second
+		}
 		var taken []time.Time
 		for range rapid.IntRange(1, 1000).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
@@ -47,7 +52,7 @@
 				taken = append(taken, now)
 			}
 		}
-		burst := max(1, float64(time.Second)/float64(interval))
+		burst := max(1, float64(save)/float64(interval))
 		for i, from := range taken {
 			n := 0
 			for _, at := range taken[i:] {
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -186,7 +186,7 @@
 		Considered:    considered(c),
 		Waited:        now.Sub(r.Arrived),
 		Report:        c.endpoint.report,
-		RateLimit:     c.endpoint.rate.limit,
+		RateLimit:     c.endpoint.rate.inForce,
 		RateUsed:      c.endpoint.rate.usedShare(now),
 	})
 	a.charge = d.queue.Started(now, a.rank)
--- a/core/daisyroute/condition.go
+++ b/core/daisyroute/condition.go
@@ -116,7 +116,7 @@
 	Connections int
 	// ResumesIn is the time until the end of the pause that the endpoint asked for.
 	ResumesIn time.Duration
-	// RateLimit is the rate limit that the endpoint named last, and RateUsed the share of
+	// RateLimit is the rate limit that is in force, and RateUsed the share of
 	// it that this VM used of late.
 	RateLimit daisyendpoint.RateLimit
 	RateUsed  float64
@@ -148,7 +148,7 @@
 		Spare:       e.spare,
 		Connections: e.declared.ConnectionShare(len(d.peers) + 1),
 		ResumesIn:   max(e.pausedUntil.Sub(now), 0),
-		RateLimit:   e.rate.limit,
+		RateLimit:   e.rate.inForce,
 		RateUsed:    e.rate.usedShare(now),
 	}
 }
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -118,6 +118,9 @@
 			Overcommit: s.policy.Overcommit,
 		})
 	}
+	for _, e := range d.endpoints {
+		s.owner.SetCold(now, e.address, e.cold.until, e.cold.learned)
+	}
 	s.owner.SetVMs(now, slices.Concat(vms, event.Leaving))
 	for _, e := range d.endpoints {
 		s.noteNotice(e)
@@ -142,6 +145,7 @@
 		if s := d.sharingAsked(now, m.Grant.Zone); s != nil {
 			s.borrower.Receive(now, from, m.Grant)
 			d.learnRateLimits(now, s, m.Grant)
+			d.learnColdness(now, m.Grant)
 			s.changed = true
 		}
 	}
@@ -221,6 +225,7 @@
 		if l.To == s.self.Name {
 			s.borrower.Receive(now, l.To, l.Grant)
 			d.learnRateLimits(now, s, l.Grant)
+			d.learnColdness(now, l.Grant)
 			s.changed, more = true, true
 			continue
 		}
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -107,7 +107,8 @@
 	FromPeer bool
 }
 
-// RateLimitChanged reports a new rate limit of an endpoint. It requires no action.
+// RateLimitChanged reports a new rate limit of an endpoint, also because its coldness
+// began or ended. It requires no action.
 type RateLimitChanged struct {
 	Endpoint  netip.AddrPort
 	RateLimit daisyendpoint.RateLimit
@@ -115,6 +116,8 @@
 	VMs int
 	// FromPeer is set if another VM told this one.
 	FromPeer bool
+	// ColdFor is how long the endpoint stays cold; 0 if it is not cold.
+	ColdFor time.Duration
 }
 
 // LendingChanged reports whether this VM gets its credits from an owner or, if no
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -9,6 +9,7 @@
 	"daisyyoke/core/daisybudget"
 	"daisyyoke/core/daisycrash"
 	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyhealth"
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisyprobe"
@@ -84,6 +85,9 @@
 	budgetSharers int
 	// departures has the incarnations of endpoints that said that they are going to stop.
 	departures *Departures
+	// coldLimit is the limit of endpoints while they are cold; nil if there is none.
+	coldLimit    daisyendpoint.RateLimit
+	formerlyCold formerlyCold
 	// peers are the other live VMs, and incarnations those of all live VMs.
 	peers        []daisyvm.Name
 	vms          PeersChanged
--- a/core/daisyroute/endpoint.go
+++ b/core/daisyroute/endpoint.go
@@ -57,6 +57,7 @@
 	// report is the latest load report.
 	report daisyendpoint.Report
 	rate   rateState
+	cold   coldness
 	// inFlightAtReport is the VM's own attempts in flight when report arrived.
 	inFlightAtReport int
 }
@@ -67,6 +68,7 @@
 // refresh updates the lists, counts and timer after a change of the endpoint or when
 // its timer has expired.
 func (d *Dispatcher) refresh(now time.Time, e *endpoint) {
+	d.endColdness(now, e)
 	draining := e.removed || e.leaving || e.declared.Draining || now.Before(e.drainingUntil)
 	d.countUsable(e, !draining)
 	d.countPaused(e, !draining && e.pausing(now))
@@ -146,6 +148,9 @@
 	if e.pausing(now) {
 		next = daisywake.Sooner(next, e.pausedUntil)
 	}
+	if e.cold.inForce {
+		next = daisywake.Sooner(next, e.cold.until)
+	}
 	if !e.removed {
 		next = daisywake.Sooner(next, d.nextByRate(now, e))
 		if s, ok := e.health.State().(daisyhealth.Ejected); ok && now.Before(s.NextTrial) {
--- a/core/daisyroute/probe.go
+++ b/core/daisyroute/probe.go
@@ -27,6 +27,8 @@
 	wasDraining := now.Before(e.drainingUntil)
 	probed := e.probeTarget.Pending()
 	d.noteProbeNotice(now, e, event.Notice)
+	// The owner on this VM lends on a report, and has to know of a coldness before.
+	d.noteReportedCold(now, e, event.Report.ColdFor)
 	d.recordReport(now, e, event.Report)
 	d.noteRateLimit(now, e, event.Report.RateLimit)
 	if probed {
@@ -76,6 +78,7 @@
 func (d *Dispatcher) notifyPeers(e *endpoint) {
 	report := e.report
 	report.RateLimit = e.rate.limit
+	report.ColdFor = max(e.cold.until.Sub(e.report.At), 0)
 	for _, p := range d.peers {
 		d.emit(SendMessage{To: p, Message: daisymessage.EndpointNews{Service: d.service.ID, Address: e.address, Report: report}})
 	}
@@ -94,6 +97,7 @@
 	if e := d.byAddress[m.Address]; e != nil && !e.removed && m.Service == d.service.ID {
 		d.recordReport(now, e, m.Report)
 		d.applyRateLimit(now, e, m.Report.RateLimit, true)
+		d.notePeerCold(now, e, m.Report.ColdFor)
 	}
 }
 
--- a/core/daisyroute/rate.go
+++ b/core/daisyroute/rate.go
@@ -22,6 +22,9 @@
 // rateState is the rate limit of an endpoint and what this VM may send and has sent.
 type rateState struct {
 	limit daisyendpoint.RateLimit
+	// inForce is the lower of limit and the limit of cold endpoints while the endpoint is
+	// cold, and limit otherwise.
+	inForce daisyendpoint.RateLimit
 	// bucket has this VM's share of the rate. It is used for the requests for which no
 	// owner lends a credit: trials, probes, and all in fallback mode.
 	bucket daisyrate.Bucket
@@ -45,7 +48,7 @@
 
 // usedShare returns the share of the endpoint's rate that this VM uses.
 func (s *rateState) usedShare(now time.Time) float64 {
-	limit, ok := s.limit.(daisyendpoint.Limited)
+	limit, ok := s.inForce.(daisyendpoint.Limited)
 	if !ok {
 		return 0
 	}
@@ -57,17 +60,8 @@
 	if limit == nil {
 		return
 	}
-	changed := !daisyendpoint.SimilarRateLimits(e.rate.limit, limit)
-	wasLimited := e.rate.limited()
 	e.rate.limit = limit
-	d.updateRateShare(now, e)
-	if changed {
-		d.emit(RateLimitChanged{Endpoint: e.address, RateLimit: limit, VMs: d.sharers(now), FromPeer: fromPeer})
-	}
-	if wasLimited || e.rate.limited() {
-		d.updateEvenShare()
-		d.refresh(now, e)
-	}
+	d.putRateInForce(now, e, fromPeer)
 }
 
 // noteRateLimit handles the rate limit that an endpoint named in a response to this VM.
@@ -88,7 +82,7 @@
 // updateRateShare sets this VM's share of the rate of an endpoint. The phase is random,
 // so that the VMs do not use their shares at the same time.
 func (d *Dispatcher) updateRateShare(now time.Time, e *endpoint) {
-	limit, ok := e.rate.limit.(daisyendpoint.Limited)
+	limit, ok := e.rate.inForce.(daisyendpoint.Limited)
 	if !ok {
 		e.rate.bucket.Unlimit()
 		return
@@ -97,7 +91,12 @@
 	if !e.rate.limited() {
 		phase = d.random.Float64()
 	}
-	e.rate.bucket.Limit(now, time.Duration(d.sharers(now))*limit.Interval, phase)
+	sharers, save := d.sharers(now), time.Duration(0)
+	if e.cold.inForce {
+		save = coldSaveTime
+	}
+	e.rate.bucket.SaveFor(save)
+	e.rate.bucket.Limit(now, max(time.Duration(sharers)*limit.Interval, d.coldInterval(e, sharers)), phase)
 }
 
 // sharers returns the number of VMs among which rates and shared budgets are divided: the
@@ -185,7 +184,7 @@
 	slotTime := d.queue.SlotTime()
 	for _, e := range d.endpoints {
 		n := float64(e.slots)
-		if limit, ok := e.rate.limit.(daisyendpoint.Limited); ok && slotTime > 0 {
+		if limit, ok := e.rate.inForce.(daisyendpoint.Limited); ok && slotTime > 0 {
 			n = min(n, float64(slotTime)/float64(limit.Interval))
 		}
 		limited = limited || n < float64(e.slots)
@@ -202,10 +201,10 @@
 	d.rateLimited = limited
 }
 
-// RateLimit returns the rate limit of an endpoint; nil if it is not known.
+// RateLimit returns the rate limit that is in force for an endpoint; nil if none is known.
 func (d *Dispatcher) RateLimit(endpoint netip.AddrPort) daisyendpoint.RateLimit {
 	if e := d.byAddress[endpoint]; e != nil {
-		return e.rate.limit
+		return e.rate.inForce
 	}
 	return nil
 }
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -21,11 +21,13 @@
 	d.started = true
 	for _, e := range d.endpoints {
 		e.probeTarget = d.probes.Add(now, e.address, e.slots)
+		d.declareCold(now, e, false)
 	}
 }
 
 func (d *Dispatcher) changeService(now time.Time, service daisyservice.Service) {
 	d.service = service
+	d.coldLimit = daisyendpoint.ColdRateLimit(service.ColdRate)
 	d.updateZoned(len(service.Endpoints))
 	d.queue.SetRanks(service.Ranks)
 	d.endpoints = make([]*endpoint, 0, len(service.Endpoints))
@@ -58,6 +60,7 @@
 	e.leaving = e.leaving || d.departures.contains(declared.Identity())
 	e.slots = declared.Slots
 	d.share(now, e)
+	appeared := e.removed
 	if e.removed {
 		e.removed = false
 		e.health = d.health.Join(e.slots, d.started)
@@ -69,6 +72,7 @@
 	if e.probeTarget != nil {
 		e.probeTarget.SetSlots(e.slots)
 	}
+	d.declareCold(now, e, appeared)
 	d.refresh(now, e)
 	return e
 }
@@ -77,6 +81,7 @@
 func (d *Dispatcher) forgetIncarnation(now time.Time, e *endpoint) {
 	d.health.Leave(now, e.health)
 	d.probes.Remove(e.probeTarget)
+	d.forgetColdness(now, e)
 	e.health, e.probeTarget = nil, nil
 	e.removed = true
 	e.report = daisyendpoint.Report{}
@@ -90,6 +95,7 @@
 	e.removed = true
 	d.health.Leave(now, e.health)
 	d.probes.Remove(e.probeTarget)
+	d.forgetColdness(now, e)
 	e.health, e.probeTarget = nil, nil
 	d.refresh(now, e)
 	d.refreshOnHealthChange(now)
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -114,6 +114,9 @@
 		return
 	}
 	e.sharing = s
+	if e.cold.inForce {
+		d.shareColdness(now, e)
+	}
 	c := e.lastCondition
 	s.setRestricted(now, e, c != InUse && c != Ramping)
 }
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -443,7 +443,7 @@
 			continue
 		}
 		c.registrations[r.Key] = e
-		if o, ok := previous[r.Key]; !ok || o.Endpoint != e.Endpoint {
+		if o, ok := previous[r.Key]; !ok || !o.Endpoint.SameDeclaration(e.Endpoint) {
 			c.options.Logger.Info("endpoint registered", "instance", r.Key, "service", e.Service.String(),
 				"endpoint", e.Endpoint.Address.String(), "draining", e.Endpoint.Draining, "row-version", uint64(r.Version))
 		}
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -58,6 +58,8 @@
 	Policy daisyroute.Policy
 	// Budget is the retry budget; nil means daisyroute.PerVM with the default limits.
 	Budget daisyroute.Budget
+	// ColdBound bounds the requests to cold endpoints.
+	ColdBound daisyendpoint.ColdBound
 	// Seed makes the random choices reproducible.
 	Seed uint64
 }
@@ -156,6 +158,7 @@
 }
 
 func (c *Route) applyService(shards map[daisyservice.ID]*routeShard, service daisyservice.Service) {
+	service.ColdRate = c.options.ColdBound.Rate(service.ColdRate)
 	if s := shards[service.ID]; s != nil {
 		s.changeService(service)
 		return
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -279,12 +279,14 @@
 func (s *routeShard) logRateLimit(change daisyroute.RateLimitChanged) {
 	if service := s.service.Load(); service != nil {
 		s.route.options.Metrics.SetRateLimit(service.ID, change.Endpoint, change.RateLimit)
+		s.route.options.Metrics.SetCold(service.ID, change.Endpoint, change.ColdFor > 0)
 		s.route.options.Log.Write(daisylog.RateLimitChanged{
 			Service:   service.ID,
 			Endpoint:  change.Endpoint,
 			RateLimit: change.RateLimit,
 			VMs:       change.VMs,
 			FromPeer:  change.FromPeer,
+			ColdFor:   change.ColdFor,
 		})
 	}
 }
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -15,6 +15,7 @@
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfeed"
 	"daisyyoke/core/daisyroute"
 	"daisyyoke/core/daisystop"
@@ -203,6 +204,7 @@
 		MaxRequests: maxRequests,
 		Policy:      daisyroute.Credits{Lending: daisycredit.OnDemand{}},
 		Budget:      retryBudget(s),
+		ColdBound:   daisyendpoint.ColdBound{Over: s.ColdOver, Slack: s.ColdSlack},
 	})
 	d.onClose(d.routes.Close)
 	d.index = daisycontroller.NewIndex()
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -157,6 +157,8 @@
 	RateLimit *float64 `json:"rate-limit"`
 	VMs       int      `json:"vms"`
 	FromPeer  bool     `json:"from-peer"`
+	// ColdFor is how long the endpoint stays cold.
+	ColdFor string `json:"cold-for,omitempty"`
 }
 
 type probedRecord struct {
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -160,6 +160,8 @@
 	VMs int
 	// FromPeer reports whether another VM told this one.
 	FromPeer bool
+	// ColdFor is how long the endpoint stays cold; 0 if it is not cold.
+	ColdFor time.Duration
 }
 
 // Probed records that an endpoint with a rate limit was probed.
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -34,7 +34,7 @@
 		l.encode(n.record(l.commonFields(e, "endpoint notice")))
 	case RateLimitChanged:
 		l.encode(&rateLimitRecord{commonFields: l.commonFields(e, "endpoint rate limit changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
-			Endpoint: n.Endpoint.String(), RateLimit: perSecond(n.RateLimit), VMs: n.VMs, FromPeer: n.FromPeer})
+			Endpoint: n.Endpoint.String(), RateLimit: perSecond(n.RateLimit), VMs: n.VMs, FromPeer: n.FromPeer, ColdFor: knownAge(n.ColdFor)})
 	case Probed:
 		l.encode(&probedRecord{commonFields: l.commonFields(e, "endpoint probed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Endpoint: n.Endpoint.String()})
@@ -129,7 +129,7 @@
 	return r
 }
 
-// knownAge returns an age as text; empty if it is not known.
+// knownAge returns an age or another time span as text; empty if it is 0 or not known.
 func knownAge(age time.Duration) string {
 	if age == 0 {
 		return ""
--- a/io/daisymetric/help.go
+++ b/io/daisymetric/help.go
@@ -20,6 +20,7 @@
 	"daisyyoke_attempts_total":               "Sends to endpoints, by reason.",
 	"daisyyoke_attempts_canceled_total":      "Attempts that were given up.",
 	"daisyyoke_probes_total":                 "Probes of endpoints, by result.",
+	"daisyyoke_endpoint_cold":                "Whether an endpoint is cold: 1 while its requests are limited for that.",
 	"daisyyoke_endpoint_rate_limit":          "Requests per second that an endpoint accepts from all VMs, +Inf without a limit.",
 	"daisyyoke_endpoint_limited_sends_total": "Attempts and probes of this VM at an endpoint with a rate limit.",
 	"daisyyoke_endpoint_crashes_total":       "Crashes of endpoints, for each request that they were running.",
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -28,6 +28,7 @@
 	counters cache[string, *metrics.Counter]
 	probes   cache[probeKey, *metrics.Counter]
 	limits   cache[endpointKey, *metrics.Gauge]
+	cold     cache[endpointKey, *metrics.Gauge]
 	limited  cache[endpointKey, *metrics.Counter]
 
 	configAge *metrics.Histogram
@@ -117,6 +118,21 @@
 	}).Set(perSecond)
 }
 
+// SetCold sets whether an endpoint is cold.
+func (m *Metrics) SetCold(service daisyservice.ID, endpoint netip.AddrPort, cold bool) {
+	if m == nil {
+		return
+	}
+	value := 0.0
+	if cold {
+		value = 1
+	}
+	key := endpointKey{service: service, endpoint: endpoint}
+	m.cold.get(key, func() *metrics.Gauge {
+		return m.set.GetOrCreateGauge(key.name("daisyyoke_endpoint_cold"), nil)
+	}).Set(value)
+}
+
 // LimitedSend counts an attempt or a probe at an endpoint with a rate limit.
 func (m *Metrics) LimitedSend(service daisyservice.ID, endpoint netip.AddrPort) {
 	if m == nil {
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -209,6 +209,7 @@
 			Shed:       h.GetShed(),
 			RateLimit:  decodeRateLimit(h.RateIntervalNanoseconds),
 			Answers:    h.GetAnswers(),
+			ColdFor:    decodeColdFor(h.GetColdMicroseconds()),
 		})
 	}
 	return report
@@ -224,6 +225,14 @@
 	return daisyendpoint.Limited{Interval: time.Duration(*interval)}
 }
 
+// maxColdFor bounds how long another VM may say that an endpoint stays cold, as the
+// endpoint's own word is bounded.
+const maxColdFor = 10 * time.Minute
+
+func decodeColdFor(microseconds uint64) time.Duration {
+	return time.Duration(min(microseconds, uint64(maxColdFor/time.Microsecond))) * time.Microsecond
+}
+
 func (r *fieldReader) grant(w *daisywire.CreditGrant) daisycredit.Grant {
 	grant := daisycredit.Grant{
 		Service:      decodeServiceID(w.GetService()),
@@ -239,6 +248,7 @@
 			Granted:   x.GetGranted(),
 			Recalled:  x.GetRecalled(),
 			RateLimit: decodeRateLimit(x.RateIntervalNanoseconds),
+			ColdFor:   decodeColdFor(x.GetColdMicroseconds()),
 		})
 	}
 	return grant
@@ -269,6 +279,7 @@
 			Slowdown: float64(w.GetSlowdownPercent()) / 100,
 
 			RateLimit: decodeRateLimit(w.RateIntervalNanoseconds),
+			ColdFor:   decodeColdFor(w.GetColdMicroseconds()),
 		},
 	}
 }
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -238,6 +238,7 @@
 			Shed:                    h.Shed,
 			Answers:                 h.Answers,
 			RateIntervalNanoseconds: encodeRateLimit(h.RateLimit),
+			ColdMicroseconds:        encodeColdFor(h.ColdFor),
 		})
 	}
 	return w
@@ -257,6 +258,11 @@
 	return &interval
 }
 
+// encodeColdFor rounds up, so that a short coldness is not taken for none.
+func encodeColdFor(coldFor time.Duration) uint64 {
+	return uint64((max(coldFor, 0) + time.Microsecond - 1) / time.Microsecond)
+}
+
 func encodeGrant(g daisycredit.Grant) *daisywire.CreditGrant {
 	w := &daisywire.CreditGrant{
 		Service:      encodeServiceID(g.Service),
@@ -272,6 +278,7 @@
 			Granted:                 x.Granted,
 			Recalled:                x.Recalled,
 			RateIntervalNanoseconds: encodeRateLimit(x.RateLimit),
+			ColdMicroseconds:        encodeColdFor(x.ColdFor),
 		})
 	}
 	return w
@@ -329,5 +336,6 @@
 		SlowdownPercent: uint32(math.Round(100 * m.Report.Slowdown)),
 
 		RateIntervalNanoseconds: encodeRateLimit(m.Report.RateLimit),
+		ColdMicroseconds:        encodeColdFor(m.Report.ColdFor),
 	}
 }
