Divide services by their rate, and leave slow owners alone

A service had one owner below 96 endpoints and one for each availability zone above, whatever its rate. One owner with 0.16 or 0.4 of a core is late for hundreds of requests a second; VMs then changed between fallback mode and waiting 120 ms for it several times a second, and with owners by zone asked all of them for each request, which kept them late.

It is only divided if the zones' owners can serve more than the owner can.

--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -22,10 +22,6 @@
 	// demandReportDelay limits how long smaller changes of the demand go unreported
 	// while requests wait for a credit on demand.
 	demandReportDelay = 30 * time.Millisecond
-	// onDemandOwnerTimeout is how long a borrower with waiting requests relies on an
-	// owner that sends nothing, when credits are lent on demand: several round trips
-	// between availability zones.
-	onDemandOwnerTimeout = 120 * time.Millisecond
 )
 
 // Borrower holds the slot credits of one VM for a service. It is not safe for
@@ -66,11 +62,19 @@
 	demand           []Demand
 	reportedDemand   []Demand
 	receivedSequence uint64
-	timer            messageTimer
-	lastCheck        time.Time
+	// rate is the rate of requests of this VM, reportedRate that of the last report, and
+	// division what the owner stated last.
+	rate, reportedRate float64
+	division           Division
+	timer              messageTimer
+	lastCheck          time.Time
 	// waitingSince is since when requests have been waiting without interruption, and
 	// lastReceived when the last message from the owner arrived.
 	waitingSince, lastReceived time.Time
+	// answers tracks how long the owner takes, and hold is how long the borrower stays in
+	// fallback mode because it took too long.
+	answers answerTimer
+	hold    hold
 }
 
 // NewBorrower returns a Borrower in fallback mode. Until SetVMs or SetShare is called,
@@ -149,6 +153,7 @@
 		delete(b.latestTerms, owner.Name)
 	}
 	b.owner = owner
+	b.answers, b.hold = answerTimer{}, hold{}
 	b.leaveTerm(now)
 	b.timer = messageTimer{interval: messageInterval}
 	if owner.Name == b.self.Name {
@@ -173,6 +178,7 @@
 func (b *Borrower) enterFallback(now time.Time) {
 	b.leaveTerm(now)
 	b.timer.forgetUnacked()
+	b.answers.stop()
 	b.fallback = true
 	b.termEnded = time.Time{}
 	for _, c := range b.endpoints {
@@ -338,10 +344,15 @@
 		if !grant.Term.after(b.latestTerms[from]) {
 			return
 		}
+		if b.fallback && !b.hold.accepts(now, grant, b.holdSpread()) {
+			b.noteDivision(grant.Division)
+			return
+		}
 		b.beginTerm(now, grant.Term)
 	}
 	b.lastReceived = now
 	b.timer.receiveAck(now, grant.Acknowledged)
+	b.answers.receive(now, grant.Acknowledged)
 	for _, g := range grant.Granted {
 		c := b.creditsAt(g.Endpoint)
 		b.totalHeld -= c.held()
@@ -358,6 +369,7 @@
 	if grant.Sequence > b.receivedSequence {
 		b.receivedSequence = grant.Sequence
 		b.creditTarget = int(grant.Target)
+		b.noteDivision(grant.Division)
 	}
 	b.returnAllSurplus(now)
 }
@@ -365,6 +377,7 @@
 // beginTerm begins a term by claiming the credits that the borrower holds.
 func (b *Borrower) beginTerm(now time.Time, term Term) {
 	b.timer.forgetUnacked()
+	b.answers.stop()
 	for _, c := range b.endpoints {
 		*c = c.renewed(uint32(max(c.held(), int(c.inFlight))))
 		if c.claimed > 0 || c.restricted || c.limited() {
@@ -386,7 +399,7 @@
 	b.checkTimeouts(now)
 	r := Report{Service: b.service.ID, Zone: b.zone, Term: b.term, Acknowledged: b.receivedSequence}
 	switch {
-	case b.owner.Name == "":
+	case b.owner.Name == "", b.holdsReports(now):
 		return Report{}, false
 	case b.timer.updateDue(now):
 		if b.term != (Term{}) {
@@ -394,7 +407,15 @@
 		}
 		r.Demand = slices.Clone(b.demand)
 		b.reportedDemand = append(b.reportedDemand[:0], b.demand...)
+		r.Rate, r.Division = b.rate, b.division
+		b.reportedRate = b.rate
 		r.Sequence = b.timer.recordUpdate(now)
+		switch {
+		case b.fallback:
+			b.hold.ask(now, r.Sequence)
+		case hasWaiting(b.demand):
+			b.answers.ask(now, r.Sequence)
+		}
 		return r, true
 	case b.timer.ackDue(now):
 		b.timer.recordAck(now)
@@ -422,37 +443,24 @@
 	b.lastCheck = now
 	switch {
 	case b.fallback:
-	case paused, b.timer.timedOut(now, ownerTimeout), !b.termEnded.IsZero() && now.Sub(b.termEnded) >= ownerTimeout, b.onDemandTimedOut(now):
+	case paused, b.timer.timedOut(now, ownerTimeout), !b.termEnded.IsZero() && now.Sub(b.termEnded) >= ownerTimeout:
 		b.enterFallback(now)
 		b.timer.scheduleUpdate(now)
+	case b.ownerSlow(now):
+		b.enterFallback(now)
+		b.hold.begin(now, b.holdSpread())
+		b.timer.scheduleUpdate(now)
 	}
 }
 
-// onDemandTimedOut reports whether requests wait and the owner has sent nothing for
-// onDemandOwnerTimeout.
-func (b *Borrower) onDemandTimedOut(now time.Time) bool {
-	due := b.onDemandDeadline()
-	return !due.IsZero() && !now.Before(due)
-}
-
-// onDemandDeadline returns the time at which waiting requests stop relying on an
-// owner that sends nothing; the zero time means never.
-func (b *Borrower) onDemandDeadline() time.Time {
-	if _, ok := b.lending.(OnDemand); !ok || b.fallback || b.totalWaiting() == 0 {
-		return time.Time{}
-	}
-	since := b.waitingSince
-	if b.lastReceived.After(since) {
-		since = b.lastReceived
-	}
-	return since.Add(onDemandOwnerTimeout)
-}
-
 // NextWake returns the time at which Flush has to be called next; the zero time means never.
 func (b *Borrower) NextWake() time.Time {
 	wake := b.timer.nextDue()
-	if b.owner.Name == "" {
+	switch {
+	case b.owner.Name == "":
 		wake = time.Time{}
+	case b.fallback && b.hold.term != (Term{}) && !wake.IsZero() && wake.Before(b.hold.until):
+		wake = b.hold.until
 	}
 	if !b.fallback && !b.lastCheck.IsZero() {
 		// Truncate loses the steady clock, without which a change of the wall clock moves the check.
--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -79,6 +79,11 @@
 	Held []Held
 	// Demand has one entry for each rank, the most urgent first.
 	Demand []Demand
+	// Rate is the rate of requests per second of the borrower for the whole service, and
+	// Division the division that it follows. Only reports to the owner of the whole
+	// service have them.
+	Rate     float64
+	Division Division
 }
 
 // Granted is the state of the credits lent to one borrower at one endpoint.
@@ -108,4 +113,6 @@
 	// Target is the number of credits to which the borrower should reduce its holdings
 	// as its attempts finish.
 	Target uint32
+	// Division is what the owner of the whole service states in numbered grants.
+	Division Division
 }
--- a/core/daisycredit/on_demand_test.go
+++ b/core/daisycredit/on_demand_test.go
@@ -228,14 +228,14 @@
 	assert.Assert(t, waited >= minGrantWait-time.Millisecond && waited <= minGrantWait+30*time.Millisecond, "%v", waited)
 }
 
-// A request waits for an owner that sends nothing only for onDemandOwnerTimeout.
+// A request waits for an owner that sends nothing only for minOwnerTimeout.
 func TestOnDemandRequestDoesNotWaitForSilentOwner(t *testing.T) {
 	c := newOnDemandCluster(3, 4)
 	c.beginTerms()
 	borrower := (c.index(c.owner.options.Self.Name) + 1) % 3
 	c.dead[c.owner.options.Self.Name] = true
 	_, waited := c.placeRequest(t, borrower)
-	assert.Assert(t, waited <= onDemandOwnerTimeout+20*time.Millisecond, "%v", waited)
+	assert.Assert(t, waited <= minOwnerTimeout+20*time.Millisecond, "%v", waited)
 }
 
 // While requests wait because all slots are in use, the owner sends every VM keepalives,
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -101,6 +101,8 @@
 	silentVMs int
 	// reportedAccounts is the number of borrowers that have reported in their term.
 	reportedAccounts int
+	// division is what the grants state.
+	division Division
 }
 
 // endpointState is the owner's record of one endpoint.
@@ -140,6 +142,9 @@
 	reported bool
 	sequence uint64
 	demand   []Demand
+	// rate and division are those of the latest report that arrived.
+	rate     float64
+	division Division
 	// averageDemand is the moving average of the number of slots that the borrower needs,
 	// updated at averagedAt.
 	averageDemand float64
@@ -301,6 +306,7 @@
 	if a == nil {
 		return
 	}
+	a.noteRate(report)
 	if report.Term != a.term {
 		o.receiveOtherTerm(now, a, report)
 		return
@@ -346,6 +352,8 @@
 func (o *Owner) receiveOtherTerm(now time.Time, a *account, report Report) {
 	if report.Term == (Term{}) {
 		o.beginTerm(now, a)
+		// The borrower tells by it how long it took.
+		a.sequence = report.Sequence
 		return
 	}
 	a.timer.scheduleUpdate(now)
@@ -465,6 +473,7 @@
 		Term:         a.term,
 		Acknowledged: a.sequence,
 		Target:       uint32(max(0, a.creditTarget)),
+		Division:     o.division,
 	}
 	a.changed = slices.DeleteFunc(a.changed, func(address netip.AddrPort) bool {
 		l := a.loans[address]
--- a/core/daisycredit/timer.go
+++ b/core/daisycredit/timer.go
@@ -17,11 +17,11 @@
 	// ackDelay is how long an acknowledgement may be delayed so that it shares a message.
 	ackDelay = 200 * time.Millisecond
 	// onDemandAckDelay is the same for a borrower whose requests wait for a credit on
-	// demand, which waits for its owner only for onDemandOwnerTimeout.
+	// demand, which waits for its owner only for minOwnerTimeout.
 	onDemandAckDelay = 20 * time.Millisecond
 	// keepaliveInterval is the time between two messages of an owner to a VM whose
 	// requests wait for a credit on demand: if one of them is lost, the next arrives
-	// before onDemandOwnerTimeout has passed.
+	// before minOwnerTimeout has passed.
 	keepaliveInterval = 50 * time.Millisecond
 	// minRetransmitDelay is the time after which an unacknowledged message is first sent
 	// again; it doubles up to maxRetransmitDelay.
--- a/core/daisymeasure/event.go
+++ b/core/daisymeasure/event.go
@@ -4,10 +4,13 @@
 	"net/netip"
 	"time"
 
+	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyroute"
+	"daisyyoke/core/daisyservice"
+	"daisyyoke/core/daisyvm"
 )
 
 // event is an event in a Simulation.
@@ -65,6 +68,9 @@
 	failed   bool
 }
 
+// workProcessed is the time at which the processor of a VM has done the work for an event.
+type workProcessed struct{ of event }
+
 // livenessChecked is the time at which a VM updates its view of which VMs are live.
 type livenessChecked struct{ vm *vm }
 
@@ -83,6 +89,7 @@
 func (dispatcherWoken) event() {}
 func (messageReceived) event() {}
 func (probeFinished) event()   {}
+func (workProcessed) event()   {}
 func (livenessChecked) event() {}
 func (faultChanged) event()    {}
 
@@ -121,13 +128,16 @@
 	case faultChanged:
 		sm.applyFault(e)
 	case outcomeReceived, deadlinePassed, dispatcherWoken, messageReceived, probeFinished, livenessChecked:
-		sm.handleVMEvent(ev)
+		sm.handleVMEvent(ev, false)
+	case workProcessed:
+		sm.handleVMEvent(e.of, true)
 	}
 }
 
 // handleVMEvent handles an event at a VM. It delays events at a paused VM until the
-// end of the pause, and drops events at a dead one.
-func (sm *Simulation) handleVMEvent(ev event) {
+// end of the pause, and until its processor has done the work for them unless it is already
+// processed. It drops events at a dead VM.
+func (sm *Simulation) handleVMEvent(ev event, processed bool) {
 	v := eventVM(ev)
 	if v.dead {
 		return
@@ -136,6 +146,11 @@
 		sm.schedule(v.pausedUntil.Sub(sm.now), ev)
 		return
 	}
+	if work := sm.workFor(ev); !processed && work > 0 && v.cores > 0 {
+		v.work(sm.now, work)
+		sm.schedule(v.busyUntil.Sub(sm.now), workProcessed{of: ev})
+		return
+	}
 	switch e := ev.(type) {
 	case outcomeReceived:
 		sm.resolveAttempt(e)
@@ -151,11 +166,47 @@
 	case probeFinished:
 		sm.finishProbe(e)
 	case livenessChecked:
+		vms := sm.visibleVMs(e.vm)
+		if sm.scenario.Fleet.isEarlierBuild(v.Name) {
+			// It knows nothing of capacities.
+			for i := range vms {
+				vms[i].Capacity = daisyvm.Capacity{}
+			}
+		}
+		owners := daisycredit.DealOwners(sm.serviceIDs(), vms)
 		for _, s := range sm.services {
-			sm.handle(v, s, daisyroute.PeersChanged{VMs: sm.visibleVMs(e.vm)})
+			sm.handle(v, s, daisyroute.PeersChanged{VMs: vms, Owners: owners})
 		}
-	case callerArrived, attemptReached, workFinished, attemptCanceled, faultChanged:
+	case callerArrived, attemptReached, workFinished, attemptCanceled, faultChanged, workProcessed:
+	}
+}
+
+func (sm *Simulation) serviceIDs() []daisyservice.ID {
+	var ids []daisyservice.ID
+	for _, s := range sm.services {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+// workFor returns the processor time of a whole core for an event.
+func (sm *Simulation) workFor(ev event) time.Duration {
+	switch ev.(type) {
+	case messageReceived, probeFinished:
+		return sm.scenario.MessageWork
+	}
+	return 0
+}
+
+// work occupies the processor after the work that has arrived before.
+func (v *vm) work(now time.Time, work time.Duration) {
+	if v.cores == 0 {
+		return
+	}
+	if v.busyUntil.Before(now) {
+		v.busyUntil = now
 	}
+	v.busyUntil = v.busyUntil.Add(time.Duration(float64(work) / v.cores))
 }
 
 func eventVM(ev event) *vm {
@@ -172,7 +223,7 @@
 		return e.vm
 	case livenessChecked:
 		return e.vm
-	case callerArrived, attemptReached, workFinished, attemptCanceled, faultChanged:
+	case callerArrived, attemptReached, workFinished, attemptCanceled, faultChanged, workProcessed:
 	}
 	return nil
 }
@@ -184,6 +235,7 @@
 		return
 	}
 	sm.tally.recordMessage(sm, from.Name, to.Name, t.Message)
+	from.work(sm.now, sm.scenario.MessageWork)
 	if sm.linkRandom.Float64() < sm.scenario.MessageLoss || sm.partitioned && from.partitionSide != to.partitionSide {
 		return
 	}
--- a/core/daisymeasure/fleet.go
+++ b/core/daisymeasure/fleet.go
@@ -23,6 +23,10 @@
 	// LocalDelay and CrossZoneDelay are the one-way network delays within and
 	// between availability zones.
 	LocalDelay, CrossZoneDelay time.Duration
+	// Cores returns the number of cores of a VM; nil means that processors are never busy.
+	Cores func(vm int) float64
+	// EarlierBuild returns whether a VM does not announce its cores; nil means that none does.
+	EarlierBuild func(vm int) bool
 }
 
 // Portugal returns the fleet vigia-lar with the first maxServices of its services.
@@ -79,7 +83,12 @@
 
 func (f Fleet) vm(i int) daisyvm.VM {
 	address := netip.AddrFrom4([4]byte{10, 1, 0, byte(i)})
+	var capacity daisyvm.Capacity
+	if f.Cores != nil && (f.EarlierBuild == nil || !f.EarlierBuild(i)) {
+		capacity = daisyvm.NewCapacity(f.Cores(i), 0)
+	}
 	return daisyvm.VM{
+		Capacity:    capacity,
 		Name:        daisyvm.Name(fmt.Sprint("vm-", i)),
 		Incarnation: 1,
 		Zone:        f.zone(i),
@@ -88,6 +97,15 @@
 	}
 }
 
+func (f Fleet) isEarlierBuild(name daisyvm.Name) bool {
+	for i := range f.VMs {
+		if f.vm(i).Name == name {
+			return f.EarlierBuild != nil && f.EarlierBuild(i)
+		}
+	}
+	return false
+}
+
 func (f Fleet) service(i int) daisyservice.Service {
 	s := daisyservice.Service{ID: daisyservice.ID{Fleet: f.Name, Name: fmt.Sprint("service-", i)}, Ranks: f.ranks()}
 	for j := range f.Endpoints[i] {
--- a/core/daisymeasure/simulation.go
+++ b/core/daisymeasure/simulation.go
@@ -45,6 +45,9 @@
 	// MessageSize returns the encoded size of a message in bytes. If it is nil, no
 	// bytes are counted.
 	MessageSize func(daisymessage.Message) int
+	// MessageWork is the processor time of a whole core for a message that a VM sends or
+	// receives, or for the result of a probe.
+	MessageWork time.Duration
 }
 
 // Simulation is the state of a run of a Scenario.
@@ -82,10 +85,14 @@
 // vm is a VM with a dispatcher for each service. The slices are indexed by service.
 type vm struct {
 	daisyvm.VM
-	dispatchers   []*daisyroute.Dispatcher
-	wakeTimes     []time.Time
-	attempts      []map[daisyrequest.AttemptID]*attempt
-	pausedUntil   time.Time
+	dispatchers []*daisyroute.Dispatcher
+	wakeTimes   []time.Time
+	attempts    []map[daisyrequest.AttemptID]*attempt
+	pausedUntil time.Time
+	// cores is the number of cores, 0 if the processor is never busy, and busyUntil when it
+	// has done the work that has arrived.
+	cores         float64
+	busyUntil     time.Time
 	dead          bool
 	partitionSide int
 }
@@ -184,6 +191,9 @@
 
 func (sm *Simulation) newVM(i int) *vm {
 	v := &vm{VM: sm.scenario.Fleet.vm(i), partitionSide: i % 2}
+	if f := sm.scenario.Fleet; f.Cores != nil {
+		v.cores = f.Cores(i)
+	}
 	for _, s := range sm.services {
 		v.wakeTimes = append(v.wakeTimes, time.Time{})
 		v.attempts = append(v.attempts, make(map[daisyrequest.AttemptID]*attempt))
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -18,6 +18,9 @@
 	if d.requests[q.ID] != nil {
 		return
 	}
+	if d.division.byRate {
+		d.division.arrivals.add(now)
+	}
 	rank := d.queue.Rank(q.Rank)
 	if d.mostUrgent(rank) {
 		d.lastUrgent = now
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -157,6 +157,7 @@
 	if len(d.sharings) == 0 {
 		return
 	}
+	d.updateDivision(now)
 	d.setDemands(now)
 	changed := false
 	for _, s := range d.sharings {
--- a/core/daisyroute/decision.go
+++ b/core/daisyroute/decision.go
@@ -14,7 +14,7 @@
 
 // Decision is an instruction to the driver of a Dispatcher. It is one of Send,
 // Deliver, Fail, Cancel, SendMessage, Probe, CheckEndpoint, FindingNoted, EndpointChanged,
-// EndpointNoticed, RateLimitChanged and LendingChanged. Each request ends with exactly one
+// EndpointNoticed, RateLimitChanged, LendingChanged and DivisionChanged. Each request ends with exactly one
 // Deliver or Fail, unless it is abandoned.
 type Decision interface{ decision() }
 
--- a/core/daisyroute/dispatcher.go
+++ b/core/daisyroute/dispatcher.go
@@ -51,6 +51,8 @@
 	sharings []*slotSharing
 	// zoned is set if the endpoints of each availability zone are a group.
 	zoned bool
+	// division decides about zoned.
+	division division
 	// waitingOrder has the requests in the order in which they began to wait. Those that
 	// no longer wait are removed later.
 	waitingOrder []waiting
@@ -170,6 +172,7 @@
 		attemptTimers:  daisyheap.New[*attempt](daisyheap.Earliest),
 		endpointTimers: daisyheap.New[*endpoint](daisyheap.Earliest),
 	}
+	d.division.byRate = d.dividesByRate()
 	d.changeService(time.Time{}, options.Service)
 	return d
 }
--- a/core/daisyroute/service.go
+++ b/core/daisyroute/service.go
@@ -114,6 +114,7 @@
 	for _, s := range d.sharings {
 		d.setVMs(now, s, event)
 	}
+	d.changeDivision(now)
 	d.updateSilentVMs(now)
 	for _, e := range d.endpoints {
 		if e.rate.limited() {
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -19,9 +19,13 @@
 	// again.
 	minZonedEndpoints = 96
 	maxWholeEndpoints = 64
-	// zoneWait is how long a request waits for a credit before the owner of one more
-	// availability zone is asked: several round trips within a zone, and a probe.
-	zoneWait = 15 * time.Millisecond
+	// minZoneWait and maxZoneWait bound how long a request waits for a credit before the
+	// owner of one more availability zone is asked: the least is several round trips within
+	// a zone, and a probe. Between them, zoneWaitFactor relates the wait to the time that
+	// the first owner has taken lately.
+	minZoneWait    = 15 * time.Millisecond
+	maxZoneWait    = 60 * time.Millisecond
+	zoneWaitFactor = 2
 	// zoneTurn is how long each zone is then asked for a request that does not divide evenly.
 	zoneTurn = 60 * time.Millisecond
 )
@@ -32,11 +36,12 @@
 	since   time.Time
 }
 
-// updateZoned decides whether the endpoints of each availability zone have an owner of
-// their own. VMs that decide differently for a while ask different owners, which may
+// updateZoned decides by the number of endpoints whether those of each availability zone
+// have an owner of their own, unless the rate of requests decides. VMs that decide differently for a while ask different owners, which may
 // lend the same slots; the reports of the endpoints bound the excess.
 func (d *Dispatcher) updateZoned(endpoints int) {
 	switch {
+	case d.division.byRate:
 	case !lendsOnDemand(d.policy) || endpoints < maxWholeEndpoints:
 		d.zoned = false
 	case endpoints >= minZonedEndpoints:
@@ -170,15 +175,28 @@
 	if groups <= 1 || since.IsZero() {
 		return 1, 0, time.Time{}
 	}
-	asked = 1 + int(now.Sub(since)/zoneWait)
+	wait := d.zoneWait()
+	asked = 1 + int(now.Sub(since)/wait)
 	if asked <= groups {
-		return asked, asked - 1, since.Add(time.Duration(asked) * zoneWait)
+		return asked, asked - 1, since.Add(time.Duration(asked) * wait)
 	}
-	allAsked := since.Add(time.Duration(groups) * zoneWait)
+	allAsked := since.Add(time.Duration(groups) * wait)
 	turns := int(now.Sub(allAsked) / zoneTurn)
 	return groups, turns % groups, allAsked.Add(time.Duration(turns+1) * zoneTurn)
 }
 
+// zoneWait returns how long a request waits before the owner of one more availability zone is
+// asked. It is longer where the first owner is known to take longer: one that is late because
+// of its load, and whose requests are then asked for at all owners, makes them late as well.
+func (d *Dispatcher) zoneWait() time.Duration {
+	for _, s := range d.sharings {
+		if s.endpoints > 0 {
+			return min(max(zoneWaitFactor*s.borrower.AnswerTime(), minZoneWait), maxZoneWait)
+		}
+	}
+	return minZoneWait
+}
+
 // nextZoneWake returns when another group is asked.
 func (d *Dispatcher) nextZoneWake() time.Time {
 	if !d.zoned || d.waitingSince().IsZero() {
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -242,6 +242,8 @@
 		s.logRateLimit(d)
 	case daisyroute.LendingChanged:
 		s.logLending(d)
+	case daisyroute.DivisionChanged:
+		s.logDivision(d)
 	}
 }
 
@@ -295,6 +297,12 @@
 	}
 }
 
+func (s *routeShard) logDivision(change daisyroute.DivisionChanged) {
+	if service := s.service.Load(); service != nil {
+		s.route.options.Log.Write(daisylog.DivisionChanged{Service: service.ID, Owner: change.Owner, Divided: change.Divided})
+	}
+}
+
 func (s *routeShard) probe(endpoint netip.AddrPort) {
 	service := s.service.Load()
 	if service == nil || s.outstandingProbes[endpoint] {
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -204,6 +204,14 @@
 	InFallback bool   `json:"guessing"`
 }
 
+type divisionRecord struct {
+	commonFields
+	Fleet   string `json:"fleet"`
+	Service string `json:"service"`
+	Owner   string `json:"owner"`
+	Divided bool   `json:"owner-for-each-zone"`
+}
+
 func newEncoder(output io.Writer) *json.Encoder {
 	e := json.NewEncoder(output)
 	e.SetEscapeHTML(false)
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -14,8 +14,8 @@
 
 // Line is one line of the log. It is one of Sent, AttemptFailed, Answered, Refused,
 // Rejected, Abandoned, Canceled, EndpointChanged, EndpointNoticed, RateLimitChanged,
-// Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted, FindingDropped and
-// LendingChanged, or a message of Logger.
+// Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted, FindingDropped,
+// LendingChanged and DivisionChanged, or a message of Logger.
 type Line interface{ line() }
 
 // Subject identifies the request that a decision concerns.
@@ -211,6 +211,14 @@
 	InFallback bool
 }
 
+// DivisionChanged records whether the endpoints of each availability zone of a service have
+// an owner of their own, as the owner of the service stated.
+type DivisionChanged struct {
+	Service daisyservice.ID
+	Owner   daisyvm.Name
+	Divided bool
+}
+
 // message is an encoded line of Logger, which is not a decision.
 type message struct{ text []byte }
 
@@ -230,4 +238,5 @@
 func (RequestAcquitted) line()   {}
 func (FindingDropped) line()     {}
 func (LendingChanged) line()     {}
+func (DivisionChanged) line()    {}
 func (message) line()            {}
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -52,6 +52,9 @@
 	case LendingChanged:
 		l.encode(&lendingRecord{commonFields: l.commonFields(e, "lending changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Owner: string(n.Owner), Zone: n.Zone.Zone, InFallback: n.InFallback})
+	case DivisionChanged:
+		l.encode(&divisionRecord{commonFields: l.commonFields(e, "division changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
+			Owner: string(n.Owner), Divided: n.Divided})
 	case message:
 		// A log has nowhere to report that its own output fails.
 		_, _ = l.output.Write(n.text)
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -199,6 +199,8 @@
 		Demand:       decodeDemand(w.GetDemand()),
 		Zone:         decodeServiceZone(w.GetService(), w.GetZone()),
 		Acknowledged: w.GetAcknowledged(),
+		Rate:         decodeRate(w.GetRequestsPerSecond()),
+		Division:     decodeDivision(w.GetDivision()),
 	}
 	for _, h := range w.GetHeld() {
 		report.Held = append(report.Held, daisycredit.Held{
@@ -215,6 +217,19 @@
 	return report
 }
 
+// decodeRate returns a rate, or 0 for one that is negative or not finite.
+func decodeRate(perSecond float32) float64 {
+	if !(perSecond > 0) || perSecond > math.MaxFloat32 {
+		return 0
+	}
+	return float64(perSecond)
+}
+
+// decodeDivision keeps a division that a later version added from becoming a known one.
+func decodeDivision(division uint32) daisycredit.Division {
+	return daisycredit.Division(min(division, math.MaxUint8))
+}
+
 func decodeRateLimit(interval *uint64) daisyendpoint.RateLimit {
 	switch {
 	case interval == nil || *interval > math.MaxInt64:
@@ -233,6 +248,7 @@
 		Target:       w.GetTarget(),
 		Zone:         decodeServiceZone(w.GetService(), w.GetZone()),
 		Acknowledged: w.GetAcknowledged(),
+		Division:     decodeDivision(w.GetDivision()),
 	}
 	for _, x := range w.GetGranted() {
 		grant.Granted = append(grant.Granted, daisycredit.Granted{
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -230,6 +230,9 @@
 		Demand:       encodeDemand(r.Demand),
 		Zone:         encodeServiceZone(r.Service, r.Zone),
 		Acknowledged: r.Acknowledged,
+		Division:     uint32(r.Division),
+
+		RequestsPerSecond: float32(r.Rate),
 	}
 	for _, h := range r.Held {
 		w.Held = append(w.Held, &daisywire.Held{
@@ -268,6 +271,7 @@
 		Target:       g.Target,
 		Zone:         encodeServiceZone(g.Service, g.Zone),
 		Acknowledged: g.Acknowledged,
+		Division:     uint32(g.Division),
 	}
 	for _, x := range g.Granted {
 		w.Granted = append(w.Granted, &daisywire.Granted{
