--- a/core/daisymeasure/fleet.go
+++ b/core/daisymeasure/fleet.go
@@ -27,6 +27,10 @@
 	// ColdStart how long they are cold after a start; 0 means that they are never cold.
 	ColdRate  float64
 	ColdStart time.Duration
+	// Cores returns the number of cores of a VM; nil means that processors are never busy.
+	Cores func(vm int) float64
+	// EarlierBuild returns whether a VM does not announce its cores; nil means that none does.
+	EarlierBuild func(vm int) bool
 }
 
 // Portugal returns the fleet vigia-lar with the first maxServices of its services.
@@ -83,7 +87,12 @@
 
 func (f Fleet) vm(i int) daisyvm.VM {
 	address := netip.AddrFrom4([4]byte{10, 1, 0, byte(i)})
+	var capacity daisyvm.Capacity
+	if f.Cores != nil && (f.EarlierBuild == nil || !f.EarlierBuild(i)) {
+		capacity = daisyvm.NewCapacity(f.Cores(i), 0)
+	}
 	return daisyvm.VM{
+		Capacity:    capacity,
 		Name:        daisyvm.Name(fmt.Sprint("vm-", i)),
 		Incarnation: 1,
 		Zone:        f.zone(i),
@@ -92,6 +101,15 @@
 	}
 }
 
+func (f Fleet) isEarlierBuild(name daisyvm.Name) bool {
+	for i := range f.VMs {
+		if f.vm(i).Name == name {
+			return f.EarlierBuild != nil && f.EarlierBuild(i)
+		}
+	}
+	return false
+}
+
 func (f Fleet) service(i int) daisyservice.Service {
 	s := daisyservice.Service{ID: daisyservice.ID{Fleet: f.Name, Name: fmt.Sprint("service-", i)}, Ranks: f.ranks(), ColdRate: f.ColdRate, ColdStart: f.ColdStart}
 	for j := range f.Endpoints[i] {
