Bound the age of the configuration and reject keys that may be revoked

Cause: a VM that was suspended, cut off or started during an outage accepts keys that were revoked any time ago. The estimate of how old its configuration is leaves out suspensions and may be a round trip too low.

Change: core/daisyclock derives a lower bound of the local time of a value of the store's clock, from the VM's own calls and from heartbeats that echo one of its own, in time since boot. The filter RequireCurrent rejects requests with a client account with 503 when the bound of the age exceeds the revocation time less a fiftieth. Heartbeats carry the bound of the store's clock, 6 bytes, and only where the settings limit the age.

Three ways in which a VM took rows for more current than they were are closed: changes after a version of an earlier era count no longer; a bookmark of a later version does not keep a clock from before the store's was set back; and after a restore a VM first hears what others have in force, and asks them for it if that is later than what the store has.

--- a/core/daisyfeed/bookmark.go
+++ b/core/daisyfeed/bookmark.go
@@ -40,7 +40,11 @@
 	if bookmark.Clock > 0 {
 		asOf = earlier(now, f.storeClockAt.Add(bookmark.Clock-f.storeClock))
 	}
-	f.bookmark = Bookmark{Version: bookmark.Version, Clock: max(bookmark.Clock, f.bookmark.Clock)}
+	if bookmark.Version == f.bookmark.Version || bookmark.Clock == 0 {
+		bookmark.Clock = max(bookmark.Clock, f.bookmark.Clock)
+	}
+	// The clock of a later version is lower only if it was set back.
+	f.bookmark = bookmark
 	f.currentAsOf = later(f.currentAsOf, asOf)
 }
 
--- a/core/daisyfeed/era.go
+++ b/core/daisyfeed/era.go
@@ -12,6 +12,10 @@
 // an older row of the restored store. A row that no writer renews lapses sooner.
 const endpointHoldTime = 10 * time.Second
 
+// inForceWait is how long a VM waits, after it has read all rows of an era, to hear what others
+// have in force. Each other VM sends heartbeats to up to eight VMs every 250 ms.
+const inForceWait = 600 * time.Millisecond
+
 // heldState holds the rows and removals that were in force at the end of the last era,
 // until the restored store has caught up with them: until their writer has written the
 // row again, or it was removed, or, for a row that the store has lost, until the grace
@@ -71,6 +75,7 @@
 	f.last, f.readUpTo, f.prunedUpTo = 0, 0, 0
 	f.bookmark, f.storeClockAt = Bookmark{}, time.Time{}
 	f.aheadPeer, f.requestedAt = "", time.Time{}
+	f.readOutdated, f.settled = f.readInFlight, false
 	f.heldKnown = known
 	if !known {
 		return
@@ -84,7 +89,7 @@
 	if f.eraComplete {
 		return
 	}
-	f.eraComplete = true
+	f.eraComplete, f.eraCompleteAt = true, now
 	if f.Holding() {
 		f.graceUntil = later(f.graceUntil, now.Add(recoveryGrace))
 		f.holdFor(now, endpointHoldTime)
@@ -151,10 +156,49 @@
 // Holding reports whether rows or removals of earlier eras are in force.
 func (f *Follower) Holding() bool { return len(f.held.rows) > 0 }
 
+// noteInForce notes what is in force at a peer that knows no later changes of the store. If
+// that is later than all values here, the store was restored without it, or this VM has
+// begun to follow the store since.
+func (f *Follower) noteInForce(e PeerVersionKnown) {
+	if !f.eraComplete || f.precedes(e.Era, e.Last) || e.InForce == (Written{}) {
+		return
+	}
+	f.settled = true
+	if e.InForce.Compare(f.inForceElsewhere) > 0 {
+		f.inForceElsewhere = e.InForce
+	}
+}
+
+// Settled reports whether the rows of this era can be taken for all that is in force. After a
+// restore the store may lack what other VMs have in force, so one of them is heard first. A VM
+// that starts does not know whether the restore was long ago. Without an era there was none.
+func (f *Follower) Settled() bool { return f.settled }
+
+// settledAt returns when to stop to wait for what is in force elsewhere; the zero time means
+// that nothing is waited for.
+func (f *Follower) settledAt() time.Time {
+	switch {
+	case f.settled, !f.eraComplete:
+		return time.Time{}
+	case f.era == 0:
+		return f.eraCompleteAt
+	}
+	return f.eraCompleteAt.Add(inForceWait)
+}
+
+// Outdated reports whether another VM has a later value in force than all here, although
+// this one knows all changes of the store that the other knows.
+func (f *Follower) Outdated() bool {
+	if f.inForceElsewhere == (Written{}) {
+		return false
+	}
+	return !slices.ContainsFunc(f.Rows(), func(r Row) bool { return r.Written.Compare(f.inForceElsewhere) >= 0 })
+}
+
 // requestHeld asks a peer for what it holds, if this VM began to follow the store in this
-// era and so knows only what the store was restored to.
+// era and so knows only what the store was restored to, or missed the latest change before.
 func (f *Follower) requestHeld(now time.Time, e PeerVersionKnown) {
-	if !e.Holding || f.heldKnown || !f.eraComplete || e.Era != f.era || now.Before(f.requestedAt.Add(peerRequestInterval)) {
+	if !e.Holding || f.heldKnown && !f.Outdated() || !f.eraComplete || e.Era != f.era || now.Before(f.requestedAt.Add(peerRequestInterval)) {
 		return
 	}
 	f.requestedAt = now
--- a/core/daisyfeed/feed.go
+++ b/core/daisyfeed/feed.go
@@ -129,6 +129,8 @@
 	Era  Era
 	// Holding reports whether rows or removals of earlier eras are in force there.
 	Holding bool
+	// InForce is the order of the latest value that is in force there, and zero if unknown.
+	InForce Written
 }
 
 // ChangesRequested reports that another VM requests the changes after a version.
--- a/core/daisyfeed/follower.go
+++ b/core/daisyfeed/follower.go
@@ -79,6 +79,11 @@
 	held        heldState
 	// heldKnown reports whether this VM knows what was in force before this era.
 	heldKnown bool
+	// inForceElsewhere is the latest value that is in force at a peer; see Outdated.
+	inForceElsewhere Written
+	// settled is the result of Settled, and eraCompleteAt when all rows of the era were received.
+	settled       bool
+	eraCompleteAt time.Time
 
 	// reader reports whether this VM reads for its peers, and second whether another reader
 	// comes first.
@@ -96,6 +101,9 @@
 	currentAsOf time.Time
 
 	readInFlight bool
+	// readOutdated reports whether an era has begun since the read in flight was requested, so
+	// that its version was one of an earlier era.
+	readOutdated bool
 	// nextReadAt is when to read next, except for a VM whose reads depend on the age of its
 	// rows; see ownReadAt.
 	nextReadAt time.Time
@@ -187,6 +195,10 @@
 // store; the zero time if there is none.
 func (f *Follower) CurrentAsOf() time.Time { return f.currentAsOf }
 
+// Bookmark returns the point up to which all changes are known; the zero value if there is
+// none in this era.
+func (f *Follower) Bookmark() Bookmark { return f.bookmark }
+
 // Complete reports whether all rows were received once, from the store or from a peer.
 func (f *Follower) Complete() bool { return f.complete }
 
@@ -210,7 +222,7 @@
 	case RowsChanged:
 		f.readInFlight = false
 		f.storeAnswered(now, e.Late)
-		if f.admitsAnswer(now, e.Era, false) {
+		if f.admitsAnswer(now, e.Era, false) && !f.readOutdated {
 			f.handleRowsChanged(now, e)
 		}
 	case HistoryLost:
@@ -249,6 +261,7 @@
 		wake = daisywake.Sooner(wake, f.graceUntil)
 	}
 	wake = daisywake.Sooner(wake, f.heldWake())
+	wake = daisywake.Sooner(wake, f.settledAt())
 	if f.behind() {
 		wake = daisywake.Sooner(wake, f.requestChangesAt())
 	}
@@ -266,6 +279,9 @@
 	if f.expireHeld(now) {
 		f.emit(Publish{})
 	}
+	if at := f.settledAt(); !at.IsZero() && !now.Before(at) {
+		f.settled = true
+	}
 	if f.behind() && !now.Before(f.requestChangesAt()) {
 		f.requestedAt = now
 		f.emit(RequestChanges{To: f.aheadPeer, After: f.knownVersion(), Era: f.era})
@@ -273,7 +289,7 @@
 	if f.readInFlight || now.Before(f.readAt()) {
 		return
 	}
-	f.readInFlight, f.readStartedAt = true, now
+	f.readInFlight, f.readOutdated, f.readStartedAt = true, false, now
 	if f.readUpTo == 0 {
 		f.emit(ReadRows{})
 		return
@@ -340,6 +356,7 @@
 }
 
 func (f *Follower) handlePeerVersion(now time.Time, e PeerVersionKnown) {
+	f.noteInForce(e)
 	f.requestHeld(now, e)
 	if !f.precedes(e.Era, e.Last) {
 		return
--- a/core/daisymessage/message.go
+++ b/core/daisymessage/message.go
@@ -48,6 +48,10 @@
 	KnownEras [daisyfeed.Topics]daisyfeed.Era
 	// Holding reports, for each topic, whether rows of earlier eras are in force.
 	Holding [daisyfeed.Topics]bool
+	// StoreClock is the highest value that the store's clock may have shown when the sender had
+	// held the heartbeat of Echo for EchoHeld, in the era of the configuration in KnownEras; 0
+	// if the sender knows no bound.
+	StoreClock time.Duration
 	// Heard lists the VMs from which the sender recently received a heartbeat directly.
 	Heard []daisyvm.HeartbeatReport
 	// Introduced describes VMs that the receiver may not know.
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -95,7 +95,9 @@
 	// Appliers receive each new snapshot, in the order of the slice.
 	Appliers []Applier
 	// Index is told as of when the configuration is known to be the newest; it may be nil.
-	Index  *Index
+	Index *Index
+	// Age is told what bounds the age of the configuration; it may be nil.
+	Age    *Age
 	Logger hclog.Logger
 	// FirstReadDelay is how long the first read of the store is left to other VMs, which
 	// pass on what they read.
@@ -175,7 +177,7 @@
 		c.updateReaders(func(r *daisyfeed.Readers) { r.SetStoreUnavailable(from, m.StoreUnavailable) })
 		for t, last := range m.Known {
 			if last > 0 || m.KnownEras[t] > 0 {
-				c.post(daisyfeed.Topic(t), daisyfeed.PeerVersionKnown{From: from, Last: last, Era: m.KnownEras[t], Holding: m.Holding[t]})
+				c.post(daisyfeed.Topic(t), daisyfeed.PeerVersionKnown{From: from, Last: last, Era: m.KnownEras[t], Holding: m.Holding[t], InForce: inForce(daisyfeed.Topic(t), m)})
 			}
 		}
 	case daisymessage.RowsWanted:
@@ -187,6 +189,15 @@
 	}
 }
 
+// inForce returns the order of the latest row of a topic that the sender of a heartbeat says
+// it has in force. Only the configuration has one.
+func inForce(topic daisyfeed.Topic, m daisymessage.Heartbeat) daisyfeed.Written {
+	if topic != daisyfeed.Configuration {
+		return daisyfeed.Written{}
+	}
+	return daisyfeed.Written{Sequence: uint64(m.Revision)}
+}
+
 // SetPeers sets the VMs that share the services, and so the work of reading the store.
 func (c *Follow) SetPeers(vms, leaving []daisyvm.VM) {
 	c.updateReaders(func(r *daisyfeed.Readers) { r.SetVMs(vms, leaving) })
@@ -270,6 +281,12 @@
 	if topic == daisyfeed.Configuration && c.options.Index != nil && f.CurrentAsOf().After(asOf) {
 		c.options.Index.SetCurrentAsOf(f.CurrentAsOf())
 	}
+	if topic == daisyfeed.Configuration {
+		c.options.Age.setOutdated(f.Outdated())
+		if f.Settled() {
+			c.options.Age.confirm(f.Era(), f.Bookmark().Clock)
+		}
+	}
 }
 
 // provenance tells where rows that changed came from.
@@ -334,17 +351,33 @@
 func (c *Follow) readRows(topic daisyfeed.Topic) {
 	ctx, cancel := context.WithTimeout(c.ctx, readRowsTimeout)
 	defer cancel()
-	c.post(topic, c.eventFromAnswer(topic, c.options.Feeds.ReadRows(ctx, topic), false))
+	sent := c.options.Age.Now()
+	answer := c.options.Feeds.ReadRows(ctx, topic)
+	c.noteClock(sent, answer)
+	c.post(topic, c.eventFromAnswer(topic, answer, false))
 }
 
 func (c *Follow) awaitChanges(topic daisyfeed.Topic, d daisyfeed.AwaitChanges) {
 	ctx, cancel := context.WithTimeout(c.ctx, d.Wait+lostAnswerMargin)
 	defer cancel()
-	start := now()
+	start, sent := now(), c.options.Age.Now()
 	answer := c.options.Feeds.AwaitChanges(ctx, topic, d.After, d.Wait)
+	c.noteClock(sent, answer)
 	c.post(topic, c.eventFromAnswer(topic, answer, now().Sub(start) > d.Wait+lateAnswerMargin))
 }
 
+// noteClock reports the store's clock in an answer to a request that was sent at a time since
+// boot.
+func (c *Follow) noteClock(sent time.Duration, answer FeedAnswer) {
+	switch a := answer.(type) {
+	case FeedRead:
+		c.options.Age.storeReplied(sent, a.Era, a.Clock)
+	case FeedChanged:
+		c.options.Age.storeReplied(sent, a.Era, a.Clock)
+	case FeedHistoryLost, FeedFailed:
+	}
+}
+
 func (c *Follow) eventFromAnswer(topic daisyfeed.Topic, answer FeedAnswer, late bool) daisyfeed.Event {
 	switch a := answer.(type) {
 	case FeedRead:
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -49,6 +49,8 @@
 	// Spare may be nil for a VM without spare capacity.
 	Spare  SpareSource
 	Logger hclog.Logger
+	// Age is told of heartbeats; nil if no bound of the age of the configuration is needed.
+	Age *Age
 	// ListInterval is the interval between reads of the platform's list while there are few
 	// VMs; 0 means listInterval. It grows with the number of VMs up to MaxListInterval, which
 	// is ListInterval if it is 0.
@@ -185,9 +187,10 @@
 func (c *Member) LinkOpened(vm daisyvm.VM) { c.post(daisyvm.LinkOpened{VM: vm}) }
 
 // Receive handles a message from another VM and ignores those that do not concern the membership.
-func (c *Member) Receive(_ daisyvm.Name, message daisymessage.Message) {
+func (c *Member) Receive(from daisyvm.Name, message daisymessage.Message) {
 	switch m := message.(type) {
 	case daisymessage.Heartbeat:
+		c.options.Age.heartbeatArrived(from, m)
 		c.post(daisyvm.HeartbeatArrived{
 			VM:         m.VM,
 			Sequence:   m.Sequence,
@@ -370,7 +373,7 @@
 	c.mu.Lock()
 	hash, known, eras, holding, unavailable := c.hash, c.knownVersions, c.knownEras, c.holding, c.storeUnavailable
 	c.mu.Unlock()
-	return daisymessage.Heartbeat{
+	h := daisymessage.Heartbeat{
 		VM:               c.options.Self,
 		Sequence:         d.Sequence,
 		Revision:         daisyconfig.Revision(d.Status.Revision),
@@ -379,7 +382,6 @@
 		Leaving:          d.Status.Leaving,
 		Ready:            d.Status.Ready,
 		Stopping:         d.Status.Stopping,
-		Sent:             now(),
 		Echo:             d.Echo,
 		EchoHeld:         d.EchoHeld,
 		Known:            known,
@@ -389,6 +391,8 @@
 		Heard:            d.Heard,
 		Introduced:       d.Introduced,
 	}
+	c.options.Age.stamp(d.To, &h)
+	return h
 }
 
 func namesOf(vms []daisyvm.VM) []string {
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -104,6 +104,8 @@
 	pool    *daisyconnection.Pool
 	routes  *daisycontroller.Route
 	index   *daisycontroller.Index
+	// age is nil unless the settings bound the age of the configuration.
+	age     *daisycontroller.Age
 	members *daisycontroller.Member
 	// follower is nil until startStop has created it. The inbox holds messages from other
 	// VMs back until then.
@@ -206,6 +208,9 @@
 	})
 	d.onClose(d.routes.Close)
 	d.index = daisycontroller.NewIndex()
+	if err := d.startAge(); err != nil {
+		return err
+	}
 	d.members = daisycontroller.NewMember(daisycontroller.MemberOptions{
 		Self:      d.self,
 		Linker:    d.links,
@@ -213,6 +218,7 @@
 		Peers:     []daisycontroller.PeerApplier{d.routes, poolPeers{d.pool}, feedPeers{d}},
 		Spare:     routeSpare{d.routes},
 		Logger:    d.logger,
+		Age:       d.age,
 		AnswerTTL: min(directoryMaxAge, s.AnswerTTL),
 		// VMs discover each other through the seeds and notify each other of new VMs, so
 		// the list is needed less often.
@@ -263,8 +269,9 @@
 		Filters: []daisyfilter.Filter{
 			daisyfilter.NewAdmit(maxRequests),
 			daisyfilter.RejectUnsupported{},
-			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
+			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait), Age: d.age},
 			daisyfilter.Match{Timeouts: daisycontroller.NewTimeout(), Reader: d.adapter.Dialect},
+			d.newRequireCurrent(),
 		},
 	})
 	d.callers = daisycaller.NewPipeline(daisycaller.PipelineOptions{
@@ -316,6 +323,7 @@
 		Member:   d.members,
 		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.index, d.members, managedReadiness{d}},
 		Index:    d.index,
+		Age:      d.age,
 		Logger:   d.logger,
 
 		FirstReadDelay: d.firstReadDelay(),
@@ -384,6 +392,7 @@
 func (d *Managed) addMetrics() {
 	addLogMetrics(d.metrics, d.log)
 	addLinkMetrics(d.metrics, d.links)
+	d.addAgeMetrics()
 	d.metrics.AddGauge("daisyyoke_endpoint_connections", connectionsHelp, func() float64 { return float64(d.pool.Connections()) })
 	d.metrics.AddGauge("daisyyoke_store_era", "Times that the platform's store says it was restored, as last known.", func() float64 { return float64(d.members.StoreEra()) })
 	d.metrics.AddGauge("daisyyoke_configuration_revision", revisionHelp, func() float64 { return float64(d.revision.Load()) })
--- a/io/daisyfilter/await.go
+++ b/io/daisyfilter/await.go
@@ -39,15 +39,25 @@
 	Configuration Configuration
 	// Until is when requests no longer wait; the zero time means that they never do.
 	Until time.Time
+	// Age bounds the age of the configuration; nil if no bound is needed.
+	Age ConfigurationAge
+}
+
+// ConfigurationAge bounds the age of the configuration of the VM.
+type ConfigurationAge interface {
+	// Now returns the time since the VM booted, including the time in which it was suspended.
+	Now() time.Duration
+	// KnownAt returns a time since boot before which the configuration in force was not
+	// outdated; 0 if none is known.
+	KnownAt() time.Duration
 }
 
 func (AwaitConfiguration) filter() {}
 
 func (f AwaitConfiguration) apply(call *Call) Verdict {
-	// The time is read first, so that it is not that of a later configuration.
-	call.ConfigAsOf, call.Config = f.Configuration.CurrentAsOf(), f.Configuration.Current()
+	f.read(call)
 	if call.Config == nil && f.wait(call) {
-		call.ConfigAsOf, call.Config = f.Configuration.CurrentAsOf(), f.Configuration.Current()
+		f.read(call)
 	}
 	if call.Config != nil {
 		return Continue{}
@@ -60,6 +70,15 @@
 	}}
 }
 
+// read sets the configuration in force. The times are read first, so that they are not those
+// of a later configuration.
+func (f AwaitConfiguration) read(call *Call) {
+	if f.Age != nil {
+		call.ConfigKnownAt = f.Age.KnownAt()
+	}
+	call.ConfigAsOf, call.Config = f.Configuration.CurrentAsOf(), f.Configuration.Current()
+}
+
 // wait waits for the first configuration and reports whether it has arrived.
 func (f AwaitConfiguration) wait(call *Call) bool {
 	left := min(time.Until(f.Until), maxConfigurationWait)
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -29,6 +29,12 @@
 	// ConfigAsOf is the latest time at which Config was known to be the newest; the zero time
 	// if it is not known of any.
 	ConfigAsOf time.Time
+	// ConfigKnownAt is a time since boot before which Config was not outdated; 0 if none is
+	// known. AwaitConfiguration sets it where RequireCurrent needs it.
+	ConfigKnownAt time.Duration
+	// ConfigAgeBound is the upper bound of the age of Config for which RequireCurrent rejected
+	// the request; 0 if it did not, and negative if there was none.
+	ConfigAgeBound time.Duration
 	// Service is the declaration in Config, set by Identify or Match.
 	Service daisyservice.Service
 	// Route is the route in Config, set by Match.
@@ -50,7 +56,7 @@
 }
 
 // Filter is one step of the chain. It is one of *Admit, RejectUnsupported, Addresses,
-// AwaitConfiguration, Identify, Classify and Match.
+// AwaitConfiguration, Identify, Classify, Match and *RequireCurrent.
 type Filter interface{ filter() }
 
 // Verdict is the decision of a filter. It is one of Continue, Reject, Reply and Forward.
@@ -137,7 +143,8 @@
 			Status: status,
 			Reason: v.Problem.Title,
 
-			ConfigAge: age,
+			ConfigAge:      age,
+			ConfigAgeBound: call.ConfigAgeBound,
 		})
 	case Reply:
 		c.setDeadlines(w, r)
@@ -174,6 +181,8 @@
 		return f.apply(call)
 	case Match:
 		return f.apply(call)
+	case *RequireCurrent:
+		return f.apply(call)
 	}
 	return Continue{}
 }
@@ -185,7 +194,7 @@
 		switch f := f.(type) {
 		case *Admit:
 			f.release()
-		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match:
+		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match, *RequireCurrent:
 		}
 	}
 }
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -107,7 +107,8 @@
 	Status int    `json:"status"`
 	Reason string `json:"why"`
 
-	ConfigAge string `json:"configuration-age,omitempty"`
+	ConfigAge      string `json:"configuration-age,omitempty"`
+	ConfigAgeBound string `json:"configuration-age-bound,omitempty"`
 }
 
 type abandonedRecord struct {
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -117,6 +117,9 @@
 	Reason string
 	// ConfigAge is as in Sent.
 	ConfigAge time.Duration
+	// ConfigAgeBound is the upper bound of the age of the configuration for which the request
+	// was rejected; 0 if it was for another reason, and negative if there was no bound.
+	ConfigAgeBound time.Duration
 }
 
 // Abandoned records that the caller canceled the request before the response.
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -22,7 +22,7 @@
 	case Refused:
 		l.encode(n.record(l.commonFields(e, "request refused")))
 	case Rejected:
-		l.encode(&rejectedRecord{commonFields: l.commonFields(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Reason: n.Reason, ConfigAge: knownAge(n.ConfigAge)})
+		l.encode(&rejectedRecord{commonFields: l.commonFields(e, "request rejected"), Name: string(n.Name), Host: n.Host, Path: n.Path, Status: n.Status, Reason: n.Reason, ConfigAge: knownAge(n.ConfigAge), ConfigAgeBound: ageBound(n.ConfigAgeBound)})
 	case Abandoned:
 		l.encode(&abandonedRecord{commonFields: l.commonFields(e, "request abandoned"), subjectFields: n.fields(), Attempts: n.Attempts, Duration: n.Duration.String()})
 	case Canceled:
@@ -137,6 +137,14 @@
 	return age.String()
 }
 
+// ageBound returns the bound for which a request was rejected, or an empty string.
+func ageBound(bound time.Duration) string {
+	if bound < 0 {
+		return "unknown"
+	}
+	return knownAge(bound)
+}
+
 // perSecond returns a rate limit in requests per second, or nil if there is none.
 func perSecond(limit daisyendpoint.RateLimit) *float64 {
 	l, ok := limit.(daisyendpoint.Limited)
--- a/io/daisymetric/help.go
+++ b/io/daisymetric/help.go
@@ -26,6 +26,7 @@
 	"daisyyoke_malformed_responses_total":    "Responses of endpoints that were rejected because they are not valid, by kind.",
 	"daisyyoke_endpoint_notices_total":       "Notices of endpoints that leave, ask for a pause, or cannot be understood.",
 	"daisyyoke_refused_by_filters_total":     "Requests answered before routing, by HTTP status.",
+	"daisyyoke_rejected_as_outdated_total":   "Requests with a client account that were rejected because the configuration may be too old.",
 	"daisyyoke_configuration_age_seconds":    "Time before a request's arrival at which its configuration was last known to be the newest.",
 	"daisyyoke_platform_operations_total":    "Operations on the platform, by answer.",
 	"daisyyoke_service_messages_total":       "Messages between VMs about services, by direction and kind.",
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -176,6 +176,13 @@
 	}
 }
 
+// OutdatedRejection counts a request that was rejected because its key may have been revoked.
+func (m *Metrics) OutdatedRejection() {
+	if m != nil {
+		m.counter("daisyyoke_rejected_as_outdated_total").Inc()
+	}
+}
+
 // PlatformOperation counts an operation on the platform by the kind of its answer.
 func (m *Metrics) PlatformOperation(operation, answer string) {
 	if m != nil {
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -96,6 +96,7 @@
 	if w.EchoMicroseconds != nil {
 		m.Echo = d.epoch.Add(time.Duration(w.GetEchoMicroseconds()) * time.Microsecond)
 		m.EchoHeld = time.Duration(w.EchoHeldMicroseconds) * time.Microsecond
+		m.StoreClock = r.milliseconds(w.StoreClockMilliseconds)
 	}
 	for i, h := range w.HeardDigests {
 		mark := w.HeardMarks[i]
@@ -153,6 +154,15 @@
 	return v
 }
 
+// milliseconds returns a duration, and fails if it is out of range.
+func (r *fieldReader) milliseconds(n uint64) time.Duration {
+	if n > uint64(math.MaxInt64/time.Millisecond) {
+		r.fail("duration of %d ms is out of range", n)
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 func decodeHash(b []byte) daisyconfig.Hash { return daisyconfig.Hash(hex.EncodeToString(b)) }
 
 func decodeZone(w *daisywire.Zone) daisyfleet.ZoneID {
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -92,6 +92,7 @@
 	if !m.Echo.IsZero() {
 		w.EchoMicroseconds = proto.Int64(m.Echo.Sub(e.peerEpoch).Microseconds())
 		w.EchoHeldMicroseconds = uint32(m.EchoHeld.Microseconds())
+		w.StoreClockMilliseconds = uint64((m.StoreClock + time.Millisecond - 1) / time.Millisecond)
 	}
 	for _, h := range m.Heard {
 		w.HeardDigests = append(w.HeardDigests, uint32(h.VM))
