--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -57,6 +57,7 @@
 type Dialect interface {
 	daisyforward.Dialect
 	daisyfilter.CallReader
+	daisyfilter.KeyReader
 	daisyconnection.Verifier
 }
 
@@ -271,6 +272,7 @@
 			daisyfilter.RejectUnsupported{},
 			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait), Age: d.age},
 			daisyfilter.Match{Timeouts: daisycontroller.NewTimeout(), Reader: d.adapter.Dialect},
+			daisyfilter.Authenticate{Reader: d.adapter.Dialect, MaxAge: d.settings.PropagationTime},
 			d.newRequireCurrent(),
 		},
 	})
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -42,6 +42,9 @@
 	// Account is the client account whose key the request has; its zero value if the request
 	// needs none.
 	Account daisyaccount.Account
+	// WithheldTrailers are the names of the trailers that are not forwarded to endpoints. The
+	// trailers arrive with the end of the body, after the filters.
+	WithheldTrailers []string
 	// Request is filled in by the filters, each setting some of the fields.
 	Request daisyrequest.Request
 }
@@ -56,7 +59,8 @@
 }
 
 // Filter is one step of the chain. It is one of *Admit, RejectUnsupported, Addresses,
-// AwaitConfiguration, Identify, Classify, Match and *RequireCurrent.
+// AwaitConfiguration, Identify, Classify, Match, Authenticate and
+// *RequireCurrent.
 type Filter interface{ filter() }
 
 // Verdict is the decision of a filter. It is one of Continue, Reject, Reply and Forward.
@@ -145,6 +149,7 @@
 
 			ConfigAge:      age,
 			ConfigAgeBound: call.ConfigAgeBound,
+			Account:        call.Account.Name,
 		})
 	case Reply:
 		c.setDeadlines(w, r)
@@ -181,6 +186,8 @@
 		return f.apply(call)
 	case Match:
 		return f.apply(call)
+	case Authenticate:
+		return f.apply(call)
 	case *RequireCurrent:
 		return f.apply(call)
 	}
@@ -194,7 +201,7 @@
 		switch f := f.(type) {
 		case *Admit:
 			f.release()
-		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match, *RequireCurrent:
+		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match, Authenticate, *RequireCurrent:
 		}
 	}
 }
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -30,6 +30,7 @@
 	Name     string `json:"name,omitempty"`
 	Route    string `json:"route,omitempty"`
 	Revision uint64 `json:"revision,omitempty"`
+	Account  string `json:"account,omitempty"`
 }
 
 type sentRecord struct {
@@ -109,6 +110,7 @@
 
 	ConfigAge      string `json:"configuration-age,omitempty"`
 	ConfigAgeBound string `json:"configuration-age-bound,omitempty"`
+	Account        string `json:"account,omitempty"`
 }
 
 type abandonedRecord struct {
