--- a/core/daisyclock/revocation_test.go
+++ b/core/daisyclock/revocation_test.go
@@ -134,3 +134,29 @@
 	s.run(3 * time.Second)
 	assert.Equal(t, s.accepting(), len(s.vms))
 }
+
+// Guards against a VM that was suspended or has started since, and takes what a restored store
+// has for the newest configuration, although the others know that it was revoked.
+func TestRevocationThatTheStoreLostStaysInForce(t *testing.T) {
+	for seed := range uint64(40) {
+		s := newSim(seed, 6)
+		s.run(2 * time.Second)
+		v := s.vms[s.random.IntN(len(s.vms))]
+		restart := seed%2 == 0
+		v.up = !restart
+		s.updateReaders()
+		if !restart {
+			v.suspend(10 * time.Second)
+		}
+		s.revoke()
+		s.run(2 * time.Second)
+		s.restore(1)
+		s.run(7 * time.Second)
+		if restart {
+			v.start()
+		}
+		s.run(6 * time.Second)
+		assert.Assert(t, s.accepted < revocationTime, "seed %d: accepted %v after the revocation", seed, s.accepted)
+		assert.Equal(t, s.accepting(), len(s.vms), "seed %d", seed)
+	}
+}
