--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -108,8 +108,9 @@
 	Status int    `json:"status"`
 	Reason string `json:"why"`
 
-	ConfigAge string `json:"configuration-age,omitempty"`
-	Account   string `json:"account,omitempty"`
+	ConfigAge      string `json:"configuration-age,omitempty"`
+	ConfigAgeBound string `json:"configuration-age-bound,omitempty"`
+	Account        string `json:"account,omitempty"`
 }
 
 type abandonedRecord struct {
