Serve the client accounts of a rank in turn

Cause: the requests of a rank waited in one order by deadline, so that the surge of one account delayed the requests of all.

Change: within a rank, the account with the least recent use goes first, and the order of before holds within an account. Refusal on arrival counts the requests that go first in turns, a full queue evicts from the account with the most requests, and the second of latest first after a drop is the account's own.

The load harness of the tests takes served requests by Queue.Take, which ends a turn; its assertions are unchanged.

--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -56,7 +56,7 @@
 // else one of the request's own rank.
 func (q *Queue[T]) Admit(now time.Time, item *Item[T], available int) Verdict[T] {
 	q.accrue(now)
-	expected := q.estimateCompletion(item.Rank)
+	expected := q.estimateCompletion(item)
 	if expected > 0 && now.Add(expected).After(item.Deadline) {
 		return Refused[T]{Cause: Infeasible, Expected: expected, RetryAfter: q.RetryAfter(item.Rank)}
 	}
@@ -74,13 +74,14 @@
 }
 
 // estimateCompletion returns the estimated time from now to the response for a request
-// of a rank that has to wait. It returns 0 when the request need not wait, or is
-// admitted regardless of the estimate.
-func (q *Queue[T]) estimateCompletion(index daisyrank.Index) time.Duration {
+// that has to wait. It returns 0 when the request need not wait, or is admitted regardless
+// of the estimate.
+func (q *Queue[T]) estimateCompletion(item *Item[T]) time.Duration {
 	switch q.options.Admission.(type) {
 	case RefuseInfeasible:
-		if wait := q.Wait(index); wait > 0 {
-			return wait + q.ranks[index].account.responseTimes.Median()
+		r := q.ranks[item.Rank]
+		if wait := q.waitFor(item.Rank, r.flows.ahead(item.Account, r.len())); wait > 0 {
+			return wait + r.account.responseTimes.Median()
 		}
 	case AdmitAll:
 	}
@@ -93,6 +94,11 @@
 // of the rank itself take at its recent share of the slots, and at most the time that
 // they take at its floor.
 func (q *Queue[T]) Wait(index daisyrank.Index) time.Duration {
+	return q.waitFor(index, q.ranks[index].len())
+}
+
+// waitFor is like Wait for a request behind a number of those of its rank.
+func (q *Queue[T]) waitFor(index daisyrank.Index, requests int) time.Duration {
 	if q.inFlight == 0 && !q.rateLimited || q.waiting == 0 {
 		return 0
 	}
@@ -105,7 +111,7 @@
 	}
 	slots := max(float64(q.inFlight), q.evenShare)
 	r := q.ranks[index]
-	own := time.Duration(r.len()) * r.account.slotTime()
+	own := time.Duration(requests) * r.account.slotTime()
 	byPriority := float64(ahead+own) / slots
 	share := max(r.account.slotShare, r.declared.Floor, minSlotShare)
 	byShare := float64(own) / (share * slots)
@@ -143,12 +149,14 @@
 	return q.rankEvictionCandidate(index)
 }
 
-// rankEvictionCandidate returns the request of a rank to evict: the overdue one with the
-// earliest deadline if there are overdue ones, else the one with the latest due time.
+// rankEvictionCandidate returns the request of a rank to evict, from the account with the
+// most requests there: the overdue one with the earliest deadline if there are overdue
+// ones, else the one with the latest due time.
 func (q *Queue[T]) rankEvictionCandidate(index daisyrank.Index) *Item[T] {
-	if _, item, ok := q.ranks[index].overdue.First(); ok {
+	_, f, _ := q.ranks[index].flows.sizes.First()
+	if _, item, ok := f.overdue.First(); ok {
 		return item
 	}
-	_, item, _ := q.ranks[index].latest.First()
+	_, item, _ := f.latest.First()
 	return item
 }
--- a/core/daisyqueue/load_test.go
+++ b/core/daisyqueue/load_test.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisyqueue"
 	"daisyyoke/core/daisyrank"
@@ -26,6 +27,11 @@
 	length  time.Duration
 	seed    uint64
 	options daisyqueue.Options
+	// account returns the account and the deadline of a request; nil means none and the
+	// target of the rank.
+	account func(s *simulation) (daisyaccount.Name, time.Time)
+	// target is the time from the arrival of a request to its target; 0 means its deadline.
+	target time.Duration
 }
 
 const (
@@ -58,10 +64,20 @@
 	next    []time.Time
 	stats   []rankStats
 	maxLen  int
+	// latencies has the times from the arrivals of the served requests of each account to
+	// their responses.
+	latencies map[daisyaccount.Name][]time.Duration
+	// refused counts the refused requests of each account.
+	refused map[daisyaccount.Name]int
+}
+
+func (s *simulation) noteRefused(i *item) {
+	s.stats[i.Rank].refused++
+	s.refused[i.Account]++
 }
 
 func (w workload) run() *simulation {
-	s := &simulation{workload: w, random: rand.New(rand.NewPCG(w.seed, 0)), now: start}
+	s := &simulation{workload: w, random: rand.New(rand.NewPCG(w.seed, 0)), now: start, latencies: make(map[daisyaccount.Name][]time.Duration), refused: make(map[daisyaccount.Name]int)}
 	if s.options.Limits.Rank == 0 {
 		s.options.Limits = daisyqueue.Limits{Rank: 4096, Service: 8192}
 	}
@@ -123,11 +139,17 @@
 	s.scheduleArrival(rank)
 	s.stats[rank].arrived++
 	i := &item{Value: s.now, Rank: daisyrank.Index(rank), Deadline: s.now.Add(ranks[rank].Target)}
+	if s.account != nil {
+		i.Account, i.Deadline = s.account(s)
+	}
+	if s.target > 0 {
+		i.Target = s.now.Add(s.target)
+	}
 	switch v := s.queue.Admit(s.now, i, 0).(type) {
 	case daisyqueue.Refused[time.Time]:
-		s.stats[rank].refused++
+		s.noteRefused(i)
 	case daisyqueue.Displaced[time.Time]:
-		s.stats[v.Item.Rank].refused++
+		s.noteRefused(v.Item)
 	}
 }
 
@@ -137,7 +159,7 @@
 		if !ok {
 			return
 		}
-		s.stats[d.Item.Rank].refused++
+		s.noteRefused(d.Item)
 	}
 }
 
@@ -147,9 +169,9 @@
 		case daisyqueue.Idle[time.Time]:
 			return
 		case daisyqueue.Drop[time.Time]:
-			s.stats[v.Item.Rank].refused++
+			s.noteRefused(v.Item)
 		case daisyqueue.Serve[time.Time]:
-			s.queue.Remove(s.now, v.Item)
+			s.queue.Take(s.now, v.Item)
 			a := &attempt{item: v.Item, started: s.now, charge: s.queue.Started(s.now, v.Item.Rank)}
 			took := fixedServiceTime + time.Duration(float64(meanRandomServiceTime)*s.random.ExpFloat64())
 			s.running.Push(s.now.Add(took), a, &a.index)
@@ -164,6 +186,7 @@
 	s.queue.RecordResponseTime(a.item.Rank, took)
 	t := &s.stats[a.item.Rank]
 	t.slotTime += took
+	s.latencies[a.item.Account] = append(s.latencies[a.item.Account], s.now.Sub(a.item.Value))
 	if s.now.After(a.item.Deadline) {
 		t.late++
 		return
--- a/core/daisyqueue/next.go
+++ b/core/daisyqueue/next.go
@@ -31,7 +31,7 @@
 const overloadDuration = time.Second
 
 // Next returns the request that a free slot should go to. A request to serve stays in
-// the queue until Remove is called; a dropped one has been removed. The only request
+// the queue until Take is called; a dropped one has been removed. The only request
 // that waits is served until its deadline, whatever the estimate.
 func (q *Queue[T]) Next(now time.Time) Step[T] {
 	q.accrue(now)
@@ -40,12 +40,13 @@
 		return Idle[T]{}
 	}
 	r.demote(now)
-	item := r.head(now, q.options.Order)
-	required := r.requiredTime()
+	f, _ := r.flows.next()
+	item := f.head(now, q.options.Order)
+	required := r.requiredTime(f)
 	if now.Before(item.Deadline) && (q.waiting == 1 || !now.Add(required).After(item.Deadline)) {
 		return Serve[T]{Item: item}
 	}
-	return q.drop(now, r, item, required)
+	return q.drop(now, item, required)
 }
 
 // Expire removes and returns a request whose latest start time passed before a slot
@@ -56,7 +57,7 @@
 		r.demote(now)
 		for _, h := range []*daisyheap.Heap[*Item[T]]{r.earliest, r.overdue} {
 			if _, item, ok := h.First(); ok && !now.Before(r.latestStart(item)) {
-				return q.drop(now, r, item, r.account.responseTimes.Median())
+				return q.drop(now, item, r.account.responseTimes.Median())
 			}
 		}
 	}
@@ -122,29 +123,29 @@
 	return first
 }
 
-func (r *rank[T]) head(now time.Time, order Order) *Item[T] {
-	if r.earliest.Len() == 0 {
-		_, item, _ := r.overdue.First()
+func (f *flow[T]) head(now time.Time, order Order) *Item[T] {
+	if f.earliest.Len() == 0 {
+		_, item, _ := f.overdue.First()
 		return item
 	}
 	switch order.(type) {
 	case LatestWhenOverloaded:
-		if now.Before(r.overloadedUntil) {
-			_, item, _ := r.latest.First()
+		if now.Before(f.overloadedUntil) {
+			_, item, _ := f.latest.First()
 			return item
 		}
 	case EarliestFirst:
 	}
-	_, item, _ := r.earliest.First()
+	_, item, _ := f.earliest.First()
 	return item
 }
 
-// requiredTime returns how much time the request at the head must have left to its
-// deadline in order to be served: the 95th percentile of the response times while other
-// requests of the rank wait, because one with more time left makes better use of the
-// slot, else the median.
-func (r *rank[T]) requiredTime() time.Duration {
-	if r.len() > 1 {
+// requiredTime returns how much time the request at the head of a flow must have left to
+// its deadline in order to be served: the 95th percentile of the response times while other
+// requests of the flow wait, because one with more time left makes better use of the
+// flow's turn, else the median.
+func (r *rank[T]) requiredTime(f *flow[T]) time.Duration {
+	if f.len() > 1 {
 		return r.account.responseTimes.P95()
 	}
 	return r.account.responseTimes.Median()
@@ -155,8 +156,8 @@
 	return item.Deadline.Add(-r.account.responseTimes.Median())
 }
 
-func (q *Queue[T]) drop(now time.Time, r *rank[T], item *Item[T], expected time.Duration) Step[T] {
+func (q *Queue[T]) drop(now time.Time, item *Item[T], expected time.Duration) Step[T] {
+	item.flow.overloadedUntil = now.Add(overloadDuration)
 	q.Remove(now, item)
-	r.overloadedUntil = now.Add(overloadDuration)
 	return Drop[T]{Item: item, Expected: expected}
 }
--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -1,7 +1,8 @@
 // Package daisyqueue orders the requests of one service that wait at one VM for a slot.
 //
-// Requests are ordered by rank and within a rank by due time, which is the target or
-// the deadline, whichever comes first. A rank that got less than its floor of the slot
+// Requests are ordered by rank. Within a rank, client accounts are served in turn, the one
+// with the least recent use first, and the requests of an account by due time, which is the
+// target or the deadline, whichever comes first. A rank that got less than its floor of the slot
 // time while it had requests waiting goes before the others. Requests that cannot
 // finish by their deadline are refused, and the number of waiting requests is bounded.
 package daisyqueue
@@ -9,6 +10,7 @@
 import (
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisyrank"
 )
@@ -22,10 +24,15 @@
 	Deadline time.Time
 	// Target is when the response begins to lose worth; the zero time means at the Deadline.
 	Target time.Time
-
-	// earliestIndex, latestIndex and overdueIndex are the positions in the heaps of the rank.
-	earliestIndex, latestIndex, overdueIndex int
-	queued                                   bool
+	// Account is the client account that the request belongs to; empty if it has none.
+	Account daisyaccount.Name
+
+	// earliestIndex and overdueIndex are the positions in the heaps of the rank, and the
+	// others those in the heaps of the flow.
+	earliestIndex, overdueIndex                      int
+	flowEarliestIndex, latestIndex, flowOverdueIndex int
+	flow                                             *flow[T]
+	queued                                           bool
 }
 
 // due returns the time by which the request should be answered: its target if that
@@ -73,8 +80,9 @@
 // EarliestFirst serves the earliest due time first.
 type EarliestFirst struct{}
 
-// LatestWhenOverloaded serves the latest due time first for a second after a request of
-// the rank could not finish by its deadline, and the earliest due time first otherwise.
+// LatestWhenOverloaded serves the latest due time of an account first for a second after a
+// request of the account could not finish by its deadline, and the earliest due time first
+// otherwise.
 type LatestWhenOverloaded struct{}
 
 func (EarliestFirst) order()        {}
@@ -163,8 +171,11 @@
 			return
 		}
 		r.earliest.Remove(item.earliestIndex)
-		r.latest.Remove(item.latestIndex)
+		item.flow.earliest.Remove(item.flowEarliestIndex)
+		item.flow.latest.Remove(item.latestIndex)
 		r.overdue.Push(item.Deadline, item, &item.overdueIndex)
+		item.flow.overdue.Push(item.Deadline, item, &item.flowOverdueIndex)
+		r.flows.update(item.flow)
 	}
 }
 
@@ -175,9 +186,12 @@
 func (q *Queue[T]) Push(now time.Time, item *Item[T]) {
 	q.accrue(now)
 	r := q.ranks[item.Rank]
-	item.overdueIndex = daisyheap.NotInHeap
+	item.overdueIndex, item.flowOverdueIndex = daisyheap.NotInHeap, daisyheap.NotInHeap
+	item.flow = r.flows.flowOf(item.Account)
 	r.earliest.Push(item.due(), item, &item.earliestIndex)
-	r.latest.Push(item.due(), item, &item.latestIndex)
+	item.flow.earliest.Push(item.due(), item, &item.flowEarliestIndex)
+	item.flow.latest.Push(item.due(), item, &item.latestIndex)
+	r.flows.update(item.flow)
 	r.demote(now)
 	item.queued = true
 	q.waiting++
@@ -191,8 +205,20 @@
 	q.accrue(now)
 	r := q.ranks[item.Rank]
 	r.earliest.Remove(item.earliestIndex)
-	r.latest.Remove(item.latestIndex)
 	r.overdue.Remove(item.overdueIndex)
-	item.queued = false
+	item.flow.earliest.Remove(item.flowEarliestIndex)
+	item.flow.latest.Remove(item.latestIndex)
+	item.flow.overdue.Remove(item.flowOverdueIndex)
+	r.flows.update(item.flow)
+	item.queued, item.flow = false, nil
 	q.waiting--
 }
+
+// Take takes a request out of the queue that gets a slot, which ends the turn of its account.
+// It does nothing if the request is not queued.
+func (q *Queue[T]) Take(now time.Time, item *Item[T]) {
+	if item.queued {
+		q.ranks[item.Rank].flows.use(item.flow)
+		q.Remove(now, item)
+	}
+}
--- a/core/daisyqueue/rank.go
+++ b/core/daisyqueue/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"daisyyoke/core/daisyheap"
 	"daisyyoke/core/daisyrank"
@@ -12,23 +11,22 @@
 	declared daisyrank.Rank
 	// isDeclared is false for a rank that is in use only for requests of another declaration.
 	isDeclared bool
-	// earliest and latest order the requests by due time.
+	// earliest orders the requests by due time.
 	earliest *daisyheap.Heap[*Item[T]]
-	latest   *daisyheap.Heap[*Item[T]]
 	// overdue holds the requests that will miss their target but can meet their deadline,
 	// by deadline. They are served after all others of the rank.
 	overdue *daisyheap.Heap[*Item[T]]
+	// flows has the same requests by client account.
+	flows   flows[T]
 	account account
-	// overloadedUntil is when LatestWhenOverloaded goes back to the earliest due time.
-	overloadedUntil time.Time
 }
 
 func newRank[T any]() *rank[T] {
 	return &rank[T]{
 		isDeclared: true,
 		earliest:   daisyheap.New[*Item[T]](daisyheap.Earliest),
-		latest:     daisyheap.New[*Item[T]](daisyheap.Latest),
 		overdue:    daisyheap.New[*Item[T]](daisyheap.Earliest),
+		flows:      newFlows[T](),
 		account:    account{slotShare: 1},
 	}
 }
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -134,7 +134,7 @@
 		d.fail(now, r, BudgetSpent, d.retryAfter(r.item.Rank, BudgetSpent))
 		return true
 	}
-	d.queue.Remove(now, &r.item)
+	d.queue.Take(now, &r.item)
 	d.send(now, r, c)
 	return true
 }
--- a/core/daisyroute/request.go
+++ b/core/daisyroute/request.go
@@ -117,7 +117,7 @@
 		r, p.requests = p.requests[n-1], p.requests[:n-1]
 	}
 	*r = request{Request: q}
-	r.item = daisyqueue.Item[*request]{Value: r, Rank: rank, Deadline: q.Deadline, Target: q.Target}
+	r.item = daisyqueue.Item[*request]{Value: r, Rank: rank, Deadline: q.Deadline, Target: q.Target, Account: q.Account}
 	return r
 }
 
