Name VMs to callers as often as their capacity supports

Spare capacity is the slots of all services less the VM's own requests, so it hardly differs between a VM of 0.16 and one of 0.8 of a core, and an answer named up to 64 VMs, of which callers choose one at random: all VMs got the same load.

Where capacities differ, an answer now names only some VMs, each with a probability in proportion to the lesser of its shares of all processor time and of the speed of all links, times the weight as before, in a systematic sample that gives each availability zone its part. Without capacities, or with equal ones, answers are as before.

--- a/core/daisyvm/addresses.go
+++ b/core/daisyvm/addresses.go
@@ -57,7 +57,9 @@
 // Answer returns the usable VMs in a random order weighted by spare capacity. VMs in
 // the zone of self, which is assumed to be the zone of its callers, come first unless
 // that zone has little spare capacity. Leaving and dead VMs are omitted. If no VM is
-// ready, those that are not ready are returned, and if none is left, self alone.
+// ready, those that are not ready are returned, and if none is left, self alone. If the
+// capacities of the VMs differ, the answer names some of them, each as often as its capacity
+// supports, in an order that is not weighted once more.
 func (a *AddressSelector) Answer(self Member, others []Member) Answer {
 	members, someNotReady := usableMembers(self, others)
 	answer := Answer{TTL: a.ttl}
@@ -65,9 +67,14 @@
 		answer.TTL = min(NotReadyTTL, a.ttl)
 	}
 	preferred := a.prefersZone(self.VM.Zone, members)
-	candidates := make([]candidate, 0, len(members))
-	for _, m := range members {
-		candidates = append(candidates, candidate{member: m, sameZone: preferred && m.VM.Zone == self.VM.Zone, sortKey: a.sortKey(m)})
+	named, byCapacity := a.nameByCapacity(members)
+	candidates := make([]candidate, 0, len(named))
+	for _, m := range named {
+		c := candidate{member: m, sameZone: preferred && m.VM.Zone == self.VM.Zone}
+		if c.sortKey = a.sortKey(m); byCapacity {
+			c.sortKey = a.random.Float64()
+		}
+		candidates = append(candidates, c)
 	}
 	slices.SortFunc(candidates, compareCandidates)
 	for _, c := range candidates {
