Estimate the completion of a waiting request by its account

Change: the request that is dropped after a loss of capacity is estimated by what its account has before it, as on arrival. Result: the tests of core/daisyqueue and core/daisyroute pass, among them TestWaitingRequestsAreRefusedWhenTheirCapacityIsLost and TestFullQueueEvictsTheLargestAccount.

--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		item := q.rankEvictionCandidate(i)
-		if expected := q.estimateCompletion(i); expected > 0 && now.Add(expected).After(item.Deadline) {
+		if expected := q.estimateCompletion(item); expected > 0 && now.Add(expected).After(item.Deadline) {
 			return item
 		}
 	}
