Go by the bound of the age for unknown keys where there is one

Cause: the estimate leaves suspensions out, so a VM that had been suspended answered 401 for a key that was added meanwhile.

Change: Authenticate takes the bound in place of the estimate where the settings have a revocation time.

--- a/io/daisydaemon/age.go
+++ b/io/daisydaemon/age.go
@@ -21,10 +21,18 @@
 	return nil
 }
 
+// ageBound returns the bound of the age of the configuration for filters; nil if there is none.
+func (d *Managed) ageBound() daisyfilter.ConfigurationAge {
+	if d.age == nil {
+		return nil
+	}
+	return d.age
+}
+
 // newRequireCurrent returns the filter that rejects requests whose key may have been revoked.
 func (d *Managed) newRequireCurrent() *daisyfilter.RequireCurrent {
 	return daisyfilter.NewRequireCurrent(daisyfilter.RequireCurrentOptions{
-		Age:            d.age,
+		Age:            d.ageBound(),
 		RevocationTime: d.settings.RevocationTime,
 		Logger:         d.logger,
 		Metrics:        d.metrics,
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -271,9 +271,9 @@
 		Filters: []daisyfilter.Filter{
 			daisyfilter.NewAdmit(maxRequests),
 			daisyfilter.RejectUnsupported{},
-			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait), Age: d.age},
+			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait), Age: d.ageBound()},
 			daisyfilter.Match{Timeouts: daisycontroller.NewTimeout(), Reader: d.adapter.Dialect},
-			daisyfilter.Authenticate{Reader: d.adapter.Dialect, MaxAge: d.settings.PropagationTime},
+			daisyfilter.Authenticate{Reader: d.adapter.Dialect, MaxAge: d.settings.PropagationTime, Age: d.ageBound()},
 			d.newRequireCurrent(),
 		},
 	})
--- a/io/daisyfilter/authenticate.go
+++ b/io/daisyfilter/authenticate.go
@@ -37,6 +37,9 @@
 	// MaxAge is the age up to which a configuration has all keys that were ever added and
 	// have taken effect; 0 means any age.
 	MaxAge time.Duration
+	// Age bounds the age of the configuration, also across a suspension of the VM; nil if no
+	// bound is needed, so that the estimate counts.
+	Age ConfigurationAge
 }
 
 func (Authenticate) filter() {}
@@ -83,6 +86,9 @@
 		return false
 	}
 	age, known := call.ConfigAge()
+	if f.Age != nil {
+		age, known = f.Age.Now()-call.ConfigKnownAt, call.ConfigKnownAt > 0
+	}
 	return !known || age > f.MaxAge
 }
 
--- a/io/daisyfilter/current_test.go
+++ b/io/daisyfilter/current_test.go
@@ -52,3 +52,14 @@
 		})
 	}
 }
+
+// Guards against a new key that is refused for good by a VM that was suspended when it was
+// added, although the estimate of the age of the configuration leaves the suspension out.
+func TestUnknownKeyIsNotRefusedForGoodAfterASuspension(t *testing.T) {
+	for age, status := range map[time.Duration]int{time.Second: http.StatusUnauthorized, time.Minute: http.StatusServiceUnavailable} {
+		call := newKeyCall("k-9", matchRoute, daisyaccount.Account{Name: "a", Keys: []daisyaccount.Digest{daisyaccount.DigestOf("k-1")}})
+		call.ConfigKnownAt = time.Hour
+		f := Authenticate{Reader: fakeKeys{}, MaxAge: 2500 * time.Millisecond, Age: fakeAge{now: time.Hour + age}}
+		assert.Equal(t, f.apply(call).(Reject).Problem.Status, status)
+	}
+}
