Declare availability zones evacuated in the intent

Cause: only the users' platform could evacuate a zone; with plans an operator had to drain each endpoint.

--- a/core/daisyconfig/config.go
+++ b/core/daisyconfig/config.go
@@ -4,6 +4,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"daisyyoke/core/daisyaccount"
@@ -36,6 +38,16 @@
 	Accounts []daisyaccount.Account
 }
 
+// Evacuated reports whether an availability zone of the fleet is declared evacuated.
+func (f Fleet) Evacuated(zone daisyfleet.ZoneID) bool {
+	for _, z := range f.AvailabilityZones {
+		if z.ID == zone {
+			return z.Evacuated
+		}
+	}
+	return false
+}
+
 // CallerLimits limits the size of the requests that callers send and the time
 // that they take. A field that is 0 means the default.
 type CallerLimits struct {
@@ -64,7 +76,8 @@
 	ConfirmedAt time.Time
 	ConfirmedBy string
 	PlanID      string
-	// Evacuated are the availability zones whose endpoints get no new requests.
+	// Evacuated are the availability zones whose endpoints get no new requests, in addition
+	// to those that Intent declares so.
 	Evacuated []daisyfleet.ZoneID
 	// Adjustments are the entries that could not be taken as they were written.
 	Adjustments []Adjustment
@@ -79,6 +92,21 @@
 	Problem, Effect string
 }
 
+// EvacuatedZones returns the availability zones whose endpoints get no new requests, in the
+// order of their names.
+func (s *Snapshot) EvacuatedZones() []daisyfleet.ZoneID {
+	zones := slices.Clone(s.Evacuated)
+	for _, f := range s.Intent.Fleets {
+		for _, z := range f.AvailabilityZones {
+			if z.Evacuated {
+				zones = append(zones, z.ID)
+			}
+		}
+	}
+	slices.SortFunc(zones, func(a, b daisyfleet.ZoneID) int { return strings.Compare(a.String(), b.String()) })
+	return slices.Compact(zones)
+}
+
 // FindService returns the service with the given ID and reports whether it exists.
 func (s *Snapshot) FindService(id daisyservice.ID) (daisyservice.Service, bool) {
 	for _, f := range s.Intent.Fleets {
--- a/core/daisyconfig/merge.go
+++ b/core/daisyconfig/merge.go
@@ -65,7 +65,7 @@
 // evacuatedZones returns the availability zones whose endpoints get no new requests.
 func (s *Snapshot) evacuatedZones() map[daisyfleet.ZoneID]bool {
 	zones := make(map[daisyfleet.ZoneID]bool, len(s.Evacuated))
-	for _, z := range s.Evacuated {
+	for _, z := range s.EvacuatedZones() {
 		zones[z] = true
 	}
 	return zones
--- a/core/daisyfleet/fleet.go
+++ b/core/daisyfleet/fleet.go
@@ -35,6 +35,8 @@
 type AvailabilityZone struct {
 	ID   ZoneID
 	City string
+	// Evacuated means that the endpoints of the zone get no new requests.
+	Evacuated bool
 }
 
 // MaxNameLength is the longest allowed name in bytes, that of a DNS label.
--- a/core/daisyplan/change.go
+++ b/core/daisyplan/change.go
@@ -10,7 +10,7 @@
 // Change is one difference between the configuration in force and the intent.
 // Differences in routes, caller limits, health paths and default connections are
 // not reported. A Change is one of FleetAdded, FleetRemoved, ZoneAdded,
-// ZoneRemoved, ZoneChanged, RankAdded, RankRemoved, RankChanged, RanksReordered,
+// ZoneRemoved, ZoneChanged, ZoneEvacuated, ZoneReturned, RankAdded, RankRemoved, RankChanged, RanksReordered,
 // ServiceAdded, ServiceRemoved, ServiceRanksChanged, ProtocolChanged,
 // EndpointAdded, EndpointRemoved, EndpointChanged, EndpointDrained and
 // EndpointResumed.
@@ -31,6 +31,14 @@
 // ZoneChanged is a Change of the city of an availability zone.
 type ZoneChanged struct{ Before, After daisyfleet.AvailabilityZone }
 
+// ZoneEvacuated is a Change after which the endpoints of an availability zone receive no new
+// requests.
+type ZoneEvacuated struct{ Zone daisyfleet.ZoneID }
+
+// ZoneReturned is a Change after which the endpoints of an evacuated availability zone
+// receive requests again.
+type ZoneReturned struct{ Zone daisyfleet.ZoneID }
+
 // RankAdded is a Change that adds a rank to a fleet.
 type RankAdded struct {
 	Fleet daisyfleet.Name
@@ -109,6 +117,8 @@
 func (ZoneAdded) change()           {}
 func (ZoneRemoved) change()         {}
 func (ZoneChanged) change()         {}
+func (ZoneEvacuated) change()       {}
+func (ZoneReturned) change()        {}
 func (RankAdded) change()           {}
 func (RankRemoved) change()         {}
 func (RankChanged) change()         {}
--- a/core/daisyplan/compare.go
+++ b/core/daisyplan/compare.go
@@ -77,13 +77,26 @@
 			changes = append(changes, ZoneAdded{Zone: *p.after})
 		case p.after == nil:
 			changes = append(changes, ZoneRemoved{Zone: p.before.ID})
-		case *p.before != *p.after:
+		case p.before.City != p.after.City:
 			changes = append(changes, ZoneChanged{Before: *p.before, After: *p.after})
 		}
+		changes = append(changes, compareEvacuation(p)...)
 	}
 	return changes
 }
 
+func compareEvacuation(p pair[daisyfleet.AvailabilityZone]) []Change {
+	evacuatedBefore := p.before != nil && p.before.Evacuated
+	switch {
+	case p.after == nil:
+	case p.after.Evacuated && !evacuatedBefore:
+		return []Change{ZoneEvacuated{Zone: p.after.ID}}
+	case evacuatedBefore && !p.after.Evacuated:
+		return []Change{ZoneReturned{Zone: p.after.ID}}
+	}
+	return nil
+}
+
 func compareRanks(before, after daisyconfig.Fleet) []Change {
 	var changes []Change
 	var oldOrder, newOrder []daisyrank.Name
@@ -178,9 +191,11 @@
 		return []Change{EndpointRemoved{Service: before, Endpoint: *p.before}}
 	}
 	var changes []Change
-	ignoringDraining := *p.after
-	ignoringDraining.Draining = p.before.Draining
-	if ignoringDraining != *p.before {
+	withoutStates := *p.after
+	withoutStates.Draining = p.before.Draining
+	// An evacuation is a change of the zone.
+	withoutStates.Evacuated = p.before.Evacuated
+	if withoutStates != *p.before {
 		changes = append(changes, EndpointChanged{Service: after, Before: *p.before, After: *p.after})
 	}
 	if !p.before.Draining && p.after.Draining {
@@ -200,7 +215,7 @@
 			ids = append(ids, daisyconfig.EndpointID{Service: c.Service, Address: c.Endpoint.Address})
 		case EndpointDrained:
 			ids = append(ids, daisyconfig.EndpointID{Service: c.Service, Address: c.Endpoint.Address})
-		case FleetAdded, FleetRemoved, ZoneAdded, ZoneRemoved, ZoneChanged, RankAdded, RankRemoved,
+		case FleetAdded, FleetRemoved, ZoneAdded, ZoneRemoved, ZoneChanged, ZoneEvacuated, ZoneReturned, RankAdded, RankRemoved,
 			RankChanged, RanksReordered, ServiceAdded, ServiceRemoved, ServiceRanksChanged,
 			ProtocolChanged, EndpointAdded, EndpointChanged, EndpointResumed:
 		}
--- a/core/daisyplan/impact.go
+++ b/core/daisyplan/impact.go
@@ -15,7 +15,7 @@
 }
 
 // Impact is the effect of a plan on the slots of one service. The slots of
-// draining endpoints are not counted.
+// endpoints that are draining or evacuated are not counted.
 type Impact struct {
 	Service       daisyservice.ID
 	SlotsBefore   int
@@ -61,7 +61,7 @@
 func workingSlots(service daisyservice.Service) int {
 	slots := 0
 	for _, e := range service.Endpoints {
-		if !e.Draining {
+		if !e.Draining && !e.Evacuated {
 			slots += e.Slots
 		}
 	}
--- a/core/daisyplan/plan.go
+++ b/core/daisyplan/plan.go
@@ -43,7 +43,8 @@
 	Changes  []Change
 	Impacts  []Impact
 	Warnings []Warning
-	// WithdrawnEndpoints lists the endpoints that stop receiving new requests.
+	// WithdrawnEndpoints lists the endpoints that stop receiving new requests, except those of
+	// zones that are evacuated, which a Change names.
 	WithdrawnEndpoints []daisyconfig.EndpointID
 }
 
--- a/core/daisyplan/plan_test.go
+++ b/core/daisyplan/plan_test.go
@@ -194,6 +194,31 @@
 	}})
 }
 
+// Guards against a plan that does not say what an evacuation does to the capacity, or lists
+// each endpoint of the zone as changed.
+func TestPlansOfEvacuations(t *testing.T) {
+	evacuate := func(zones ...int) daisyconfig.Intent {
+		return newIntent(func(f *daisyconfig.Fleet) {
+			for _, z := range zones {
+				f.AvailabilityZones[z].Evacuated = true
+			}
+			for i := range f.Services[0].Endpoints {
+				e := &f.Services[0].Endpoints[i]
+				e.Evacuated = f.Evacuated(e.Zone)
+			}
+		})
+	}
+	one := makePlan(evacuate(0))
+	assert.DeepEqual(t, one.Changes, []daisyplan.Change{daisyplan.ZoneEvacuated{Zone: zoneA}}, compareAddresses)
+	assert.Equal(t, one.Impacts[0].SlotsAfter, 8)
+	assert.DeepEqual(t, one.Warnings, []daisyplan.Warning{daisyplan.CapacityDropped{Service: lookups, Before: 16, After: 8}})
+	all := makePlan(evacuate(0, 1))
+	assert.DeepEqual(t, all.Warnings, []daisyplan.Warning{daisyplan.ServiceLeftEmpty{Service: lookups}})
+	back := daisyplan.New(&daisyconfig.Snapshot{Revision: 7, Intent: evacuate(0)}, newIntent(), now)
+	assert.DeepEqual(t, back.Changes, []daisyplan.Change{daisyplan.ZoneReturned{Zone: zoneA}}, compareAddresses)
+	assert.Equal(t, len(back.Warnings), 0)
+}
+
 // TestSameNamesInTwoFleetsStayDistinct checks that services and endpoints of
 // different fleets are not matched with each other because they have the same name.
 func TestSameNamesInTwoFleetsStayDistinct(t *testing.T) {
--- a/core/daisyplan/warning.go
+++ b/core/daisyplan/warning.go
@@ -38,8 +38,8 @@
 	Before, After int
 }
 
-// ServiceLeftEmpty warns that a service has no slots on endpoints that are not
-// draining.
+// ServiceLeftEmpty warns that a service has no slots on endpoints that are neither
+// draining nor evacuated.
 type ServiceLeftEmpty struct{ Service daisyservice.ID }
 
 // AddressUsedTwice warns that several services declare the same endpoint address.
--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -12,6 +12,7 @@
 
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyerror"
+	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyvm"
 	"daisyyoke/io/daisyplatform"
@@ -275,13 +276,18 @@
 		a.Apply(s)
 	}
 	c.chain.add(s)
-	c.inForce.Store(s)
+	previous := c.inForce.Swap(s)
 	c.mu.Lock()
 	close(c.applied)
 	c.applied = make(chan struct{})
 	c.mu.Unlock()
 	c.options.Logger.Info("configuration in force",
 		"revision", s.Revision, "hash", s.Hash, "plan", s.PlanID, "by", s.ConfirmedBy)
+	var evacuated []daisyfleet.ZoneID
+	if previous != nil {
+		evacuated = previous.EvacuatedZones()
+	}
+	logEvacuations(c.options.Logger, evacuated, s.EvacuatedZones(), "revision", s.Revision)
 }
 
 func (c *Config) readHead() daisyconfig.Event {
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -418,16 +418,7 @@
 // applyEvacuations puts the evacuations of availability zones in force.
 func (c *Follow) applyEvacuations(zones []daisyfleet.ZoneID, from provenance) {
 	slices.SortFunc(zones, func(a, b daisyfleet.ZoneID) int { return strings.Compare(a.String(), b.String()) })
-	for _, z := range zones {
-		if !slices.Contains(c.evacuated, z) {
-			c.options.Logger.Info("availability zone evacuated", append(from.fields(), "zone", z.String())...)
-		}
-	}
-	for _, z := range c.evacuated {
-		if !slices.Contains(zones, z) {
-			c.options.Logger.Info("evacuation of availability zone ended", append(from.fields(), "zone", z.String())...)
-		}
-	}
+	logEvacuations(c.options.Logger, c.evacuated, zones, from.fields()...)
 	c.evacuated = zones
 }
 
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -73,6 +73,8 @@
 	lastRequestID atomic.Uint64
 	// activeRequests counts the requests of all services that have begun and not ended.
 	activeRequests atomic.Int64
+	// evacuatedZones is the number of availability zones that are evacuated.
+	evacuatedZones atomic.Int64
 	// stopBegan is set once this VM stops; new shards are initialized with it. It is guarded
 	// by changeMu.
 	stopBegan daisyroute.StopBegan
@@ -153,6 +155,7 @@
 		}
 	}
 	c.shards.Store(&shards)
+	c.evacuatedZones.Store(int64(len(snapshot.EvacuatedZones())))
 }
 
 func (c *Route) applyService(shards map[daisyservice.ID]*routeShard, service daisyservice.Service) {
--- a/io/daisydaemon/caller_metric.go
+++ b/io/daisydaemon/caller_metric.go
@@ -1,6 +1,7 @@
 package daisydaemon
 
 import (
+	"daisyyoke/io/daisycontroller"
 	"daisyyoke/io/daisyfilter"
 	"daisyyoke/io/daisylog"
 	"daisyyoke/io/daisymetric"
@@ -17,6 +18,13 @@
 	d.metrics.AddGauge("daisyyoke_requests_in_hand", "Requests of all services now.", func() float64 { return float64(admit.InFlight()) })
 	d.metrics.AddGauge("daisyyoke_endpoint_connections", connectionsHelp, func() float64 { return float64(d.pool.Connections()) })
 	addLogMetrics(d.metrics, d.log)
+	addEvacuationMetrics(d.metrics, d.routes)
+}
+
+// addEvacuationMetrics registers the metrics of evacuated availability zones.
+func addEvacuationMetrics(metrics *daisymetric.Metrics, routes *daisycontroller.Route) {
+	metrics.AddGauge("daisyyoke_evacuated_zones", "Availability zones that are evacuated.", func() float64 { return float64(routes.EvacuatedZones()) })
+	metrics.AddGauge("daisyyoke_evacuated_attempts", "Attempts under way at endpoints of evacuated availability zones.", func() float64 { return float64(routes.EvacuatedInFlight()) })
 }
 
 // addLogMetrics registers the metrics of dropped and sampled log lines.
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -386,6 +386,7 @@
 func (d *Managed) addMetrics() {
 	addLogMetrics(d.metrics, d.log)
 	addLinkMetrics(d.metrics, d.links)
+	addEvacuationMetrics(d.metrics, d.routes)
 	d.metrics.AddGauge("daisyyoke_endpoint_connections", connectionsHelp, func() float64 { return float64(d.pool.Connections()) })
 	d.metrics.AddGauge("daisyyoke_store_era", "Times that the platform's store says it was restored, as last known.", func() float64 { return float64(d.members.StoreEra()) })
 	d.metrics.AddGauge("daisyyoke_configuration_revision", revisionHelp, func() float64 { return float64(d.revision.Load()) })
--- a/io/daisyintent/decode.go
+++ b/io/daisyintent/decode.go
@@ -105,11 +105,11 @@
 	var zones []daisyfleet.AvailabilityZone
 	names := newUniqueNames(d, "availability zone")
 	for _, c := range d.sequence(n, f, "availability-zones") {
-		z := d.mapping(c, "an availability zone", "name", "city")
+		z := d.mapping(c, "an availability zone", "name", "city", "evacuated")
 		name := d.name(c, z, "name")
 		names.add(z["name"], name)
 		id := daisyfleet.ZoneID{Fleet: fleet, Zone: name}
-		zones = append(zones, daisyfleet.AvailabilityZone{ID: id, City: d.optionalText(z, "city")})
+		zones = append(zones, daisyfleet.AvailabilityZone{ID: id, City: d.optionalText(z, "city"), Evacuated: d.optionalFlag(z, "evacuated")})
 	}
 	return zones
 }
--- a/io/daisyintent/encode.go
+++ b/io/daisyintent/encode.go
@@ -44,7 +44,11 @@
 }
 
 func encodeZone(z daisyfleet.AvailabilityZone) *yaml.Node {
-	return withFlowStyle(newMapping(newField("name", newScalar(z.ID.Zone)), newField("city", newQuotedScalar(z.City))))
+	fields := []field{newField("name", newScalar(z.ID.Zone)), newField("city", newQuotedScalar(z.City))}
+	if z.Evacuated {
+		fields = append(fields, newField("evacuated", newScalar("true")))
+	}
+	return withFlowStyle(newMapping(fields...))
 }
 
 func encodeRank(r daisyrank.Rank) *yaml.Node {
--- a/io/daisyintent/intent_test.go
+++ b/io/daisyintent/intent_test.go
@@ -45,6 +45,17 @@
 	assert.Equal(t, s.Protocol, daisyservice.HTTP2)
 }
 
+// Guards against a zone that is declared evacuated and whose endpoints get work, or that is
+// forgotten when the intent is shown.
+func TestEvacuatedZone(t *testing.T) {
+	intent, err := daisyintent.Decode(strings.NewReader(strings.Replace(valid, "city: lisboa", "city: lisboa, evacuated: true", 1)))
+	assert.NilError(t, err)
+	assert.Assert(t, intent.Fleets[0].Services[0].Endpoints[0].Evacuated)
+	text, err := daisyintent.Encode(intent)
+	assert.NilError(t, err)
+	assert.Check(t, is.Contains(string(text), `{name: a, city: "lisboa", evacuated: true}`))
+}
+
 func TestDecodeReportsLineOfProblem(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
 		{"empty", valid, "", "line 1: the intent is empty"},
@@ -55,6 +66,7 @@
 		{"duplicate key", "worth: 100", "worth: 100, worth: 2", `line 6: key "worth" stands twice`},
 		{"missing key", ", slots: 3", "", `line 14: key "slots" is missing`},
 		{"duration without unit", "250ms", "250", `line 6: target "250"`},
+		{"evacuated not a flag", "city: lisboa", "city: lisboa, evacuated: soon", `line 4: evacuated "soon"`},
 		{"negative target", "250ms", "-1s", `line 6: target "-1s"`},
 		{"floor over 1", "floor: 0.5", "floor: 1.5", `line 6: floor "1.5"`},
 		{"floor not a number", "floor: 0.5", "floor: .nan", `line 6: floor ".nan"`},
@@ -90,6 +102,7 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(valid))
+	f.Add([]byte(strings.Replace(valid, "city: lisboa", "city: lisboa, evacuated: true", 1)))
 	f.Add([]byte("fleets: &a [*a]"))
 	f.Add([]byte("fleets:\n  - {}\n"))
 	f.Add([]byte("{fleets: [{name: a, availability-zones: [], ranks: [{}], services: [[]]}]}"))
--- a/io/daisyintent/service.go
+++ b/io/daisyintent/service.go
@@ -103,6 +103,7 @@
 		Connections: defaultConnections,
 		Draining:    d.optionalFlag(f, "draining"),
 	}
+	e.Evacuated = fleet.Evacuated(e.Zone)
 	if f["connections"] != nil {
 		e.Connections = d.count(n, f, "connections", maxConnections)
 	}
--- a/io/daisyoperator/describe.go
+++ b/io/daisyoperator/describe.go
@@ -24,6 +24,10 @@
 		return fmt.Sprintf("- availability zone %s", c.Zone)
 	case daisyplan.ZoneChanged:
 		return fmt.Sprintf("~ availability zone %s: city %q to %q", c.After.ID, c.Before.City, c.After.City)
+	case daisyplan.ZoneEvacuated:
+		return fmt.Sprintf("~ availability zone %s: evacuated, no new work", c.Zone)
+	case daisyplan.ZoneReturned:
+		return fmt.Sprintf("~ availability zone %s: evacuation ended", c.Zone)
 	case daisyplan.RankAdded:
 		return fmt.Sprintf("+ rank %s/%s: %s", c.Fleet, c.Rank.Name, rankText(c.Rank))
 	case daisyplan.RankRemoved:
--- a/io/daisysnapshot/codec_test.go
+++ b/io/daisysnapshot/codec_test.go
@@ -95,6 +95,13 @@
 		want := testSnapshot(rapid.IntRange(0, 3).Draw(t, "services"), rapid.IntRange(0, 3).Draw(t, "endpoints"))
 		want.Revision = daisyconfig.Revision(rapid.Uint64Min(1).Draw(t, "revision"))
 		want.ConfirmedBy = rapid.StringMatching(`[ -~äß€]*`).Draw(t, "by")
+		f := &want.Intent.Fleets[0]
+		f.AvailabilityZones[0].Evacuated = rapid.Bool().Draw(t, "evacuated")
+		for _, s := range f.Services {
+			for i := range s.Endpoints {
+				s.Endpoints[i].Evacuated = f.Evacuated(s.Endpoints[i].Zone)
+			}
+		}
 		want.Intent.Fleets[0].Ranks[0].Floor = rapid.Float64Range(0, 1).Draw(t, "floor")
 		data, hash, err := daisysnapshot.Encode(want)
 		assert.NilError(t, err)
--- a/io/daisysnapshot/document.go
+++ b/io/daisysnapshot/document.go
@@ -37,6 +37,8 @@
 type zoneDocument struct {
 	Name string `json:"name"`
 	City string `json:"city,omitempty"`
+	// Evacuated applies to the endpoints of the zone too, which have no field for it.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 type rankDocument struct {
@@ -88,7 +90,7 @@
 func newFleetDocument(f daisyconfig.Fleet) fleetDocument {
 	d := fleetDocument{Name: string(f.Name)}
 	for _, z := range f.AvailabilityZones {
-		d.AvailabilityZones = append(d.AvailabilityZones, zoneDocument{Name: z.ID.Zone, City: z.City})
+		d.AvailabilityZones = append(d.AvailabilityZones, zoneDocument{Name: z.ID.Zone, City: z.City, Evacuated: z.Evacuated})
 	}
 	for _, r := range f.Ranks {
 		d.Ranks = append(d.Ranks, rankDocument{
@@ -169,7 +171,7 @@
 	}
 	for _, z := range d.AvailabilityZones {
 		id := daisyfleet.ZoneID{Fleet: f.Name, Zone: z.Name}
-		f.AvailabilityZones = append(f.AvailabilityZones, daisyfleet.AvailabilityZone{ID: id, City: z.City})
+		f.AvailabilityZones = append(f.AvailabilityZones, daisyfleet.AvailabilityZone{ID: id, City: z.City, Evacuated: z.Evacuated})
 	}
 	for _, r := range d.Ranks {
 		target, err := time.ParseDuration(r.Target)
@@ -227,9 +229,11 @@
 		if !e.Address.IsValid() || e.Slots < 0 || e.Connections < 0 {
 			return s, daisyerror.InvalidRequest.New("service %s: endpoint %s", s.ID, e.Address)
 		}
+		zone := daisyfleet.ZoneID{Fleet: fleet.Name, Zone: e.Zone}
 		s.Endpoints = append(s.Endpoints, daisyendpoint.Endpoint{
 			Address:     e.Address,
-			Zone:        daisyfleet.ZoneID{Fleet: fleet.Name, Zone: e.Zone},
+			Zone:        zone,
+			Evacuated:   fleet.Evacuated(zone),
 			Slots:       e.Slots,
 			Connections: e.Connections,
 			Draining:    e.Draining,
