--- a/core/daisycredit/credit.go
+++ b/core/daisycredit/credit.go
@@ -47,7 +47,7 @@
 	// Shed is the number of attempts that the endpoint refused in this term because of its load.
 	Shed uint64
 	// Restricted reports whether the borrower sends only trials or nothing to the
-	// endpoint, because it is ejected, draining or removed.
+	// endpoint, because it is ejected, draining, evacuated or removed.
 	Restricted bool
 	// RateLimit is the rate limit that the endpoint named in its latest answer to the
 	// borrower, and Answers the number of these answers, from which the owner tells
