--- a/io/daisysnapshot/document.go
+++ b/io/daisysnapshot/document.go
@@ -41,6 +41,8 @@
 type zoneDocument struct {
 	Name string `json:"name"`
 	City string `json:"city,omitempty"`
+	// Evacuated applies to the endpoints of the zone too, which have no field for it.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 type rankDocument struct {
@@ -98,7 +100,7 @@
 func newFleetDocument(f daisyconfig.Fleet) fleetDocument {
 	d := fleetDocument{Name: string(f.Name)}
 	for _, z := range f.AvailabilityZones {
-		d.AvailabilityZones = append(d.AvailabilityZones, zoneDocument{Name: z.ID.Zone, City: z.City})
+		d.AvailabilityZones = append(d.AvailabilityZones, zoneDocument{Name: z.ID.Zone, City: z.City, Evacuated: z.Evacuated})
 	}
 	for _, r := range f.Ranks {
 		d.Ranks = append(d.Ranks, rankDocument{
@@ -197,7 +199,7 @@
 	}
 	for _, z := range d.AvailabilityZones {
 		id := daisyfleet.ZoneID{Fleet: f.Name, Zone: z.Name}
-		f.AvailabilityZones = append(f.AvailabilityZones, daisyfleet.AvailabilityZone{ID: id, City: z.City})
+		f.AvailabilityZones = append(f.AvailabilityZones, daisyfleet.AvailabilityZone{ID: id, City: z.City, Evacuated: z.Evacuated})
 	}
 	for _, r := range d.Ranks {
 		target, err := time.ParseDuration(r.Target)
@@ -263,11 +265,11 @@
 	if s.ColdStart, err = decodeDuration(d.ColdStart); err != nil {
 		return s, err
 	}
-	s.Endpoints, err = d.endpoints(s.ID)
+	s.Endpoints, err = d.endpoints(s.ID, fleet)
 	return s, err
 }
 
-func (d serviceDocument) endpoints(service daisyservice.ID) ([]daisyendpoint.Endpoint, error) {
+func (d serviceDocument) endpoints(service daisyservice.ID, fleet daisyconfig.Fleet) ([]daisyendpoint.Endpoint, error) {
 	var endpoints []daisyendpoint.Endpoint
 	for _, e := range d.Endpoints {
 		coldFor, err := decodeDuration(e.ColdFor)
@@ -277,15 +279,16 @@
 		if !e.Address.IsValid() || e.Slots < 0 || e.Connections < 0 {
 			return nil, daisyerror.InvalidRequest.New("service %s: endpoint %s", service, e.Address)
 		}
+		zone := daisyfleet.ZoneID{Fleet: fleet.Name, Zone: e.Zone}
 		endpoints = append(endpoints, daisyendpoint.Endpoint{
 			Address:     e.Address,
-			Zone:        daisyfleet.ZoneID{Fleet: service.Fleet, Zone: e.Zone},
+			Zone:        zone,
 			Slots:       e.Slots,
 			Connections: e.Connections,
 			Draining:    e.Draining,
 			Instance:    daisyendpoint.Instance(e.Instance),
 			Started:     e.Started,
-			Evacuated:   e.Evacuated,
+			Evacuated:   e.Evacuated || fleet.Evacuated(zone),
 			ColdFor:     coldFor,
 		})
 	}
