Leave out callers where lending takes the processor

A VM with 0.8 of a core that owns a service of 400 requests a second spends more than half of its processor on lending, but was named to callers like one that owns nothing.

Each dispatcher measures the credits that this VM lends as an owner. The spare capacity that a VM reports is lowered so that its weight for callers falls to the share of its processor that lending leaves, at least a tenth. Nothing changes for VMs without a known capacity.

--- a/core/daisycredit/lend.go
+++ b/core/daisycredit/lend.go
@@ -166,6 +166,7 @@
 	}
 	l := a.loanAt(best.Address)
 	l.granted++
+	o.granted++
 	best.lentCredits++
 	a.heldCredits++
 	a.markChanged(best.Address)
--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -103,6 +103,8 @@
 	reportedAccounts int
 	// division is what the grants state.
 	division Division
+	// granted counts the credits granted since the last TakeGranted.
+	granted int
 }
 
 // endpointState is the owner's record of one endpoint.
@@ -220,6 +222,13 @@
 	return o
 }
 
+// TakeGranted returns the number of credits granted since the last call.
+func (o *Owner) TakeGranted() int {
+	n := o.granted
+	o.granted = 0
+	return n
+}
+
 // LastTerm returns the number of the latest term.
 func (o *Owner) LastTerm() uint64 { return o.lastTerm }
 
--- a/core/daisycredit/slow_owner.go
+++ b/core/daisycredit/slow_owner.go
@@ -14,6 +14,8 @@
 	maxOwnerTimeout = 240 * time.Millisecond
 	// ownerTimeoutFactor relates that time to the time that answers have taken lately.
 	ownerTimeoutFactor = 4
+	// maxRoundTrip is the round-trip time to an owner that is not late.
+	maxRoundTrip = 10 * time.Millisecond
 	// answerTimeWeight is the weight of the latest answer in the smoothed time.
 	answerTimeWeight = 0.25
 	// minHold and maxHold bound how long a borrower then stays in fallback mode. The time
@@ -124,9 +126,12 @@
 	return b.fallback && b.hold.term != (Term{}) && b.hold.active(now)
 }
 
-// AnswerTime returns how long the owner has taken lately to answer reports of waiting
-// requests; 0 if it has not answered any.
-func (b *Borrower) AnswerTime() time.Duration { return b.answers.smoothed }
+// Lateness returns by how much the owner has been late lately with its answers to reports of
+// waiting requests. An owner without a free slot answers after onDemandAckDelay, at the other
+// end of a round trip.
+func (b *Borrower) Lateness() time.Duration {
+	return max(0, b.answers.smoothed-onDemandAckDelay-maxRoundTrip)
+}
 
 // holdSpread returns a number from 0 to 1 that differs between VMs.
 func (b *Borrower) holdSpread() float64 { return float64(b.self.Digest()) / math.MaxUint32 }
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -19,7 +19,7 @@
 		return
 	}
 	if d.division.byRate {
-		d.division.arrivals.add(now)
+		d.division.arrivals.add(now, 1)
 	}
 	rank := d.queue.Rank(q.Rank)
 	if d.mostUrgent(rank) {
--- a/core/daisyroute/credit.go
+++ b/core/daisyroute/credit.go
@@ -218,6 +218,9 @@
 	if s.owner == nil {
 		return more
 	}
+	if d.division.byRate {
+		d.division.lent.add(now, s.owner.TakeGranted())
+	}
 	for _, a := range s.owner.TakeProbes() {
 		d.emit(d.newProbe(now, a))
 	}
--- a/core/daisyroute/division.go
+++ b/core/daisyroute/division.go
@@ -38,8 +38,9 @@
 type division struct {
 	// byRate is set if the rate of requests decides.
 	byRate bool
-	// arrivals is the rate of requests at this VM.
-	arrivals rateMeter
+	// arrivals is the rate of requests at this VM, and lent that of the credits that this VM
+	// lends as an owner.
+	arrivals, lent rateMeter
 	// nextCheck is when the rate is checked next, and changedAt when this VM became the
 	// owner of the whole service or last changed its division; zero if it is not the owner.
 	nextCheck, changedAt time.Time
@@ -59,9 +60,9 @@
 	m.at = now
 }
 
-func (m *rateMeter) add(now time.Time) {
+func (m *rateMeter) add(now time.Time, events int) {
 	m.decay(now)
-	m.count++
+	m.count += float64(events)
 }
 
 // perSecond returns the rate. In the first seconds it relates the events to the time that
@@ -141,6 +142,15 @@
 	whole.owner.SetDivision(now, wanted)
 }
 
+// LendingLoad returns the share of this VM's processor that lending takes, as far as its
+// capacity is known.
+func (d *Dispatcher) LendingLoad(now time.Time) float64 {
+	if d.self.Capacity.Millicores == 0 {
+		return 0
+	}
+	return d.division.lent.perSecond(now) * 1000 / (requestsPerCore * float64(d.self.Capacity.Millicores))
+}
+
 // wholeLimit returns the rate of requests that this VM can serve as the owner of the whole
 // service, next to the other services that it owns.
 func (d *Dispatcher) wholeLimit() float64 {
--- a/core/daisyroute/division_test.go
+++ b/core/daisyroute/division_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"daisyyoke/core/daisycredit"
+	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
 	"daisyyoke/core/daisyroute"
@@ -115,3 +116,27 @@
 		assert.Equal(t, asked[daisyfleet.ZoneID{}], uint32(1), "%v", asked)
 	}
 }
+
+// Guards against callers that are sent to a VM whose processor is taken by lending.
+func TestLendingLoadIsTheShareOfTheProcessorThatGrantsTake(t *testing.T) {
+	h, service, vms := newSizedHarness(t, 30, true)
+	for _, v := range vms[1:] {
+		h.handle(daisyroute.PeerMessage{From: v.Name, Message: daisymessage.CreditReport{Report: daisycredit.Report{Service: service.ID, Sequence: 1}}})
+	}
+	h.advance(time.Second)
+	assert.Equal(t, h.dispatcher.LendingLoad(h.now), 0.0)
+	for range 2_000 {
+		h.now = h.now.Add(10 * time.Millisecond)
+		d := h.arrive(h.request(0))
+		for _, p := range ofType[daisyroute.Probe](d) {
+			report := daisyendpoint.Report{At: h.now, Slots: 2, Slowdown: 1}
+			d = append(d, h.handle(daisyroute.ReportReceived{Endpoint: p.Endpoint, Report: report})...)
+		}
+		for _, s := range ofType[daisyroute.Send](append(d, h.advance(time.Millisecond)...)) {
+			h.answer(s.Attempt, 200, time.Millisecond)
+		}
+	}
+	// About 91 requests a second, of the 700 that the VM can lend for.
+	load := h.dispatcher.LendingLoad(h.now)
+	assert.Assert(t, load > 0.12 && load < 0.14, "%v", load)
+}
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -21,11 +21,11 @@
 	maxWholeEndpoints = 64
 	// minZoneWait and maxZoneWait bound how long a request waits for a credit before the
 	// owner of one more availability zone is asked: the least is several round trips within
-	// a zone, and a probe. Between them, zoneWaitFactor relates the wait to the time that
-	// the first owner has taken lately.
+	// a zone, and a probe. Between them, the wait grows by zoneWaitFactor times the lateness
+	// of the first owner.
 	minZoneWait    = 15 * time.Millisecond
 	maxZoneWait    = 60 * time.Millisecond
-	zoneWaitFactor = 2
+	zoneWaitFactor = 8
 	// zoneTurn is how long each zone is then asked for a request that does not divide evenly.
 	zoneTurn = 60 * time.Millisecond
 )
@@ -186,12 +186,12 @@
 }
 
 // zoneWait returns how long a request waits before the owner of one more availability zone is
-// asked. It is longer where the first owner is known to take longer: one that is late because
-// of its load, and whose requests are then asked for at all owners, makes them late as well.
+// asked. It is longer if the first owner has been late: its load may be the reason, and if all
+// owners are asked for its requests, they become late as well.
 func (d *Dispatcher) zoneWait() time.Duration {
 	for _, s := range d.sharings {
 		if s.endpoints > 0 {
-			return min(max(zoneWaitFactor*s.borrower.AnswerTime(), minZoneWait), maxZoneWait)
+			return min(minZoneWait+zoneWaitFactor*s.borrower.Lateness(), maxZoneWait)
 		}
 	}
 	return minZoneWait
--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -221,15 +222,27 @@
 // Spare returns how many more requests of all services this VM could take if the
 // other VMs had none: the slots of the services minus this VM's own requests. Held
 // credits are no measure of spare capacity, since credits follow the callers: directing
-// callers to the VM with the most credits would concentrate them on one VM.
+// callers to the VM with the most credits would concentrate them on one VM. If the capacity
+// of this VM is known, the result is lowered so that callers' weight of it, see
+// daisyvm.DefaultSpareExponent, falls to the share of its processor that lending leaves.
 func (c *Route) Spare() int {
-	spare := 0
+	spare, lending := 0, 0.0
 	for _, s := range *c.shards.Load() {
-		spare += s.spare()
+		slots, load := s.spare()
+		spare += slots
+		lending += load
 	}
-	return spare
+	if lending == 0 {
+		return spare
+	}
+	left := max(1-lending, minShareLeft)
+	return int(float64(spare) * math.Pow(left, 1/daisyvm.DefaultSpareExponent))
 }
 
+// minShareLeft is the least share of its processor that a VM counts on for requests besides
+// lending: its measure of lending is not exact enough to get no requests at all.
+const minShareLeft = 0.1
+
 // SetPeers sets the VMs that share the services, and those in a planned stop.
 func (c *Route) SetPeers(vms, leaving []daisyvm.VM) {
 	c.changeMu.Lock()
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -90,14 +90,16 @@
 	return s.closed
 }
 
-func (s *routeShard) spare() int {
+// spare returns the slots that this VM does not use, and the share of its processor that
+// lending them takes.
+func (s *routeShard) spare() (slots int, lendingLoad float64) {
 	service := s.service.Load()
 	if service == nil {
-		return 0
+		return 0, 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(service.Slots()-len(s.tickets), 0)
+	return max(service.Slots()-len(s.tickets), 0), s.dispatcher.LendingLoad(now())
 }
 
 // begin adds a request. It reports false when the shard is closed.
