--- a/io/daisycontroller/route.go
+++ b/io/daisycontroller/route.go
@@ -226,12 +226,11 @@
 // of this VM is known, the result is lowered so that callers' weight of it, see
 // daisyvm.DefaultSpareExponent, falls to the share of its processor that lending leaves.
 func (c *Route) Spare() int {
-	spare, lending := 0, 0.0
+	spare := 0
 	for _, s := range *c.shards.Load() {
-		slots, load := s.spare()
-		spare += slots
-		lending += load
+		spare += s.spare()
 	}
+	lending := c.LendingLoad()
 	if lending == 0 {
 		return spare
 	}
@@ -239,6 +238,16 @@
 	return int(float64(spare) * math.Pow(left, 1/daisyvm.DefaultSpareExponent))
 }
 
+// LendingLoad returns the share of this VM's processor that lending slots to other VMs takes,
+// as estimated from the number of credits; 0 if its capacity is not known.
+func (c *Route) LendingLoad() float64 {
+	sum := 0.0
+	for _, s := range *c.shards.Load() {
+		sum += s.lendingLoad()
+	}
+	return sum
+}
+
 // minShareLeft is the least share of its processor that a VM counts on for requests besides
 // lending: its measure of lending is not exact enough to get no requests at all.
 const minShareLeft = 0.1
--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -90,16 +90,22 @@
 	return s.closed
 }
 
-// spare returns the slots that this VM does not use, and the share of its processor that
-// lending them takes.
-func (s *routeShard) spare() (slots int, lendingLoad float64) {
+// spare returns the slots that this VM does not use.
+func (s *routeShard) spare() int {
 	service := s.service.Load()
 	if service == nil {
-		return 0, 0
+		return 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(service.Slots()-len(s.tickets), 0), s.dispatcher.LendingLoad(now())
+	return max(service.Slots()-len(s.tickets), 0)
+}
+
+// lendingLoad returns the share of this VM's processor that lending the slots takes.
+func (s *routeShard) lendingLoad() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.LendingLoad(now())
 }
 
 // begin adds a request. It reports false when the shard is closed.
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -137,7 +137,8 @@
 		}
 	}
 	d.logger.Info("started", "vm", string(d.self.Name), "zone", d.self.Zone.String(), "incarnation", uint64(d.self.Incarnation),
-		"callers", d.self.Callers.String(), "peers", d.self.Peers.String(), "store", d.settings.Store.String())
+		"callers", d.self.Callers.String(), "peers", d.self.Peers.String(), "store", d.settings.Store.String(),
+		"millicores", d.self.Capacity.Millicores, "link-bits-per-second", d.self.Capacity.LinkBitsPerSecond)
 	return d, nil
 }
 
@@ -387,6 +388,7 @@
 	addLinkMetrics(d.metrics, d.links)
 	d.metrics.AddGauge("daisyyoke_endpoint_connections", connectionsHelp, func() float64 { return float64(d.pool.Connections()) })
 	d.metrics.AddGauge("daisyyoke_store_era", "Times that the platform's store says it was restored, as last known.", func() float64 { return float64(d.members.StoreEra()) })
+	d.metrics.AddGauge("daisyyoke_lending_load", "Share of the VM's processor that lending slots to other VMs takes, estimated; 0 without settings of its capacity.", d.routes.LendingLoad)
 	d.metrics.AddGauge("daisyyoke_configuration_revision", revisionHelp, func() float64 { return float64(d.revision.Load()) })
 }
 
