--- a/io/daisycontroller/route_shard.go
+++ b/io/daisycontroller/route_shard.go
@@ -90,6 +90,7 @@
 	return s.closed
 }
 
+// spare returns the slots that this VM does not use.
 func (s *routeShard) spare() int {
 	service := s.service.Load()
 	if service == nil {
@@ -100,6 +101,13 @@
 	return max(service.OpenSlots()-len(s.tickets), 0)
 }
 
+// lendingLoad returns the share of this VM's processor that lending the slots takes.
+func (s *routeShard) lendingLoad() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatcher.LendingLoad(now())
+}
+
 // begin adds a request. It reports false when the shard is closed.
 func (s *routeShard) begin(t *Ticket) bool {
 	s.mu.Lock()
