Apply only changed declarations of cold endpoints

Cause: each declaration of a service repeats those of all endpoints, and each cold one was refreshed twice and recounted. One whose coldness ended while it was not declared stayed limited if an attempt kept it known.

Change: a declaration that changes neither the coldness nor the limit in force does nothing, and one that changes the limit always puts it in force.

--- a/core/daisyroute/cold.go
+++ b/core/daisyroute/cold.go
@@ -68,6 +68,7 @@
 	if !d.started {
 		return
 	}
+	before := e.cold
 	coldFor := e.declared.ColdFor
 	if former, ok := d.formerlyCold.known[e.declared.Identity()]; appeared && ok {
 		e.cold, appeared = former, false
@@ -79,7 +80,12 @@
 		e.cold.lengthen(now.Add(coldFor))
 	}
 	e.cold.declaredFor = e.declared.ColdFor
-	d.applyColdness(now, e, false)
+	if limit, _ := d.limitInForce(now, e); e.cold == before && e.rate.inForce == limit {
+		// Every declaration of the service repeats those of all endpoints.
+		return
+	}
+	d.shareColdness(now, e)
+	d.putRateInForce(now, e, false)
 }
 
 // lengthen moves the end of the coldness to a later time.
@@ -141,11 +147,9 @@
 // putRateInForce puts the lower of the limit that an endpoint names and, while it is cold,
 // the limit of cold endpoints in force. An endpoint that is no longer cold is ramped up.
 func (d *Dispatcher) putRateInForce(now time.Time, e *endpoint, fromPeer bool) {
-	limit, wasCold := e.rate.limit, e.cold.inForce
-	e.cold.inForce = !e.removed && d.coldLimit != nil && now.Before(e.cold.until)
-	if e.cold.inForce {
-		limit = daisyendpoint.LowerRateLimit(limit, d.coldLimit)
-	}
+	limit, cold := d.limitInForce(now, e)
+	wasCold := e.cold.inForce
+	e.cold.inForce = cold
 	changed := !daisyendpoint.SimilarRateLimits(e.rate.inForce, limit) || wasCold != e.cold.inForce
 	wasLimited := e.rate.limited()
 	e.rate.inForce = limit
@@ -166,6 +170,14 @@
 	}
 }
 
+// limitInForce returns the limit that applies to an endpoint now, and whether it is cold.
+func (d *Dispatcher) limitInForce(now time.Time, e *endpoint) (limit daisyendpoint.RateLimit, cold bool) {
+	if e.removed || d.coldLimit == nil || !now.Before(e.cold.until) {
+		return e.rate.limit, false
+	}
+	return daisyendpoint.LowerRateLimit(e.rate.limit, d.coldLimit), true
+}
+
 // endColdness ends the coldness of an endpoint whose time has come.
 func (d *Dispatcher) endColdness(now time.Time, e *endpoint) {
 	if e.cold.inForce && !now.Before(e.cold.until) {
--- a/core/daisyroute/cold_test.go
+++ b/core/daisyroute/cold_test.go
@@ -93,6 +93,19 @@
 	assert.Check(t, !h.coldAt(11100*time.Millisecond))
 }
 
+// Guards against an endpoint that stays limited because its coldness ended while it was not
+// declared and an attempt kept it known.
+func TestColdnessEndsWhileNotDeclared(t *testing.T) {
+	h := newColdHarness(t, coldService("a", 2*time.Second))
+	h.sendOne(t)
+	without := coldService("a", 0)
+	without.Endpoints = nil
+	h.handle(daisyroute.ServiceChanged{Service: without})
+	h.advance(3 * time.Second)
+	h.handle(daisyroute.ServiceChanged{Service: coldService("a", 0)})
+	assert.Check(t, h.dispatcher.RateLimit(address(0)) == nil)
+}
+
 // Guards against a coldness that only the endpoint's own answer tells and nobody hears of.
 func TestColdnessOfAProbeIsApplied(t *testing.T) {
 	h := newColdHarness(t, coldService("a", 0))
