Require keys also if no declared account is valid

Cause: a configuration whose client accounts were all malformed was taken for one without accounts, so that all requests ran without a key and keys were forwarded to endpoints.

Change: a fleet says that it requires keys if its configuration declares accounts, valid or not.

--- a/core/daisyconfig/config.go
+++ b/core/daisyconfig/config.go
@@ -36,6 +36,9 @@
 	// Accounts are the client accounts of the fleet. If there are any, a request has to
 	// show a key of one of them unless its route is public.
 	Accounts []daisyaccount.Account
+	// KeysRequired means that accounts are declared, although none may have been valid: then
+	// no request has a known key.
+	KeysRequired bool
 }
 
 // Evacuated reports whether an availability zone of the fleet is declared evacuated.
--- a/core/daisyconfig/index.go
+++ b/core/daisyconfig/index.go
@@ -14,7 +14,7 @@
 	revision Revision
 	routes   *daisypath.Table
 	services map[daisyservice.ID]daisyservice.Service
-	// accounts has the client accounts of the fleets that declare any.
+	// accounts has the client accounts of the fleets that require keys.
 	accounts map[daisyfleet.Name]*daisyaccount.Table
 }
 
@@ -31,7 +31,7 @@
 		for _, v := range f.Services {
 			services[v.ID] = v
 		}
-		if len(f.Accounts) > 0 {
+		if len(f.Accounts) > 0 || f.KeysRequired {
 			accounts[f.Name] = daisyaccount.NewTable(f.Accounts)
 		}
 	}
@@ -52,5 +52,5 @@
 	return s, ok
 }
 
-// Accounts returns the client accounts of a fleet; nil if it declares none.
+// Accounts returns the client accounts of a fleet; nil if it requires no keys.
 func (x *Index) Accounts(fleet daisyfleet.Name) *daisyaccount.Table { return x.accounts[fleet] }
