Add messages, log line and metrics of quotas

Cause: VMs have to exchange requests for tokens of several accounts in one message, and operators have to see which accounts are limited.

Result: both messages keep every field in a round trip. The test of all messages, TestEncodeDecodeRoundTripOfEveryField, failed before this change at SnapshotGiven, which lacks the new fields of the configuration, and still does.

--- a/core/daisymessage/message.go
+++ b/core/daisymessage/message.go
@@ -10,13 +10,14 @@
 	"daisyyoke/core/daisycredit"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfeed"
+	"daisyyoke/core/daisyquota"
 	"daisyyoke/core/daisyservice"
 	"daisyyoke/core/daisyvm"
 )
 
 // Message is one of Heartbeat, SnapshotWanted, SnapshotGiven, CreditReport,
-// CreditGrant, EndpointNews, EndpointLeaving, CrashFindings, RowsWanted, RowsGiven and
-// StopWanted.
+// CreditGrant, EndpointNews, EndpointLeaving, CrashFindings, RowsWanted, RowsGiven,
+// StopWanted, QuotaRequests and QuotaGrants.
 type Message interface{ message() }
 
 // Heartbeat reports that a VM is alive, its configuration in force and its spare capacity.
@@ -101,6 +102,12 @@
 	By string
 }
 
+// QuotaRequests asks the coordinator of some accounts for tokens.
+type QuotaRequests struct{ Requests []daisyquota.Request }
+
+// QuotaGrants is the answer to QuotaRequests.
+type QuotaGrants struct{ Grants []daisyquota.Grant }
+
 func (Heartbeat) message()       {}
 func (SnapshotWanted) message()  {}
 func (SnapshotGiven) message()   {}
@@ -112,3 +119,5 @@
 func (RowsWanted) message()      {}
 func (RowsGiven) message()       {}
 func (StopWanted) message()      {}
+func (QuotaRequests) message()   {}
+func (QuotaGrants) message()     {}
--- a/io/daisycontroller/config.go
+++ b/io/daisycontroller/config.go
@@ -178,7 +178,7 @@
 	case daisymessage.SnapshotGiven:
 		c.verifySnapshot(from, &m.Snapshot)
 	case daisymessage.CreditReport, daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.RowsWanted,
-		daisymessage.RowsGiven, daisymessage.StopWanted:
+		daisymessage.RowsGiven, daisymessage.StopWanted, daisymessage.QuotaRequests, daisymessage.QuotaGrants:
 	}
 }
 
--- a/io/daisycontroller/follow.go
+++ b/io/daisycontroller/follow.go
@@ -183,7 +183,8 @@
 	case daisymessage.RowsGiven:
 		c.post(m.Topic, daisyfeed.ChangesReceived{From: from, Changes: m.Changes})
 	case daisymessage.SnapshotWanted, daisymessage.SnapshotGiven, daisymessage.CreditReport,
-		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.StopWanted:
+		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.StopWanted,
+		daisymessage.QuotaRequests, daisymessage.QuotaGrants:
 	}
 }
 
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -200,7 +200,7 @@
 		})
 	case daisymessage.SnapshotWanted, daisymessage.SnapshotGiven, daisymessage.CreditReport,
 		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.RowsWanted, daisymessage.RowsGiven,
-		daisymessage.StopWanted:
+		daisymessage.StopWanted, daisymessage.QuotaRequests, daisymessage.QuotaGrants:
 	}
 }
 
--- a/io/daisylog/encode.go
+++ b/io/daisylog/encode.go
@@ -204,6 +204,15 @@
 	InFallback bool   `json:"guessing"`
 }
 
+type quotaRecord struct {
+	commonFields
+	Fleet             string `json:"fleet"`
+	Account           string `json:"account"`
+	Limited           bool   `json:"limited"`
+	Refused           int    `json:"refused"`
+	CoordinatorSilent bool   `json:"coordinator-silent"`
+}
+
 func newEncoder(output io.Writer) *json.Encoder {
 	e := json.NewEncoder(output)
 	e.SetEscapeHTML(false)
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisyrank"
@@ -14,8 +15,8 @@
 
 // Line is one line of the log. It is one of Sent, AttemptFailed, Answered, Refused,
 // Rejected, Abandoned, Canceled, EndpointChanged, EndpointNoticed, RateLimitChanged,
-// Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted, FindingDropped and
-// LendingChanged, or a message of Logger.
+// Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted, FindingDropped,
+// LendingChanged and QuotaChanged, or a message of Logger.
 type Line interface{ line() }
 
 // Subject identifies the request that a decision concerns.
@@ -211,6 +212,18 @@
 	InFallback bool
 }
 
+// QuotaChanged records that this VM begins or ends to refuse requests of a client account
+// because of its quota.
+type QuotaChanged struct {
+	Fleet   daisyfleet.Name
+	Account daisyaccount.Name
+	Limited bool
+	// Refused is the number of requests refused meanwhile, at the end.
+	Refused int
+	// CoordinatorSilent reports whether the VM that lends tokens does not answer.
+	CoordinatorSilent bool
+}
+
 // message is an encoded line of Logger, which is not a decision.
 type message struct{ text []byte }
 
@@ -230,4 +243,5 @@
 func (RequestAcquitted) line()   {}
 func (FindingDropped) line()     {}
 func (LendingChanged) line()     {}
+func (QuotaChanged) line()       {}
 func (message) line()            {}
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -52,6 +52,9 @@
 	case LendingChanged:
 		l.encode(&lendingRecord{commonFields: l.commonFields(e, "lending changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Owner: string(n.Owner), Zone: n.Zone.Zone, InFallback: n.InFallback})
+	case QuotaChanged:
+		l.encode(&quotaRecord{commonFields: l.commonFields(e, "quota"), Fleet: string(n.Fleet), Account: string(n.Account),
+			Limited: n.Limited, Refused: n.Refused, CoordinatorSilent: n.CoordinatorSilent})
 	case message:
 		// A log has nowhere to report that its own output fails.
 		_, _ = l.output.Write(n.text)
--- a/io/daisylog/sample.go
+++ b/io/daisylog/sample.go
@@ -47,7 +47,7 @@
 	case Canceled:
 		return n.sampled(share)
 	case AttemptFailed, Refused, Rejected, Abandoned, EndpointChanged, EndpointNoticed, RateLimitChanged, Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted,
-		FindingDropped, LendingChanged, message:
+		FindingDropped, LendingChanged, QuotaChanged, message:
 	}
 	return true
 }
--- a/io/daisymetric/help.go
+++ b/io/daisymetric/help.go
@@ -28,6 +28,8 @@
 	"daisyyoke_refused_by_filters_total":     "Requests answered before routing, by HTTP status.",
 	"daisyyoke_configuration_age_seconds":    "Time before a request's arrival at which its configuration was last known to be the newest.",
 	"daisyyoke_platform_operations_total":    "Operations on the platform, by answer.",
+	"daisyyoke_quota_requests_total":         "Requests of client accounts with a quota, by whether they passed; all but the largest accounts together.",
+	"daisyyoke_quota_wait_seconds":           "Time that requests of client accounts waited for a token of the quota.",
 	"daisyyoke_service_messages_total":       "Messages between VMs about services, by direction and kind.",
 }
 
--- a/io/daisymetric/message.go
+++ b/io/daisymetric/message.go
@@ -2,47 +2,50 @@
 
 import "daisyyoke/core/daisymessage"
 
-// Names of the counters of messages about services, one for each kind and direction.
+// direction is that of a message, as in the label of the metric.
+type direction string
+
 const (
-	reportsSent      = `daisyyoke_service_messages_total{direction="sent",kind="credit-report"}`
-	grantsSent       = `daisyyoke_service_messages_total{direction="sent",kind="credit-grant"}`
-	findingsSent     = `daisyyoke_service_messages_total{direction="sent",kind="crash-findings"}`
-	findingsReceived = `daisyyoke_service_messages_total{direction="received",kind="crash-findings"}`
-	leavingSent      = `daisyyoke_service_messages_total{direction="sent",kind="endpoint-leaving"}`
-	leavingReceived  = `daisyyoke_service_messages_total{direction="received",kind="endpoint-leaving"}`
-	newsSent         = `daisyyoke_service_messages_total{direction="sent",kind="endpoint-news"}`
-	reportsReceived  = `daisyyoke_service_messages_total{direction="received",kind="credit-report"}`
-	grantsReceived   = `daisyyoke_service_messages_total{direction="received",kind="credit-grant"}`
-	newsReceived     = `daisyyoke_service_messages_total{direction="received",kind="endpoint-news"}`
+	sent     direction = "sent"
+	received direction = "received"
 )
 
-// MessageSent counts a message about a service that was sent to another VM.
-func (m *Metrics) MessageSent(message daisymessage.Message) {
-	m.countMessage(message, reportsSent, grantsSent, newsSent, leavingSent, findingsSent)
-}
+// MessageSent counts a message about a service or an account that was sent to another VM.
+func (m *Metrics) MessageSent(message daisymessage.Message) { m.countMessage(message, sent) }
 
-// MessageReceived counts a message about a service that was received from another VM.
-func (m *Metrics) MessageReceived(message daisymessage.Message) {
-	m.countMessage(message, reportsReceived, grantsReceived, newsReceived, leavingReceived, findingsReceived)
-}
+// MessageReceived counts a message about a service or an account that was received from
+// another VM.
+func (m *Metrics) MessageReceived(message daisymessage.Message) { m.countMessage(message, received) }
 
-func (m *Metrics) countMessage(message daisymessage.Message, report, grant, news, leaving, findings string) {
+func (m *Metrics) countMessage(message daisymessage.Message, direction direction) {
 	if m == nil {
 		return
 	}
+	if kind := kindOf(message); kind != "" {
+		m.counter(`daisyyoke_service_messages_total{direction="` + string(direction) + `",kind="` + kind + `"}`).Inc()
+	}
+}
+
+// kindOf returns the kind of a message in the label of the metric; empty for a message that
+// concerns neither a service nor an account, which package daisypeer counts.
+func kindOf(message daisymessage.Message) string {
 	switch message.(type) {
 	case daisymessage.CreditReport:
-		m.counter(report).Inc()
+		return "credit-report"
 	case daisymessage.CreditGrant:
-		m.counter(grant).Inc()
+		return "credit-grant"
 	case daisymessage.EndpointNews:
-		m.counter(news).Inc()
+		return "endpoint-news"
 	case daisymessage.EndpointLeaving:
-		m.counter(leaving).Inc()
+		return "endpoint-leaving"
 	case daisymessage.CrashFindings:
-		m.counter(findings).Inc()
+		return "crash-findings"
+	case daisymessage.QuotaRequests:
+		return "quota-requests"
+	case daisymessage.QuotaGrants:
+		return "quota-grants"
 	case daisymessage.Heartbeat, daisymessage.SnapshotWanted, daisymessage.SnapshotGiven,
 		daisymessage.RowsWanted, daisymessage.RowsGiven, daisymessage.StopWanted:
-		// These messages concern no service; package daisypeer counts them.
 	}
+	return ""
 }
--- a/io/daisymetric/metrics.go
+++ b/io/daisymetric/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"daisyyoke/core/daisyendpoint"
+	"daisyyoke/core/daisyquota"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyservice"
 )
@@ -31,6 +32,17 @@
 	limited  cache[endpointKey, *metrics.Counter]
 
 	configAge *metrics.Histogram
+
+	// accounts are the client accounts with metrics under their own names.
+	accountsMu sync.RWMutex
+	accounts   map[daisyquota.Key]bool
+	quotas     cache[quotaKey, *metrics.Counter]
+	quotaWait  *metrics.Histogram
+}
+
+type quotaKey struct {
+	account daisyquota.Key
+	outcome string
 }
 
 type endpointKey struct {
@@ -55,7 +67,11 @@
 // New returns metrics whose values are all zero.
 func New() *Metrics {
 	set := metrics.NewSet()
-	return &Metrics{set: set, configAge: set.GetOrCreateHistogram("daisyyoke_configuration_age_seconds")}
+	return &Metrics{
+		set:       set,
+		configAge: set.GetOrCreateHistogram("daisyyoke_configuration_age_seconds"),
+		quotaWait: set.GetOrCreateHistogram("daisyyoke_quota_wait_seconds"),
+	}
 }
 
 // WritePrometheus writes all metrics, and those of the process, in the Prometheus text
--- a/io/daisypeer/codec_test.go
+++ b/io/daisypeer/codec_test.go
@@ -21,6 +21,7 @@
 	"daisyyoke/core/daisyfeed"
 	"daisyyoke/core/daisyfleet"
 	"daisyyoke/core/daisymessage"
+	"daisyyoke/core/daisyquota"
 	"daisyyoke/core/daisyrank"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
@@ -97,6 +98,8 @@
 	}
 }
 
+var testAccount = daisyquota.Key{Fleet: "f", Account: "a"}
+
 func testMessages() []daisymessage.Message {
 	demand := []daisycredit.Demand{{Waiting: 4, InFlight: 2}, {}}
 	return []daisymessage.Message{
@@ -124,6 +127,8 @@
 			Report:  daisyendpoint.Report{At: testNow.Add(-time.Second), InFlight: 2, Slots: 3, Draining: true},
 		},
 		daisymessage.StopWanted{By: "ana"},
+		daisymessage.QuotaRequests{Requests: []daisyquota.Request{{Account: testAccount, Term: 7, Sequence: 2, Spent: -1, Waiting: 3}}},
+		daisymessage.QuotaGrants{Grants: []daisyquota.Grant{{Account: testAccount, Term: 7, Sequence: 2, Granted: 3, Next: time.Second}}},
 		daisymessage.RowsWanted{Topic: daisyfeed.Endpoints, After: 1 << 40},
 		daisymessage.RowsGiven{
 			Topic: daisyfeed.Endpoints,
--- a/io/daisypeer/decode.go
+++ b/io/daisypeer/decode.go
@@ -64,6 +64,10 @@
 		m = daisymessage.RowsWanted{Topic: r.topic(x.RowsWanted.GetTopic()), After: daisyfeed.Version(x.RowsWanted.GetAfter()), Era: daisyfeed.Era(x.RowsWanted.GetEra())}
 	case *daisywire.Frame_RowsGiven:
 		m = r.rows(x.RowsGiven)
+	case *daisywire.Frame_QuotaRequests:
+		m = decodeQuotaRequests(x.QuotaRequests)
+	case *daisywire.Frame_QuotaGrants:
+		m = decodeQuotaGrants(x.QuotaGrants)
 	case *daisywire.Frame_StopWanted:
 		m = daisymessage.StopWanted{By: x.StopWanted.GetBy()}
 	}
--- a/io/daisypeer/encode.go
+++ b/io/daisypeer/encode.go
@@ -65,6 +65,10 @@
 		return &daisywire.Frame{Message: &daisywire.Frame_RowsWanted{RowsWanted: w}}
 	case daisymessage.RowsGiven:
 		return &daisywire.Frame{Message: &daisywire.Frame_RowsGiven{RowsGiven: e.rowsGiven(m)}}
+	case daisymessage.QuotaRequests:
+		return &daisywire.Frame{Message: &daisywire.Frame_QuotaRequests{QuotaRequests: encodeQuotaRequests(m)}}
+	case daisymessage.QuotaGrants:
+		return &daisywire.Frame{Message: &daisywire.Frame_QuotaGrants{QuotaGrants: encodeQuotaGrants(m)}}
 	case daisymessage.StopWanted:
 		return &daisywire.Frame{Message: &daisywire.Frame_StopWanted{StopWanted: &daisywire.StopWanted{By: m.By}}}
 	}
--- a/io/daisypeer/queue.go
+++ b/io/daisypeer/queue.go
@@ -53,7 +53,8 @@
 	case daisymessage.SnapshotGiven, daisymessage.RowsGiven:
 		return true
 	case daisymessage.Heartbeat, daisymessage.SnapshotWanted, daisymessage.CreditReport,
-		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.RowsWanted, daisymessage.StopWanted:
+		daisymessage.CreditGrant, daisymessage.EndpointNews, daisymessage.EndpointLeaving, daisymessage.CrashFindings, daisymessage.RowsWanted, daisymessage.StopWanted,
+		daisymessage.QuotaRequests, daisymessage.QuotaGrants:
 		return false
 	}
 	return false
