Refuse requests beyond the quota of their account

Cause: requests of an account beyond its quota have to get 429 before routing, and tokens of requests that were not run have to serve others.

--- a/io/daisycontroller/inbox.go
+++ b/io/daisycontroller/inbox.go
@@ -17,9 +17,11 @@
 	Member *Member
 	// Config is nil on a VM whose configuration comes from a feed; on any other VM
 	// Follow is nil.
-	Config  *Config
-	Follow  *Follow
-	Route   *Route
+	Config *Config
+	Follow *Follow
+	Route  *Route
+	// Quota is nil on a VM without client accounts.
+	Quota   *Quota
 	Stopper Stopper
 }
 
@@ -100,6 +102,10 @@
 		r.Route.Receive(from, m.Service, m)
 	case daisymessage.CrashFindings:
 		r.Route.ReceiveFindings(m)
+	case daisymessage.QuotaRequests, daisymessage.QuotaGrants:
+		if r.Quota != nil {
+			r.Quota.Receive(from, m)
+		}
 	case daisymessage.StopWanted:
 		r.Stopper.RequestStop(m.By)
 	}
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -104,6 +104,7 @@
 	pool    *daisyconnection.Pool
 	routes  *daisycontroller.Route
 	index   *daisycontroller.Index
+	quotas  *daisycontroller.Quota
 	members *daisycontroller.Member
 	// follower is nil until startStop has created it. The inbox holds messages from other
 	// VMs back until then.
@@ -205,12 +206,14 @@
 		Budget:      retryBudget(s),
 	})
 	d.onClose(d.routes.Close)
+	d.quotas = d.newQuota(seed)
+	d.onClose(d.quotas.Close)
 	d.index = daisycontroller.NewIndex()
 	d.members = daisycontroller.NewMember(daisycontroller.MemberOptions{
 		Self:      d.self,
 		Linker:    d.links,
 		List:      daisyplatform.NewMeteredVMs(d.adapter.VMs, d.metrics),
-		Peers:     []daisycontroller.PeerApplier{d.routes, poolPeers{d.pool}, feedPeers{d}},
+		Peers:     []daisycontroller.PeerApplier{d.routes, d.quotas, poolPeers{d.pool}, feedPeers{d}},
 		Spare:     routeSpare{d.routes},
 		Logger:    d.logger,
 		AnswerTTL: min(directoryMaxAge, s.AnswerTTL),
@@ -265,6 +268,7 @@
 			daisyfilter.RejectUnsupported{},
 			daisyfilter.AwaitConfiguration{Configuration: d.index, Until: time.Now().Add(daisyfilter.ConfigurationWait)},
 			daisyfilter.Match{Timeouts: daisycontroller.NewTimeout(), Reader: d.adapter.Dialect},
+			daisyfilter.Quota{Tokens: d.quotas},
 		},
 	})
 	d.callers = daisycaller.NewPipeline(daisycaller.PipelineOptions{
@@ -314,7 +318,7 @@
 		Decoder:  d.adapter.Decoder,
 		Sender:   d.links,
 		Member:   d.members,
-		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.index, d.members, managedReadiness{d}},
+		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.quotas, d.index, d.members, managedReadiness{d}},
 		Index:    d.index,
 		Logger:   d.logger,
 
@@ -322,7 +326,7 @@
 	})
 	d.onClose(follow.Close)
 	d.follower.Store(follow)
-	d.inbox.Attach(daisycontroller.Receivers{Member: d.members, Follow: follow, Route: d.routes, Stopper: d.stop})
+	d.inbox.Attach(daisycontroller.Receivers{Member: d.members, Follow: follow, Route: d.routes, Quota: d.quotas, Stopper: d.stop})
 	return nil
 }
 
--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -14,6 +14,7 @@
 	"daisyyoke/core/daisypath"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisycontroller"
 	"daisyyoke/io/daisylog"
 	"daisyyoke/io/daisymetric"
 	"daisyyoke/io/daisyproblem"
@@ -36,6 +37,8 @@
 	// Account is the client account whose key the request has; its zero value if the request
 	// needs none.
 	Account daisyaccount.Account
+	// Token is the request's token of the quota of Account, set by Quota; nil if it needs none.
+	Token *daisycontroller.QuotaToken
 	// Request is filled in by the filters, each setting some of the fields.
 	Request daisyrequest.Request
 }
@@ -50,7 +53,7 @@
 }
 
 // Filter is one step of the chain. It is one of *Admit, RejectUnsupported, Addresses,
-// AwaitConfiguration, Identify, Classify and Match.
+// AwaitConfiguration, Identify, Classify, Match and Quota.
 type Filter interface{ filter() }
 
 // Verdict is the decision of a filter. It is one of Continue, Reject, Reply and Forward.
@@ -120,7 +123,7 @@
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	}
 	verdict, passed := c.runFilters(call)
-	defer c.release(passed)
+	defer c.release(call, passed)
 	age, known := call.ConfigAge()
 	if known {
 		c.options.Metrics.ConfigAge(age)
@@ -174,17 +177,21 @@
 		return f.apply(call)
 	case Match:
 		return f.apply(call)
+	case Quota:
+		return f.apply(call)
 	}
 	return Continue{}
 }
 
 // release notifies the filters that let the request pass, the first passed ones of
 // the chain, that the request has ended.
-func (c *Chain) release(passed int) {
+func (c *Chain) release(call *Call, passed int) {
 	for _, f := range c.options.Filters[:passed] {
 		switch f := f.(type) {
 		case *Admit:
 			f.release()
+		case Quota:
+			f.release(call)
 		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match:
 		}
 	}
--- a/io/daisyforward/attempt.go
+++ b/io/daisyforward/attempt.go
@@ -153,6 +153,9 @@
 		resolution.Outcome = daisyrequest.Canceled{}
 	}
 	x := a.exchange
+	if daisyrequest.RunOf(resolution.Outcome) == daisyrequest.NotRun {
+		x.call.Token.NotRun()
+	}
 	x.logAttemptFailed(a, resolution.Outcome, responseTime)
 	// Stop reading the caller's body before the outcome is reported: the next
 	// attempt may need the rest of it.
--- a/io/daisyforward/forward.go
+++ b/io/daisyforward/forward.go
@@ -181,6 +181,7 @@
 	case daisyroute.Send:
 		x.logSend(d)
 		x.metrics.Attempt(d.Reason.String(), d.Waited)
+		x.call.Token.Sent()
 		x.attempts = append(x.attempts, startAttempt(x, d))
 	case daisyroute.Deliver:
 		x.decided = true
