--- a/io/daisyfilter/chain.go
+++ b/io/daisyfilter/chain.go
@@ -14,6 +14,7 @@
 	"daisyyoke/core/daisypath"
 	"daisyyoke/core/daisyrequest"
 	"daisyyoke/core/daisyservice"
+	"daisyyoke/io/daisycontroller"
 	"daisyyoke/io/daisylog"
 	"daisyyoke/io/daisymetric"
 	"daisyyoke/io/daisyproblem"
@@ -45,6 +46,8 @@
 	// WithheldTrailers are the names of the trailers that are not forwarded to endpoints. The
 	// trailers arrive with the end of the body, after the filters.
 	WithheldTrailers []string
+	// Token is the request's token of the quota of Account, set by Quota; nil if it needs none.
+	Token *daisycontroller.QuotaToken
 	// Request is filled in by the filters, each setting some of the fields.
 	Request daisyrequest.Request
 }
@@ -59,8 +62,7 @@
 }
 
 // Filter is one step of the chain. It is one of *Admit, RejectUnsupported, Addresses,
-// AwaitConfiguration, Identify, Classify, Match, Authenticate and
-// *RequireCurrent.
+// AwaitConfiguration, Identify, Classify, Match, Authenticate, *RequireCurrent and Quota.
 type Filter interface{ filter() }
 
 // Verdict is the decision of a filter. It is one of Continue, Reject, Reply and Forward.
@@ -130,7 +132,7 @@
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	}
 	verdict, passed := c.runFilters(call)
-	defer c.release(passed)
+	defer c.release(call, passed)
 	age, known := call.ConfigAge()
 	if known {
 		c.options.Metrics.ConfigAge(age)
@@ -190,17 +192,21 @@
 		return f.apply(call)
 	case *RequireCurrent:
 		return f.apply(call)
+	case Quota:
+		return f.apply(call)
 	}
 	return Continue{}
 }
 
 // release notifies the filters that let the request pass, the first passed ones of
 // the chain, that the request has ended.
-func (c *Chain) release(passed int) {
+func (c *Chain) release(call *Call, passed int) {
 	for _, f := range c.options.Filters[:passed] {
 		switch f := f.(type) {
 		case *Admit:
 			f.release()
+		case Quota:
+			f.release(call)
 		case RejectUnsupported, Addresses, AwaitConfiguration, Identify, Classify, Match, Authenticate, *RequireCurrent:
 		}
 	}
--- a/io/daisylog/line.go
+++ b/io/daisylog/line.go
@@ -16,7 +16,7 @@
 // Line is one line of the log. It is one of Sent, AttemptFailed, Answered, Refused,
 // Rejected, Abandoned, Canceled, EndpointChanged, EndpointNoticed, RateLimitChanged,
 // Probed, EndpointCrashed, RequestQuarantined, RequestAcquitted, FindingDropped,
-// LendingChanged and DivisionChanged, or a message of Logger.
+// LendingChanged, DivisionChanged and QuotaChanged, or a message of Logger.
 type Line interface{ line() }
 
 // Subject identifies the request that a decision concerns.
@@ -229,6 +229,18 @@
 	Divided bool
 }
 
+// QuotaChanged records that this VM begins or ends to refuse requests of a client account
+// because of its quota.
+type QuotaChanged struct {
+	Fleet   daisyfleet.Name
+	Account daisyaccount.Name
+	Limited bool
+	// Refused is the number of requests refused meanwhile, at the end.
+	Refused int
+	// CoordinatorSilent reports whether the VM that lends tokens does not answer.
+	CoordinatorSilent bool
+}
+
 // message is an encoded line of Logger, which is not a decision.
 type message struct{ text []byte }
 
@@ -249,4 +261,5 @@
 func (FindingDropped) line()     {}
 func (LendingChanged) line()     {}
 func (DivisionChanged) line()    {}
+func (QuotaChanged) line()       {}
 func (message) line()            {}
