--- a/core/daisyquota/admit.go
+++ b/core/daisyquota/admit.go
@@ -45,7 +45,7 @@
 }
 
 // updateRoles takes over the lenders of the present view. Waiting requests ask the new
-// coordinator.
+// coordinator once they have waited for answerTime.
 func (s *Shard) updateRoles(b *borrower) {
 	if b.version == s.view.version {
 		return
