Reckon with the list of VMs after a start, and rest without quotas

Cause: a VM that has just started reckons with 32 VMs for two seconds, in case it does not know the others yet. The controller also woke up 20 times a second where no account has a quota.

Change: a VM that has read the platform's list of VMs reckons with those; the 32 remain for a VM whose list has nobody else. The controller does not wake up before a configuration has a quota.

--- a/core/daisyquota/event.go
+++ b/core/daisyquota/event.go
@@ -11,7 +11,8 @@
 type RequestID uint64
 
 // Event is an input of a Shard. It is one of Arrived, WaitPassed, Canceled, TokenSent,
-// TokenReturned, RequestReceived, GrantReceived, PeersChanged, QuotasChanged and TimePassed.
+// TokenReturned, RequestReceived, GrantReceived, PeersChanged, VMsListed, QuotasChanged and
+// TimePassed.
 type Event interface{ event() }
 
 // Arrived means that a request of an account needs a token.
@@ -64,6 +65,10 @@
 // have requests but are leaving.
 type PeersChanged struct{ VMs, Leaving []daisyvm.VM }
 
+// VMsListed carries the number of VMs, this one included, in a list of all that have started
+// and not left as planned. It may have VMs that are gone.
+type VMsListed struct{ Count int }
+
 // QuotasChanged carries the quotas of all accounts of a configuration.
 type QuotasChanged struct{ Quotas map[Key]daisyaccount.Quota }
 
@@ -74,6 +79,7 @@
 const TickInterval = 50 * time.Millisecond
 
 func (Arrived) event()         {}
+func (VMsListed) event()       {}
 func (WaitPassed) event()      {}
 func (Canceled) event()        {}
 func (TokenSent) event()       {}
--- a/core/daisyquota/quota_test.go
+++ b/core/daisyquota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -316,3 +317,19 @@
 		}
 	}
 }
+
+// Guards against VMs that lend next to nothing for two seconds after all of them lost power at
+// once: each reckoned with 32 VMs, and refused most requests of accounts far below their limits.
+func TestVMsThatStartReckonWithTheList(t *testing.T) {
+	start := time.Unix(1000, 0)
+	shard := NewShard(Options{Self: daisyvm.VM{Name: "a"}, OthersExist: true, Random: rand.New(rand.NewPCG(1, 1)), Now: start})
+	vms := []daisyvm.VM{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	now := start.Add(300 * time.Millisecond)
+	shard.Handle(now, VMsListed{Count: 3})
+	assert.Equal(t, shard.view.share(now), 1.0/3, "two that are not heard yet may be cut off")
+	shard.Handle(now, PeersChanged{VMs: vms})
+	assert.Equal(t, shard.view.share(now), 1.0)
+	alone := newView("a", true, start)
+	alone.listed = 1
+	assert.Equal(t, alone.share(now), 1.0/startVMs, "the others may not have reached the store")
+}
--- a/core/daisyquota/shard.go
+++ b/core/daisyquota/shard.go
@@ -90,6 +90,9 @@
 		s.view.change(now, e)
 		s.since = now
 		s.refill(now)
+	case VMsListed:
+		s.view.listed = e.Count
+		s.refill(now)
 	case QuotasChanged:
 		s.changeQuotas(now, e.Quotas)
 	case TimePassed:
--- a/core/daisyquota/view.go
+++ b/core/daisyquota/view.go
@@ -12,10 +12,10 @@
 	// having left as planned: it may be cut off, and use its share. It is longer than for rate
 	// limits, because the bound of a quota has to hold in each window of a partition.
 	silentShareTime = time.Minute
-	// settleTime is how long after its start a VM may not know all others, and startVMs is the
-	// number of VMs that it then reckons with at least. A VM that has heard of no other one
-	// since its start, but knows that there are some, does so for silentShareTime: it may be
-	// cut off.
+	// settleTime is how long after its start a VM may not have heard all others. It then
+	// reckons with the VMs of the list at least, or with startVMs if it has not read the list.
+	// A VM that has heard of no other one since its start, but knows that there are some, does
+	// so for silentShareTime: it may be cut off.
 	settleTime = 2 * time.Second
 	startVMs   = 32
 	// reportTime is how long the number of VMs that another one knew counts.
@@ -38,7 +38,9 @@
 	reportedAt time.Time
 	// version counts the changes, and chosen has the roles since the last one.
 	version int
-	chosen  map[Key]roles
+	// listed is the number of VMs in the list of all; 0 if it is not known.
+	listed int
+	chosen map[Key]roles
 }
 
 func newView(self daisyvm.Name, othersExist bool, now time.Time) view {
@@ -100,11 +102,20 @@
 	}
 	age := now.Sub(v.started)
 	if age < settleTime || v.othersExist && !v.heard && age < silentShareTime {
-		all = max(all, startVMs)
+		all = max(all, v.expected())
 	}
 	return float64(len(v.present)) / float64(all)
 }
 
+// expected returns how many VMs there may be, for a VM that may not have heard all of them. A
+// list with this VM alone may be one that the others could not be added to.
+func (v *view) expected() int {
+	if v.listed > 1 {
+		return v.listed
+	}
+	return startVMs
+}
+
 // roles are the VMs that lend the tokens of an account. The standby is the next coordinator
 // if the present one fails.
 type roles struct{ coordinator, standby daisyvm.Name }
--- a/io/daisycontroller/member.go
+++ b/io/daisycontroller/member.go
@@ -31,6 +31,12 @@
 	SetPeers(vms, leaving []daisyvm.VM)
 }
 
+// ListApplier is notified of the platform's list of VMs.
+type ListApplier interface {
+	// SetListed sets the number of VMs in the list, this one included.
+	SetListed(vms int)
+}
+
 // SpareSource reports the spare capacity of this VM.
 type SpareSource interface {
 	// Spare returns how many more requests this VM could start immediately.
@@ -46,6 +52,8 @@
 	List daisyplatform.VMs
 	// Peers are notified whenever the VMs that share the services change.
 	Peers []PeerApplier
+	// Listed is notified of each list that was read; it may be nil.
+	Listed ListApplier
 	// Spare may be nil for a VM without spare capacity.
 	Spare  SpareSource
 	Logger hclog.Logger
--- a/io/daisycontroller/member_list.go
+++ b/io/daisycontroller/member_list.go
@@ -108,6 +108,21 @@
 	for _, v := range answer.VMs {
 		listed = append(listed, daisyvm.ListedVM{Name: v.Name, Zone: v.Zone, Peers: v.Peers, Leaving: v.Leaving})
 	}
+	if c.options.Listed != nil {
+		c.options.Listed.SetListed(countVMs(listed, c.options.Self.Name))
+	}
 	c.post(daisyvm.PlatformListed{VMs: listed})
 	return true
 }
+
+// countVMs returns the number of VMs in a list that are not leaving, with this VM, which may
+// not be in it yet.
+func countVMs(listed []daisyvm.ListedVM, self daisyvm.Name) int {
+	n := 1
+	for _, v := range listed {
+		if !v.Leaving && v.Name != self {
+			n++
+		}
+	}
+	return n
+}
--- a/io/daisycontroller/quota.go
+++ b/io/daisycontroller/quota.go
@@ -47,7 +47,11 @@
 	outboxMu sync.Mutex
 	outbox   *daisyquota.Outbox
 	done     chan struct{}
-	wg       sync.WaitGroup
+	// limited is closed when the first configuration with a quota is in force. Without quotas
+	// there is nothing that time changes, and the controller does not wake up.
+	limited     chan struct{}
+	limitedOnce sync.Once
+	wg          sync.WaitGroup
 }
 
 var _ Controller = (*Quota)(nil)
@@ -57,11 +61,16 @@
 	if options.Now == nil {
 		options.Now = bootNow
 	}
-	c := &Quota{options: options, outbox: daisyquota.NewOutbox(), done: make(chan struct{})}
+	c := &Quota{options: options, outbox: daisyquota.NewOutbox(), done: make(chan struct{}), limited: make(chan struct{})}
 	for i := range c.shards {
 		c.shards[i] = newQuotaShard(c, uint64(i))
 	}
 	c.wg.Go(func() {
+		select {
+		case <-c.limited:
+		case <-c.done:
+			return
+		}
 		ticker := time.NewTicker(daisyquota.TickInterval)
 		defer ticker.Stop()
 		for {
@@ -114,6 +123,9 @@
 	for _, f := range snapshot.Intent.Fleets {
 		for _, a := range f.Accounts {
 			quotas[daisyquota.Key{Fleet: f.Name, Account: a.Name}] = a.Quota
+			if a.Quota.Limited() {
+				c.limitedOnce.Do(func() { close(c.limited) })
+			}
 		}
 	}
 	c.options.Metrics.SetQuotas(quotas)
@@ -129,6 +141,13 @@
 	}
 }
 
+// SetListed sets the number of VMs in the platform's list.
+func (c *Quota) SetListed(vms int) {
+	for _, s := range c.shards {
+		s.handle(daisyquota.VMsListed{Count: vms})
+	}
+}
+
 // Receive handles a message from another VM.
 func (c *Quota) Receive(from daisyvm.Name, message daisymessage.Message) {
 	c.options.Metrics.MessageReceived(message)
--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -224,6 +224,7 @@
 		Linker:    d.links,
 		List:      daisyplatform.NewMeteredVMs(d.adapter.VMs, d.metrics),
 		Peers:     []daisycontroller.PeerApplier{d.routes, d.quotas, poolPeers{d.pool}, feedPeers{d}},
+		Listed:    d.quotas,
 		Spare:     routeSpare{d.routes},
 		Logger:    d.logger,
 		Age:       d.age,
