Compare routes, client accounts and limits in plans

Cause: a plan listed no differences in routes, client accounts, limits of callers and defaults of services, which are most of a platform's configuration, and named a change of protocol by its Go type.

Change: they are changes like the others.

--- a/core/daisyplan/change.go
+++ b/core/daisyplan/change.go
@@ -7,13 +7,12 @@
 	"daisyyoke/core/daisyservice"
 )
 
-// Change is one difference between the configuration in force and the intent.
-// Differences in routes, caller limits, health paths and default connections are
-// not reported. A Change is one of FleetAdded, FleetRemoved, ZoneAdded,
+// Change is one difference between the configuration in force and the intent. A Change is one of FleetAdded, FleetRemoved, ZoneAdded,
 // ZoneRemoved, ZoneChanged, ZoneEvacuated, ZoneReturned, RankAdded, RankRemoved, RankChanged, RanksReordered,
 // ServiceAdded, ServiceRemoved, ServiceRanksChanged, ProtocolChanged,
-// EndpointAdded, EndpointRemoved, EndpointChanged, EndpointDrained and
-// EndpointResumed.
+// EndpointAdded, EndpointRemoved, EndpointChanged, EndpointDrained, EndpointResumed,
+// RouteAdded, RouteRemoved, RouteChanged, AccountAdded, AccountRemoved, AccountChanged,
+// CallerLimitsChanged and ServiceDefaultsChanged.
 type Change interface{ change() }
 
 // FleetAdded is a Change that adds a fleet.
--- a/core/daisyplan/compare.go
+++ b/core/daisyplan/compare.go
@@ -66,7 +66,7 @@
 	for _, s := range matchByKey(before.Services, after.Services, serviceKey) {
 		changes = append(changes, compareService(s)...)
 	}
-	return changes
+	return append(changes, compareTraffic(before, after)...)
 }
 
 func compareZones(before, after daisyconfig.Fleet) []Change {
@@ -148,6 +148,7 @@
 	if p.before != nil && p.after != nil {
 		changes = append(changes, compareServiceRanks(before, after)...)
 		changes = append(changes, compareProtocol(before, after)...)
+		changes = append(changes, compareDefaults(before, after)...)
 	}
 	for _, e := range matchByKey(before.Endpoints, after.Endpoints, endpointKey) {
 		changes = append(changes, compareEndpoint(before.ID, after.ID, e)...)
@@ -217,7 +218,8 @@
 			ids = append(ids, daisyconfig.EndpointID{Service: c.Service, Address: c.Endpoint.Address})
 		case FleetAdded, FleetRemoved, ZoneAdded, ZoneRemoved, ZoneChanged, ZoneEvacuated, ZoneReturned, RankAdded, RankRemoved,
 			RankChanged, RanksReordered, ServiceAdded, ServiceRemoved, ServiceRanksChanged,
-			ProtocolChanged, EndpointAdded, EndpointChanged, EndpointResumed:
+			ProtocolChanged, EndpointAdded, EndpointChanged, EndpointResumed, RouteAdded, RouteRemoved, RouteChanged,
+			AccountAdded, AccountRemoved, AccountChanged, CallerLimitsChanged, ServiceDefaultsChanged:
 		}
 	}
 	return ids
--- a/core/daisyplan/plan.go
+++ b/core/daisyplan/plan.go
@@ -1,6 +1,5 @@
 // Package daisyplan computes the changes that an intent would make to the
-// configuration in force, and their effect on the services. Changes to routes, caller
-// limits, health paths and default connections take effect too, but are not listed.
+// configuration in force, and their effect on the services.
 //
 // A plan is a pure function of two immutable values, the base snapshot and the
 // intent, so that any VM can recompute it from its Record.
--- a/core/daisyplan/warning.go
+++ b/core/daisyplan/warning.go
@@ -48,8 +48,7 @@
 	Services []daisyservice.ID
 }
 
-// NothingChanges warns that the plan has no Change. Routes, caller limits, health
-// paths and default connections are not compared.
+// NothingChanges warns that the plan has no Change.
 type NothingChanges struct{}
 
 func (FloorsOverOne) warning()    {}
--- a/io/daisyoperator/describe.go
+++ b/io/daisyoperator/describe.go
@@ -10,9 +10,9 @@
 	"daisyyoke/core/daisyservice"
 )
 
-// describeChange returns the line of a plan for a change: it begins with + for an
+// DescribeChange returns the line of a plan for a change: it begins with + for an
 // addition, - for a removal and ~ for a modification.
-func describeChange(change daisyplan.Change) string {
+func DescribeChange(change daisyplan.Change) string {
 	switch c := change.(type) {
 	case daisyplan.FleetAdded:
 		return fmt.Sprintf("+ fleet %s", c.Fleet)
@@ -49,6 +49,8 @@
 	case daisyplan.ServiceRanksChanged:
 		return fmt.Sprintf("~ service %s: ranks %s (default %s) to %s (default %s)",
 			c.Service, rankNames(c.Before), c.DefaultBefore, rankNames(c.After), c.DefaultAfter)
+	case daisyplan.ProtocolChanged:
+		return fmt.Sprintf("~ service %s: protocol %s to %s", c.Service, c.Before, c.After)
 	case daisyplan.EndpointAdded:
 		return fmt.Sprintf("+ endpoint %s", endpointText(c.Service, c.Endpoint))
 	case daisyplan.EndpointRemoved:
@@ -60,7 +62,7 @@
 	case daisyplan.EndpointResumed:
 		return fmt.Sprintf("~ endpoint %s/%s: resumed", c.Service, c.Endpoint.Address)
 	}
-	return fmt.Sprintf("~ %T", change)
+	return describeTrafficChange(change)
 }
 
 func rankText(r daisyrank.Rank) string {
@@ -83,7 +85,8 @@
 	return fmt.Sprintf("%s, %d slots, %d connections", e.Zone, e.Slots, e.Connections)
 }
 
-func describeImpact(i daisyplan.Impact) string {
+// DescribeImpact returns the line of a plan for its effect on a service.
+func DescribeImpact(i daisyplan.Impact) string {
 	text := fmt.Sprintf("service %s: %d slots to %d", i.Service, i.SlotsBefore, i.SlotsAfter)
 	if len(i.After) == 0 {
 		return text
@@ -104,7 +107,8 @@
 	return "none"
 }
 
-func describeWarning(warning daisyplan.Warning) string {
+// DescribeWarning returns the line of a plan for a warning.
+func DescribeWarning(warning daisyplan.Warning) string {
 	switch w := warning.(type) {
 	case daisyplan.FloorsOverOne:
 		return fmt.Sprintf("service %s: the floors of its ranks add up to %.2f, more than all slots", w.Service, w.Sum)
--- a/io/daisyoperator/encode.go
+++ b/io/daisyoperator/encode.go
@@ -38,16 +38,16 @@
 func encodePlan(plan daisyplan.Plan) Plan {
 	p := encodeRecord(plan.Record)
 	for _, c := range plan.Changes {
-		p.Changes = append(p.Changes, describeChange(c))
+		p.Changes = append(p.Changes, DescribeChange(c))
 	}
 	for _, e := range plan.Impacts {
-		p.Effects = append(p.Effects, describeImpact(e))
+		p.Effects = append(p.Effects, DescribeImpact(e))
 	}
 	for _, e := range plan.WithdrawnEndpoints {
 		p.Effects = append(p.Effects, "no new work for endpoint "+e.Service.String()+"/"+e.Address.String())
 	}
 	for _, w := range plan.Warnings {
-		p.Warnings = append(p.Warnings, describeWarning(w))
+		p.Warnings = append(p.Warnings, DescribeWarning(w))
 	}
 	return p
 }
