Add daisyctl config check

Cause: errors in a configuration were seen only by sending it, and entries that can never match or limits that contradict each other not at all.

Change: daisyctl config check reads an intent or the platform's document, checks it with core/daisylint, which knows no format, and compares it with a file or with what is in force. cmd/daisyctl passes the platform's decoder in. Reading files and printing sections moved from daisyplancmd to daisyterminal, for both commands.

Result: the tests of the packages touched pass, also with -race -short.

--- a/cmd/daisyctl/main.go
+++ b/cmd/daisyctl/main.go
@@ -7,11 +7,12 @@
 	"os/signal"
 
 	"daisyyoke/io/daisyctl"
+	"daisyyoke/platform/daisyadapter"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	code := daisyctl.Main(ctx, os.Args[1:])
+	code := daisyctl.Main(ctx, os.Args[1:], daisyadapter.NewChecker())
 	stop()
 	os.Exit(code)
 }
--- a/core/daisyerror/error.go
+++ b/core/daisyerror/error.go
@@ -21,6 +21,8 @@
 	Stale = namespace.NewType("stale")
 	// Ended marks the use of something that has reached a final state, for instance a discarded plan.
 	Ended = namespace.NewType("ended")
+	// CheckFailed marks a configuration in which a check found errors.
+	CheckFailed = namespace.NewType("check-failed")
 	// Unauthorized marks a sender without valid credentials.
 	Unauthorized = namespace.NewType("unauthorized")
 	// Unavailable marks an operation that was not carried out and may succeed later.
--- a/io/daisyctl/daisyconfigcmd/config.go
+++ b/io/daisyctl/daisyconfigcmd/config.go
@@ -1,4 +1,4 @@
-// Package daisyconfigcmd implements the commands on the confirmed configuration.
+// Package daisyconfigcmd implements the commands on configurations.
 package daisyconfigcmd
 
 import (
@@ -11,10 +11,10 @@
 func NewCmdConfig(f *daisyfactory.Factory) *cobra.Command {
 	c := &cobra.Command{
 		Use:   "config <command>",
-		Short: "View the confirmed configuration",
+		Short: "View the confirmed configuration, and check a new one",
 		Args:  cobra.ArbitraryArgs,
 		RunE:  daisyfactory.RunGroup,
 	}
-	c.AddCommand(NewCmdView(f, nil))
+	c.AddCommand(NewCmdView(f, nil), NewCmdCheck(f, nil))
 	return c
 }
--- a/io/daisyctl/daisyfactory/factory.go
+++ b/io/daisyctl/daisyfactory/factory.go
@@ -28,6 +28,8 @@
 	Streams *daisyterminal.Streams
 	// Client returns a client for the chosen server. It fails with daisyerror.InvalidSetting.
 	Client func() (*daisyoperator.Client, error)
+	// Checker reads the configurations of a platform; nil if there are only intents.
+	Checker Checker
 }
 
 // serverFlags holds the flags that choose the server and identify the operator.
--- a/io/daisyctl/daisyplancmd/create.go
+++ b/io/daisyctl/daisyplancmd/create.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"os"
 
 	"github.com/spf13/cobra"
 
@@ -77,16 +75,7 @@
 	if o.File == "" {
 		return nil, daisyerror.InvalidSetting.New("--file: required; give the file with the intent, or - for standard input")
 	}
-	in := o.Streams.In
-	if o.File != "-" {
-		file, err := os.Open(o.File)
-		if err != nil {
-			return nil, daisyerror.InvalidSetting.Wrap(err, "--file")
-		}
-		defer func() { _ = file.Close() }()
-		in = file
-	}
-	text, err := io.ReadAll(io.LimitReader(in, daisyintent.MaxSize+1))
+	text, err := o.Streams.ReadFile(o.File, daisyintent.MaxSize+1)
 	if err != nil {
 		return nil, daisyerror.InvalidSetting.Wrap(err, "--file")
 	}
--- a/io/daisyctl/daisyplancmd/plan.go
+++ b/io/daisyctl/daisyplancmd/plan.go
@@ -30,22 +30,9 @@
 func PrintPlan(s *daisyterminal.Streams, p daisyoperator.Plan) {
 	fmt.Fprintf(s.Out, "plan %s  %s, made from revision %d by %s at %s\n",
 		p.ID, colorizeState(s, p.State), p.BaseRevision, p.CreatedBy, p.CreatedAt.Format(time.RFC3339))
-	printSection(s, "changes", p.Changes, "")
-	printSection(s, "effects", p.Effects, "")
-	printSection(s, "warnings", p.Warnings, daisyterminal.Warning)
-}
-
-func printSection(s *daisyterminal.Streams, title string, lines []string, style daisyterminal.Style) {
-	if len(lines) == 0 {
-		return
-	}
-	fmt.Fprintf(s.Out, "\n%s:\n", title)
-	for _, l := range lines {
-		if style != "" {
-			l = s.Colorize(style, l)
-		}
-		fmt.Fprintf(s.Out, "  %s\n", l)
-	}
+	s.PrintSection("changes", p.Changes, "")
+	s.PrintSection("effects", p.Effects, "")
+	s.PrintSection("warnings", p.Warnings, daisyterminal.Warning)
 }
 
 func colorizeState(s *daisyterminal.Streams, state string) string {
--- a/io/daisyctl/daisyterminal/terminal.go
+++ b/io/daisyctl/daisyterminal/terminal.go
@@ -37,6 +37,39 @@
 	}
 }
 
+// ReadFile reads at most limit bytes of a file, or of In if the name is "-". It fails with
+// daisyerror.InvalidSetting.
+func (s *Streams) ReadFile(name string, limit int64) ([]byte, error) {
+	in := s.In
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, daisyerror.InvalidSetting.WrapWithNoMessage(err)
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	text, err := io.ReadAll(io.LimitReader(in, limit))
+	if err != nil {
+		return nil, daisyerror.InvalidSetting.WrapWithNoMessage(err)
+	}
+	return text, nil
+}
+
+// PrintSection prints a title and indented lines in a style, or nothing if there are no lines.
+func (s *Streams) PrintSection(title string, lines []string, style Style) {
+	if len(lines) == 0 {
+		return
+	}
+	fmt.Fprintf(s.Out, "\n%s:\n", title)
+	for _, l := range lines {
+		if style != "" {
+			l = s.Colorize(style, l)
+		}
+		fmt.Fprintf(s.Out, "  %s\n", l)
+	}
+}
+
 // Confirm prompts with a yes-or-no question and reports whether the answer is yes; no is
 // the default. It fails with daisyerror.Unavailable if the input ends without an answer.
 func (s *Streams) Confirm(question string) (bool, error) {
--- a/io/daisyctl/root.go
+++ b/io/daisyctl/root.go
@@ -31,10 +31,12 @@
 	ExitStale = 3
 )
 
-// Main runs the command line and returns its exit code.
-func Main(ctx context.Context, args []string) int {
+// Main runs the command line and returns its exit code. The checker reads the configurations
+// of a platform; nil if there are only intents.
+func Main(ctx context.Context, args []string, checker daisyfactory.Checker) int {
 	root := newRoot()
 	f := daisyfactory.New(root)
+	f.Checker = checker
 	return run(ctx, root, f, args)
 }
 
--- a/io/daisyintent/decode.go
+++ b/io/daisyintent/decode.go
@@ -13,6 +13,7 @@
 	"daisyyoke/core/daisyconfig"
 	"daisyyoke/core/daisyerror"
 	"daisyyoke/core/daisyfleet"
+	"daisyyoke/core/daisylint"
 	"daisyyoke/core/daisyrank"
 )
 
@@ -38,6 +39,26 @@
 	return intent, nil
 }
 
+// Lint decodes an intent as Decode does, and returns all problems of it with their lines. The
+// snapshot is nil if there are any.
+func Lint(text []byte) (*daisyconfig.Snapshot, []daisylint.Invalid) {
+	root, err := parse(bytes.NewReader(text))
+	if err != nil {
+		return nil, []daisylint.Invalid{{Text: daisyerror.Text(err)}}
+	}
+	d := &decoder{}
+	intent := d.intent(root)
+	if len(d.problems) == 0 {
+		return &daisyconfig.Snapshot{Intent: intent}, nil
+	}
+	d.sortProblems()
+	var invalid []daisylint.Invalid
+	for _, p := range d.problems {
+		invalid = append(invalid, daisylint.Invalid{Line: p.line, Text: p.text})
+	}
+	return nil, invalid
+}
+
 // parse returns the root node of the only YAML document in the text.
 func parse(r io.Reader) (*yaml.Node, error) {
 	text, err := io.ReadAll(io.LimitReader(r, MaxSize+1))
@@ -146,6 +167,10 @@
 	if len(d.problems) == 0 {
 		return nil
 	}
-	sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].line < d.problems[j].line })
+	d.sortProblems()
 	return daisyerror.InvalidIntent.New("%s", joinProblems(d.problems))
 }
+
+func (d *decoder) sortProblems() {
+	sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].line < d.problems[j].line })
+}
