Shed by worth, target and work under overload

Cause: while requests wait, a rank whose requests would all miss their target delayed those of less urgent ranks that could meet theirs, a request that could meet its target was refused because of others that it goes before, and an account got more slot time the longer its requests took.

A request that can meet its target is not refused because of those that cannot. Without overload the order is as before.

--- a/core/daisyqueue/admit.go
+++ b/core/daisyqueue/admit.go
@@ -57,7 +57,7 @@
 func (q *Queue[T]) Admit(now time.Time, item *Item[T], available int) Verdict[T] {
 	q.accrue(now)
 	expected := q.estimateCompletion(item)
-	if expected > 0 && now.Add(expected).After(item.Deadline) {
+	if q.cannotFinish(now, item, expected) {
 		return Refused[T]{Cause: Infeasible, Expected: expected, RetryAfter: q.RetryAfter(item.Rank)}
 	}
 	q.Push(now, item)
@@ -73,6 +73,13 @@
 	return Displaced[T]{Item: evicted, RetryAfter: retryAfter}
 }
 
+// cannotFinish reports whether a request is not expected to finish by its deadline, given the
+// estimate of its completion. Those that will miss their target wait behind those that can
+// meet it, so they are no reason to refuse one of these.
+func (q *Queue[T]) cannotFinish(now time.Time, item *Item[T], expected time.Duration) bool {
+	return expected > 0 && now.Add(expected).After(item.Deadline) && !q.canMeetTarget(now, item)
+}
+
 // estimateCompletion returns the estimated time from now to the response for a request
 // that has to wait. It returns 0 when the request need not wait, or is admitted regardless
 // of the estimate.
@@ -137,7 +144,7 @@
 			continue
 		}
 		item := q.rankEvictionCandidate(i)
-		if expected := q.estimateCompletion(item); expected > 0 && now.Add(expected).After(item.Deadline) {
+		if q.cannotFinish(now, item, q.estimateCompletion(item)) {
 			return item
 		}
 	}
--- a/core/daisyqueue/flow.go
+++ b/core/daisyqueue/flow.go
@@ -25,6 +25,10 @@
 	earliest, latest, overdue *daisyheap.Heap[*Item[T]]
 	// lastUse is the number of the rank's uses at which a request of the flow was last taken.
 	lastUse int64
+	// turn is lastUse, or later if the request taken counted for more than one turn.
+	turn int64
+	// slotTime is the mean slot time of the account's attempts; 0 means unknown.
+	slotTime time.Duration
 	// overloadedUntil is when LatestWhenOverloaded goes back to the earliest due time.
 	overloadedUntil time.Time
 	// readyIndex, lateIndex, idleIndex and sizeIndex are the positions in the heaps of flows.
@@ -39,8 +43,8 @@
 type flows[T any] struct {
 	known map[daisyaccount.Name]*flow[T]
 	uses  int64
-	// ready has the flows with requests that can meet their target, late those with other
-	// requests and idle those without requests, each by last use. sizes has the flows with
+	// ready has the flows with requests that can meet their target by turn, late those with
+	// other requests and idle those without requests by last use. sizes has the flows with
 	// requests, the largest first.
 	ready, late, idle, sizes *daisyheap.Heap[*flow[T]]
 }
@@ -82,7 +86,7 @@
 
 // update puts a flow where it belongs after a change of its requests or of its last use.
 func (s *flows[T]) update(f *flow[T]) {
-	place(s.ready, f, &f.readyIndex, f.lastUse, f.earliest.Len() > 0)
+	place(s.ready, f, &f.readyIndex, f.turn, f.earliest.Len() > 0)
 	place(s.late, f, &f.lateIndex, f.lastUse, f.overdue.Len() > 0)
 	place(s.idle, f, &f.idleIndex, f.lastUse, f.len() == 0)
 	place(s.sizes, f, &f.sizeIndex, int64(f.len()), f.len() > 0)
@@ -111,10 +115,11 @@
 	return f, ok
 }
 
-// use ends the turn of a flow.
-func (s *flows[T]) use(f *flow[T]) {
+// use ends the turn of a flow, which counts for a number of turns.
+func (s *flows[T]) use(f *flow[T], turns float64) {
 	s.uses++
 	f.lastUse = s.uses
+	f.turn = s.uses + int64((turns-1)*float64(s.waiting()))
 	s.update(f)
 }
 
@@ -128,3 +133,13 @@
 	}
 	return min(total, own+(own+1)*others)
 }
+
+// readyAhead is like ahead for the requests that can meet their target.
+func (s *flows[T]) readyAhead(account daisyaccount.Name, total int) int {
+	own, others := 0, s.ready.Len()
+	if f := s.known[account]; f != nil && f.earliest.Len() > 0 {
+		own = f.earliest.Len()
+		others--
+	}
+	return min(total, own+(own+1)*others)
+}
--- a/core/daisyqueue/load_test.go
+++ b/core/daisyqueue/load_test.go
@@ -22,6 +22,8 @@
 // times of 8 ms plus an exponentially distributed part with a mean of 32 ms.
 type workload struct {
 	slots int
+	// ranks are those of the service; nil means the usual ones.
+	ranks []daisyrank.Rank
 	// demand is the offered load of each rank as a fraction of the capacity.
 	demand  []float64
 	length  time.Duration
@@ -32,6 +34,9 @@
 	account func(s *simulation) (daisyaccount.Name, time.Time)
 	// target is the time from the arrival of a request to its target; 0 means its deadline.
 	target time.Duration
+	// shape completes a request that arrives and returns its service time; nil means the
+	// usual one.
+	shape func(s *simulation, i *item) time.Duration
 }
 
 const (
@@ -69,6 +74,10 @@
 	latencies map[daisyaccount.Name][]time.Duration
 	// refused counts the refused requests of each account.
 	refused map[daisyaccount.Name]int
+	// offered has all requests, work the service time of each, and answered when it ended.
+	offered  []*item
+	work     map[*item]time.Duration
+	answered map[*item]time.Time
 }
 
 func (s *simulation) noteRefused(i *item) {
@@ -77,11 +86,14 @@
 }
 
 func (w workload) run() *simulation {
-	s := &simulation{workload: w, random: rand.New(rand.NewPCG(w.seed, 0)), now: start, latencies: make(map[daisyaccount.Name][]time.Duration), refused: make(map[daisyaccount.Name]int)}
+	s := &simulation{workload: w, random: rand.New(rand.NewPCG(w.seed, 0)), now: start, latencies: make(map[daisyaccount.Name][]time.Duration), refused: make(map[daisyaccount.Name]int), work: make(map[*item]time.Duration), answered: make(map[*item]time.Time)}
 	if s.options.Limits.Rank == 0 {
 		s.options.Limits = daisyqueue.Limits{Rank: 4096, Service: 8192}
 	}
-	s.queue = daisyqueue.New[time.Time](ranks, s.options)
+	if s.ranks == nil {
+		s.ranks = ranks
+	}
+	s.queue = daisyqueue.New[time.Time](s.ranks, s.options)
 	s.running = daisyheap.New[*attempt](daisyheap.Earliest)
 	s.stats = make([]rankStats, len(ranks))
 	s.next = make([]time.Time, len(ranks))
@@ -138,13 +150,16 @@
 func (s *simulation) arrive(rank int) {
 	s.scheduleArrival(rank)
 	s.stats[rank].arrived++
-	i := &item{Value: s.now, Rank: daisyrank.Index(rank), Deadline: s.now.Add(ranks[rank].Target)}
+	i := &item{Value: s.now, Rank: daisyrank.Index(rank), Deadline: s.now.Add(s.ranks[rank].Target)}
 	if s.account != nil {
 		i.Account, i.Deadline = s.account(s)
 	}
 	if s.target > 0 {
 		i.Target = s.now.Add(s.target)
 	}
+	took := s.serviceTime(i)
+	s.work[i] = took
+	s.offered = append(s.offered, i)
 	switch v := s.queue.Admit(s.now, i, 0).(type) {
 	case daisyqueue.Refused[time.Time]:
 		s.noteRefused(i)
@@ -153,6 +168,14 @@
 	}
 }
 
+// serviceTime draws the service time of a request that arrives.
+func (s *simulation) serviceTime(i *item) time.Duration {
+	if s.shape != nil {
+		return s.shape(s, i)
+	}
+	return fixedServiceTime + time.Duration(float64(meanRandomServiceTime)*s.random.ExpFloat64())
+}
+
 func (s *simulation) expire() {
 	for {
 		d, ok := s.queue.Expire(s.now).(daisyqueue.Drop[time.Time])
@@ -173,8 +196,7 @@
 		case daisyqueue.Serve[time.Time]:
 			s.queue.Take(s.now, v.Item)
 			a := &attempt{item: v.Item, started: s.now, charge: s.queue.Started(s.now, v.Item.Rank)}
-			took := fixedServiceTime + time.Duration(float64(meanRandomServiceTime)*s.random.ExpFloat64())
-			s.running.Push(s.now.Add(took), a, &a.index)
+			s.running.Push(s.now.Add(s.work[v.Item]), a, &a.index)
 		}
 	}
 }
@@ -183,7 +205,9 @@
 	s.running.Remove(a.index)
 	took := s.now.Sub(a.started)
 	s.queue.Ended(s.now, a.item.Rank, took, a.charge)
+	s.queue.RecordSlotTime(a.item.Rank, a.item.Account, took)
 	s.queue.RecordResponseTime(a.item.Rank, took)
+	s.answered[a.item] = s.now
 	t := &s.stats[a.item.Rank]
 	t.slotTime += took
 	s.latencies[a.item.Account] = append(s.latencies[a.item.Account], s.now.Sub(a.item.Value))
--- a/core/daisyqueue/next.go
+++ b/core/daisyqueue/next.go
@@ -35,11 +35,11 @@
 // that waits is served until its deadline, whatever the estimate.
 func (q *Queue[T]) Next(now time.Time) Step[T] {
 	q.accrue(now)
-	r := q.nextRank()
+	r := q.nextRank(now)
 	if r == nil {
 		return Idle[T]{}
 	}
-	r.demote(now)
+	q.demote(now, r)
 	f, _ := r.flows.next()
 	item := f.head(now, q.options.Order)
 	required := r.requiredTime(f)
@@ -54,7 +54,7 @@
 func (q *Queue[T]) Expire(now time.Time) Step[T] {
 	for _, i := range q.urgency {
 		r := q.ranks[i]
-		r.demote(now)
+		q.demote(now, r)
 		for _, h := range []*daisyheap.Heap[*Item[T]]{r.earliest, r.overdue} {
 			if _, item, ok := h.First(); ok && !now.Before(r.latestStart(item)) {
 				return q.drop(now, item, r.account.responseTimes.Median())
@@ -105,8 +105,9 @@
 func (r *rank[T]) belowFloor() bool { return r.declared.Floor > 0 && r.account.deficit >= 0 }
 
 // nextRank returns the most urgent rank that is below its floor, or else the most
-// urgent one, of the ranks with requests waiting; nil if there are none.
-func (q *Queue[T]) nextRank() *rank[T] {
+// urgent one, of the ranks with requests waiting; nil if there are none. See shedRank for
+// the order under overload.
+func (q *Queue[T]) nextRank(now time.Time) *rank[T] {
 	var first *rank[T]
 	for _, i := range q.urgency {
 		r := q.ranks[i]
@@ -120,6 +121,13 @@
 			first = r
 		}
 	}
+	if first == nil {
+		return nil
+	}
+	q.demote(now, first)
+	if q.overloaded(now) {
+		return q.shedRank(now, first)
+	}
 	return first
 }
 
@@ -157,6 +165,7 @@
 }
 
 func (q *Queue[T]) drop(now time.Time, item *Item[T], expected time.Duration) Step[T] {
+	q.noteMissed(now, item)
 	item.flow.overloadedUntil = now.Add(overloadDuration)
 	q.Remove(now, item)
 	return Drop[T]{Item: item, Expected: expected}
--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -33,6 +33,8 @@
 	flowEarliestIndex, latestIndex, flowOverdueIndex int
 	flow                                             *flow[T]
 	queued                                           bool
+	// queuedAt is when the request was first queued.
+	queuedAt time.Time
 }
 
 // due returns the time by which the request should be answered: its target if that
@@ -119,6 +121,8 @@
 	evacuatedInFlight int
 	// rateLimited is set if the endpoints' rate limits leave slots unused.
 	rateLimited bool
+	// overloadedUntil is when the order goes back to what it is without overload.
+	overloadedUntil time.Time
 }
 
 // New returns an empty queue for the ranks, the most urgent one first.
@@ -170,12 +174,13 @@
 func (r *rank[T]) len() int { return r.earliest.Len() + r.overdue.Len() }
 
 // demote moves the requests that will miss their target behind those that can meet it.
-func (r *rank[T]) demote(now time.Time) {
+func (q *Queue[T]) demote(now time.Time, r *rank[T]) {
 	for {
 		due, item, ok := r.earliest.First()
 		if !ok || !due.Before(item.Deadline) || now.Before(due.Add(-r.account.responseTimes.Median())) {
 			return
 		}
+		q.noteMissed(now, item)
 		r.earliest.Remove(item.earliestIndex)
 		item.flow.earliest.Remove(item.flowEarliestIndex)
 		item.flow.latest.Remove(item.latestIndex)
@@ -198,7 +203,10 @@
 	item.flow.earliest.Push(item.due(), item, &item.flowEarliestIndex)
 	item.flow.latest.Push(item.due(), item, &item.latestIndex)
 	r.flows.update(item.flow)
-	r.demote(now)
+	if item.queuedAt.IsZero() {
+		item.queuedAt = now
+	}
+	q.demote(now, r)
 	item.queued = true
 	q.waiting++
 }
@@ -224,7 +232,12 @@
 // It does nothing if the request is not queued.
 func (q *Queue[T]) Take(now time.Time, item *Item[T]) {
 	if item.queued {
-		q.ranks[item.Rank].flows.use(item.flow)
+		r, turns := q.ranks[item.Rank], 1.0
+		if q.overloaded(now) {
+			turns = r.turnCost(item.flow)
+		}
+		q.countPassed(item.Rank)
+		r.flows.use(item.flow, turns)
 		q.Remove(now, item)
 	}
 }
--- a/core/daisyqueue/rank.go
+++ b/core/daisyqueue/rank.go
@@ -19,6 +19,8 @@
 	// flows has the same requests by client account.
 	flows   flows[T]
 	account account
+	// passed counts the requests of less urgent ranks taken in a row while requests waited.
+	passed int
 }
 
 func newRank[T any]() *rank[T] {
--- a/core/daisyroute/arrive.go
+++ b/core/daisyroute/arrive.go
@@ -166,6 +166,7 @@
 	a := d.pool.newAttempt()
 	a.id, a.endpoint, a.rank, a.sent, a.request = d.lastAttempt, c.endpoint, r.item.Rank, now, r
 	a.trial = c.choice == Trial
+	a.account = r.Account
 	a.fingerprint = r.Fingerprint
 	a.declared = c.endpoint.declared
 	a.countedAsFirst = r.reason == First || r.reason == Retry && r.replacesUnsent
--- a/core/daisyroute/request.go
+++ b/core/daisyroute/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"daisyyoke/core/daisyaccount"
 	"daisyyoke/core/daisyendpoint"
 	"daisyyoke/core/daisyqueue"
 	"daisyyoke/core/daisyrank"
@@ -81,8 +82,10 @@
 	// declared is the declaration of the endpoint when the attempt was sent.
 	declared daisyendpoint.Endpoint
 	rank     daisyrank.Index
-	sent     time.Time
-	charge   daisyqueue.Charge
+	// account is the client account of the request.
+	account daisyaccount.Name
+	sent    time.Time
+	charge  daisyqueue.Charge
 	// request is nil once the request has ended.
 	request *request
 	// countedAsFirst is set if the budget counted the attempt as the first send of its
--- a/core/daisyroute/resolve.go
+++ b/core/daisyroute/resolve.go
@@ -60,6 +60,7 @@
 	delete(d.attempts, a.id)
 	d.attemptTimers.Remove(a.timerIndex)
 	d.queue.Ended(now, a.rank, now.Sub(a.sent), a.charge)
+	d.queue.RecordSlotTime(a.rank, a.account, now.Sub(a.sent))
 	e.inFlight--
 	d.countEvacuated(e)
 	a.sharing.release(now, a)
