--- a/core/daisyqueue/worth_test.go
+++ b/core/daisyqueue/worth_test.go
@@ -43,11 +43,11 @@
 	{name: "bursts, mixed work", demand: []float64{0.3, 0.3, 0.1}, burst: 4, mixed: true},
 }
 
-// The floors are those that the adapter of the platform declares for three ranks, halved.
+// worthRanks have the floors and the worth that the adapter of the users' platform declares.
 var worthRanks = []daisyrank.Rank{
-	{Name: "urgent", Target: 250 * time.Millisecond, Worth: 1, Floor: 0.05},
-	{Name: "standard", Target: 500 * time.Millisecond, Worth: 1, Floor: 0.05},
-	{Name: "bulk", Target: time.Second, Worth: 1, Floor: 0.05},
+	{Name: "urgent", Target: 250 * time.Millisecond, Worth: 1, Floor: 0.1},
+	{Name: "standard", Target: 500 * time.Millisecond, Worth: 1, Floor: 0.1},
+	{Name: "bulk", Target: time.Second, Worth: 1, Floor: 0.1},
 }
 
 func (r worthRun) run(seed uint64) *simulation {
