Shed by cost only in services with client accounts

Cause: the order under overload changed for every deployment, also for those whose configuration asks for nothing new.

Change: a queue sheds by cost from its first request of a client account on. The tests of the order set that; TestOnlyServicesWithAccountsShedByCost checks the condition.

--- a/core/daisyqueue/queue.go
+++ b/core/daisyqueue/queue.go
@@ -121,6 +121,9 @@
 	evacuatedInFlight int
 	// rateLimited is set if the endpoints' rate limits leave slots unused.
 	rateLimited bool
+	// shedsByCost is set once a request of a client account has been queued: only services
+	// with accounts shed by cost, and those without keep the order that they had.
+	shedsByCost bool
 	// overloadedUntil is when the order goes back to what it is without overload.
 	overloadedUntil time.Time
 }
@@ -203,6 +206,7 @@
 	item.flow.earliest.Push(item.due(), item, &item.flowEarliestIndex)
 	item.flow.latest.Push(item.due(), item, &item.latestIndex)
 	r.flows.update(item.flow)
+	q.shedsByCost = q.shedsByCost || item.Account != ""
 	if item.queuedAt.IsZero() {
 		item.queuedAt = now
 	}
--- a/core/daisyqueue/shed.go
+++ b/core/daisyqueue/shed.go
@@ -34,8 +34,10 @@
 }
 
 // overloaded reports whether requests have missed their target or deadline after a wait
-// within the last second.
-func (q *Queue[T]) overloaded(now time.Time) bool { return now.Before(q.overloadedUntil) }
+// within the last second, in a service that sheds by cost.
+func (q *Queue[T]) overloaded(now time.Time) bool {
+	return q.shedsByCost && now.Before(q.overloadedUntil)
+}
 
 // shedRank returns the rank to serve under overload: the most urgent one with a request that
 // can meet its target, or a more urgent one that has been passed over too often. The first
@@ -78,7 +80,7 @@
 // deadline. Of its own rank, only the requests that can meet theirs go before it.
 func (q *Queue[T]) canMeetTarget(now time.Time, item *Item[T]) bool {
 	r := q.ranks[item.Rank]
-	if !item.due().Before(item.Deadline) {
+	if !q.shedsByCost || !item.due().Before(item.Deadline) {
 		return false
 	}
 	wait := q.waitFor(item.Rank, r.flows.readyAhead(item.Account, r.earliest.Len()))
--- a/core/daisyqueue/shed_test.go
+++ b/core/daisyqueue/shed_test.go
@@ -19,6 +19,7 @@
 // a factor, with usual responses of 100 ms.
 func newShedQueue(worth float64) *Queue[string] {
 	q := New[string]([]daisyrank.Rank{{Name: "urgent", Worth: worth}, {Name: "bulk", Worth: 1}}, Options{Order: EarliestFirst{}})
+	q.shedsByCost = true
 	for range 30 {
 		for i := range daisyrank.Index(2) {
 			q.RecordResponseTime(i, 100*time.Millisecond)
@@ -61,6 +62,7 @@
 // urgent ones in time that wait for all of them.
 func TestRanksThatMissTheirTargetKeepAQuarter(t *testing.T) {
 	q := New[string]([]daisyrank.Rank{{Name: "urgent", Worth: 1}, {Name: "standard", Worth: 1}, {Name: "bulk", Worth: 1}}, Options{Order: EarliestFirst{}})
+	q.shedsByCost = true
 	for range 50 {
 		for i := range daisyrank.Index(2) {
 			q.Push(shedStart, &Item[string]{Rank: i, Target: shedStart.Add(200 * time.Millisecond), Deadline: shedStart.Add(time.Minute)})
@@ -165,3 +167,18 @@
 		assert.Assert(t, 4*taken["long"] >= taken["short"] && 2*taken["long"] <= taken["short"], "%v", taken)
 	}
 }
+
+// Guards against a change for services without client accounts, which did not ask for it.
+func TestOnlyServicesWithAccountsShedByCost(t *testing.T) {
+	for _, c := range []struct {
+		account daisyaccount.Name
+		want    string
+	}{{"", "urgent"}, {"north", "bulk"}} {
+		q := newShedQueue(1)
+		q.shedsByCost = false
+		push(q, shedStart, "urgent", 200*time.Millisecond, 3*time.Second)
+		now := shedStart.Add(300 * time.Millisecond)
+		q.Push(now, &Item[string]{Account: c.account, Value: "bulk", Rank: 1, Target: now.Add(time.Second), Deadline: now.Add(3 * time.Second)})
+		assert.Equal(t, serve(t, q, now), c.want, c.account)
+	}
+}
