--- a/io/daisydaemon/managed.go
+++ b/io/daisydaemon/managed.go
@@ -108,6 +108,7 @@
 	index   *daisycontroller.Index
 	// age is nil unless the settings bound the age of the configuration.
 	age     *daisycontroller.Age
+	quotas  *daisycontroller.Quota
 	members *daisycontroller.Member
 	// follower is nil until startStop has created it. The inbox holds messages from other
 	// VMs back until then.
@@ -212,6 +213,8 @@
 		ColdBound:   daisyendpoint.ColdBound{Over: s.ColdOver, Slack: s.ColdSlack},
 	})
 	d.onClose(d.routes.Close)
+	d.quotas = d.newQuota(seed)
+	d.onClose(d.quotas.Close)
 	d.index = daisycontroller.NewIndex()
 	if err := d.startAge(); err != nil {
 		return err
@@ -220,7 +223,8 @@
 		Self:      d.self,
 		Linker:    d.links,
 		List:      daisyplatform.NewMeteredVMs(d.adapter.VMs, d.metrics),
-		Peers:     []daisycontroller.PeerApplier{d.routes, poolPeers{d.pool}, feedPeers{d}},
+		Peers:     []daisycontroller.PeerApplier{d.routes, d.quotas, poolPeers{d.pool}, feedPeers{d}},
+		Listed:    d.quotas,
 		Spare:     routeSpare{d.routes},
 		Logger:    d.logger,
 		Age:       d.age,
@@ -278,6 +282,7 @@
 			daisyfilter.Match{Timeouts: daisycontroller.NewTimeout(), Reader: d.adapter.Dialect},
 			daisyfilter.Authenticate{Reader: d.adapter.Dialect, MaxAge: d.settings.PropagationTime, Age: d.ageBound()},
 			d.newRequireCurrent(),
+			daisyfilter.Quota{Tokens: d.quotas},
 		},
 	})
 	d.callers = daisycaller.NewPipeline(daisycaller.PipelineOptions{
@@ -327,7 +332,7 @@
 		Decoder:  d.adapter.Decoder,
 		Sender:   d.links,
 		Member:   d.members,
-		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.index, d.members, managedReadiness{d}},
+		Appliers: []daisycontroller.Applier{d.pool, d.routes, d.quotas, d.index, d.members, managedReadiness{d}},
 		Index:    d.index,
 		Age:      d.age,
 		Logger:   d.logger,
@@ -336,7 +341,7 @@
 	})
 	d.onClose(follow.Close)
 	d.follower.Store(follow)
-	d.inbox.Attach(daisycontroller.Receivers{Member: d.members, Follow: follow, Route: d.routes, Stopper: d.stop})
+	d.inbox.Attach(daisycontroller.Receivers{Member: d.members, Follow: follow, Route: d.routes, Quota: d.quotas, Stopper: d.stop})
 	return nil
 }
 
--- a/io/daisylog/print.go
+++ b/io/daisylog/print.go
@@ -56,6 +56,9 @@
 	case DivisionChanged:
 		l.encode(&divisionRecord{commonFields: l.commonFields(e, "division changed"), Fleet: string(n.Service.Fleet), Service: n.Service.Name,
 			Owner: string(n.Owner), Divided: n.Divided})
+	case QuotaChanged:
+		l.encode(&quotaRecord{commonFields: l.commonFields(e, "quota"), Fleet: string(n.Fleet), Account: string(n.Account),
+			Limited: n.Limited, Refused: n.Refused, CoordinatorSilent: n.CoordinatorSilent})
 	case message:
 		// A log has nowhere to report that its own output fails.
 		_, _ = l.output.Write(n.text)
--- a/io/daisysnapshot/document.go
+++ b/io/daisysnapshot/document.go
@@ -36,12 +36,13 @@
 	Routes            []routeDocument   `json:"routes,omitempty"`
 	CallerLimits      *limitsDocument   `json:"caller-limits,omitempty"`
 	Accounts          []accountDocument `json:"accounts,omitempty"`
+	KeysRequired      bool              `json:"keys-required,omitempty"`
 }
 
 type zoneDocument struct {
 	Name string `json:"name"`
 	City string `json:"city,omitempty"`
-	// Evacuated applies to the endpoints of the zone too, which have no field for it.
+	// Evacuated applies to the endpoints of the zone too.
 	Evacuated bool `json:"evacuated,omitempty"`
 }
 
@@ -98,7 +99,7 @@
 }
 
 func newFleetDocument(f daisyconfig.Fleet) fleetDocument {
-	d := fleetDocument{Name: string(f.Name)}
+	d := fleetDocument{Name: string(f.Name), KeysRequired: f.KeysRequired}
 	for _, z := range f.AvailabilityZones {
 		d.AvailabilityZones = append(d.AvailabilityZones, zoneDocument{Name: z.ID.Zone, City: z.City, Evacuated: z.Evacuated})
 	}
@@ -193,7 +194,7 @@
 }
 
 func (d fleetDocument) fleet() (daisyconfig.Fleet, error) {
-	f := daisyconfig.Fleet{Name: daisyfleet.Name(d.Name)}
+	f := daisyconfig.Fleet{Name: daisyfleet.Name(d.Name), KeysRequired: d.KeysRequired}
 	if !daisyfleet.ValidName(d.Name) {
 		return f, daisyerror.InvalidRequest.New("fleet name %q", d.Name)
 	}
