Wait before repeating a failed probe

Its new process was not registered yet, so it failed the probes of an owner that lends on demand, which repeated them every 31 to 45 ms.

--- a/core/daisycredit/owner.go
+++ b/core/daisycredit/owner.go
@@ -120,6 +120,8 @@
 	// reportedAt, and probedAt is when a probe was last requested.
 	slowdown             float64
 	reportedAt, probedAt time.Time
+	// probeFailedAt is when a probe failed, if no report has arrived since.
+	probeFailedAt time.Time
 	// reportedLoad is the number of requests at the endpoint as reported at reportedAt,
 	// when lentAtReport credits were lent.
 	reportedLoad, lentAtReport int
--- a/core/daisycredit/probe.go
+++ b/core/daisycredit/probe.go
@@ -18,6 +18,10 @@
 	// neighbours slow an endpoint down for some hundreds of milliseconds.
 	slowdownExpiry     = 400 * time.Millisecond
 	probeFailureExpiry = 2 * time.Second
+	// failedProbeInterval is the minimum time from a failed probe to the next one of the
+	// endpoint. Every VM may own a group of the endpoint's service in a partition, and a cold
+	// process that is not declared yet fails probes and tolerates few requests.
+	failedProbeInterval = 250 * time.Millisecond
 	// slowProbeAge is the age of an unanswered probe from which the endpoint is treated
 	// as slow, until it answers or the probe is as old as probeFailureExpiry.
 	slowProbeAge = 8 * time.Millisecond
@@ -77,7 +81,7 @@
 // rate limit.
 func (o *Owner) worthProbing(now time.Time, e *endpointState, l *loan) bool {
 	return !e.rate.limited() && !now.Before(e.pausedUntil) && !e.nearlyFull(e.lentCredits) && e.lentCredits < o.capacity(now, e) && (l == nil || !l.restricted) &&
-		!e.hasFreshReport(now) && now.Sub(e.probedAt) > freshReportAge
+		!e.hasFreshReport(now) && now.Sub(e.probedAt) > freshReportAge && now.Sub(e.probeFailedAt) >= failedProbeInterval
 }
 
 // SetLeaving takes the declared incarnation of an endpoint out of use.
@@ -106,7 +110,7 @@
 // that the report does not include it.
 func (o *Owner) NoteReport(now time.Time, endpoint netip.AddrPort, report daisyendpoint.Report) {
 	if e := o.endpoint(endpoint); e != nil {
-		e.slowdown, e.reportedAt = report.Slowdown, now
+		e.slowdown, e.reportedAt, e.probeFailedAt = report.Slowdown, now, time.Time{}
 		e.reportedLoad, e.lentAtReport = report.InFlight+report.Waiting, e.lentCredits
 	}
 	if slices.ContainsFunc(o.rankWaitingSince, func(t time.Time) bool { return !t.IsZero() }) {
@@ -117,4 +121,7 @@
 // NoteProbeFailure records that an endpoint did not answer a probe.
 func (o *Owner) NoteProbeFailure(now time.Time, endpoint netip.AddrPort) {
 	o.NoteReport(now, endpoint, daisyendpoint.Report{Slowdown: unresponsiveSlowdown})
+	if e := o.endpoint(endpoint); e != nil {
+		e.probeFailedAt = now
+	}
 }
