--- a/core/daisycredit/borrower.go
+++ b/core/daisycredit/borrower.go
@@ -48,8 +48,8 @@
 	fallback  bool
 	endpoints map[netip.AddrPort]*endpointCredits
 	// totalHeld is the number of credits held at all endpoints, totalInFlight the
-	// number of attempts, totalSlots the number of declared slots that are not evacuated, and maxSlots the
-	// largest number of slots of one endpoint.
+	// number of attempts, totalSlots the number of declared slots that are not evacuated,
+	// and maxSlots the largest number of slots of one endpoint.
 	totalHeld, totalInFlight, totalSlots, maxSlots int
 	// coldLimited is set if cold endpoints have a rate limit.
 	coldLimited bool
--- a/core/daisyroute/zone.go
+++ b/core/daisyroute/zone.go
@@ -37,8 +37,9 @@
 }
 
 // updateZoned decides by the number of endpoints whether those of each availability zone
-// have an owner of their own, unless the rate of requests decides. VMs that decide differently for a while ask different owners, which may
-// lend the same slots; the reports of the endpoints bound the excess.
+// have an owner of their own, unless the rate of requests decides. VMs that decide
+// differently for a while ask different owners, which may lend the same slots; the reports
+// of the endpoints bound the excess.
 func (d *Dispatcher) updateZoned(endpoints int) {
 	switch {
 	case d.division.byRate:
