--- a/core/daisyquota/quota_test.go
+++ b/core/daisyquota/quota_test.go
@@ -333,3 +333,20 @@
 	alone.listed = 1
 	assert.Equal(t, alone.share(now), 1.0/startVMs, "the others may not have reached the store")
 }
+
+// Guards against a processor that is busy with accounts whose state has not changed: with
+// 10,000 accounts in use, a sweep at each tick took 43% of a core.
+func TestAccountsAreSweptAtIntervals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	shard := NewShard(Options{Self: daisyvm.VM{Name: "a"}, Random: rand.New(rand.NewPCG(1, 1)), Now: now})
+	sweeps, last := 0, shard.sweptAt
+	const ticks = 200
+	for range ticks {
+		now = now.Add(TickInterval)
+		shard.Handle(now, TimePassed{})
+		if shard.sweptAt != last {
+			sweeps, last = sweeps+1, shard.sweptAt
+		}
+	}
+	assert.Equal(t, sweeps, int(ticks*TickInterval/sweepInterval))
+}
