--- a/core/daisyquota/quota_test.go
+++ b/core/daisyquota/quota_test.go
@@ -344,7 +344,7 @@
 	for range ticks {
 		now = now.Add(TickInterval)
 		shard.Handle(now, TimePassed{})
-		if shard.sweptAt != last {
+		if !shard.sweptAt.Equal(last) {
 			sweeps, last = sweeps+1, shard.sweptAt
 		}
 	}
