--- a/review/testdata/rig2/case_crash.go
+++ b/review/testdata/rig2/case_crash.go
@@ -11,16 +11,20 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
-func init() { cases["crash"] = crash }
+func init() {
+	cases["crash"] = func(w *world) string { return crash(w, 100_000, 6, (*backend).crash) }
+	cases["crash-dark"] = func(w *world) string { return crash(w, 4, 18, (*backend).goDark) }
+}
 
 // crash sends a request that crashes each backend which begins to run it, again and again, and
-// counts those that reach backends later than stability_window_s after the third crash.
-func crash(w *world) string {
+// counts those that reach backends later than stability_window_s after the third crash. Others
+// send sound requests meanwhile.
+func crash(w *world, size, others int, end func(*backend, time.Duration)) string {
 	const stability = 3 * time.Second
-	size := 100_000
 	if n, err := strconv.Atoi(os.Getenv("BODY_BYTES")); err == nil {
 		// Shows the rule with another size of the body.
 		size = n
@@ -42,7 +46,7 @@
 			if !w.trouble {
 				return plainAnswer(b, c, r, body, id)
 			}
-			b.crash(3 * time.Second)
+			end(b, 3*time.Second)
 			return false
 		}
 	}
@@ -51,18 +55,18 @@
 	w.startVMs(2)
 	var wg sync.WaitGroup
 	lost, served := 0, 0
-	end := time.Now().Add(25 * time.Second)
+	until := time.Now().Add(25 * time.Second)
 	wg.Go(func() {
 		body := bytes.Repeat([]byte("f"), size)
-		for i := 0; time.Now().Before(end); i++ {
+		for i := 0; time.Now().Before(until); i++ {
 			status, text := w.post(w.vms[i%2], "/puka111/fatal", body)
 			w.log("client of the fatal request: status %d %s", status, text)
 			time.Sleep(700 * time.Millisecond)
 		}
 	})
-	for worker := range 6 {
+	for worker := range others {
 		wg.Go(func() {
-			for i := worker; time.Now().Before(end); i++ {
+			for i := worker; time.Now().Before(until); i++ {
 				status, text := w.post(w.vms[i%2], "/puka111/2f", []byte("abcd"))
 				mu.Lock()
 				switch {
@@ -125,9 +129,50 @@
 	}
 	old := b.id
 	b.mu.Unlock()
+	b.returnLater(old, down)
+}
+
+// goDark lets the machine of the backend go down with it: its connections fall silent, and new
+// ones hang, until it starts again.
+func (b *backend) goDark(down time.Duration) {
+	b.mu.Lock()
+	b.w.log("the machine of backend %s goes down", b.id)
+	b.dark = true
+	old := b.id
+	raw, err := b.listener.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		// A full queue of new connections drops what opens further ones.
+		err = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) })
+	}
+	b.mu.Unlock()
+	if err != nil {
+		b.w.log("backend %s: %v", old, err)
+	}
+	var fillers []net.Conn
+	for range 3 {
+		if c, err := net.DialTimeout("tcp", b.address, 50*time.Millisecond); err == nil {
+			fillers = append(fillers, c)
+		}
+	}
+	b.returnLater(old, down)
+	time.Sleep(down)
+	for _, c := range fillers {
+		_ = c.Close()
+	}
+}
+
+// returnLater starts the backend again as a new incarnation at its address.
+func (b *backend) returnLater(old string, down time.Duration) {
 	time.AfterFunc(down, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		if b.dark {
+			b.dark = false
+			_ = b.listener.Close()
+			for c := range b.conns {
+				_ = c.Close()
+			}
+		}
 		if b.stopped {
 			return
 		}
@@ -137,7 +182,7 @@
 			return
 		}
 		b.listener, b.id, b.born, b.sequenceCount = listener, fmt.Sprintf("i-%08x", rand.Uint32()), time.Now().UnixMilli(), 0
-		go b.accept()
+		go b.accept(b.listener)
 		b.register("ready")
 	})
 	// The store removes the entry after three heartbeat intervals of silence.
--- a/review/testdata/rig2/world.go
+++ b/review/testdata/rig2/world.go
@@ -306,17 +306,19 @@
 // backend is a stand-in for a backend: one request at a time on a connection, a number of
 // slots, and refusals with Not-Executed beyond them.
 type backend struct {
-	w             *world
-	id, service   string
-	address       string
-	listener      net.Listener
-	slots         int
-	work          time.Duration
-	mu            sync.Mutex
-	conns         map[net.Conn]bool
-	runs          []run
-	busy          int
-	stopped       bool
+	w           *world
+	id, service string
+	address     string
+	listener    net.Listener
+	slots       int
+	work        time.Duration
+	mu          sync.Mutex
+	conns       map[net.Conn]bool
+	runs        []run
+	busy        int
+	stopped     bool
+	// dark is set while the machine is down: nothing is accepted or answered.
+	dark          bool
 	answer        func(b *backend, c net.Conn, r *http.Request, body []byte, id string) (keep bool)
 	born          int64
 	drainWritten  bool
@@ -332,7 +334,7 @@
 	b.address = b.listener.Addr().String()
 	b.answer = plainAnswer
 	w.backends = append(w.backends, b)
-	go b.accept()
+	go b.accept(b.listener)
 	b.register("ready")
 	return b
 }
@@ -348,15 +350,20 @@
 	b.w.log("backend %s (%s) at %s registers as %s", b.id, b.service, b.address, state)
 }
 
-func (b *backend) accept() {
+func (b *backend) accept(listener net.Listener) {
 	for {
-		c, err := b.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
 		b.mu.Lock()
 		b.conns[c] = true
+		dark := b.dark
 		b.mu.Unlock()
+		if dark {
+			// The connection stays open and silent, and no further one is accepted.
+			return
+		}
 		go func() {
 			b.serve(c)
 			_ = c.Close()
@@ -390,6 +397,10 @@
 		if err != nil {
 			return
 		}
+		if b.isDark() {
+			b.hang(c)
+			return
+		}
 		if r.URL.Path == "/health" {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nBackend-Id: %s\r\nBackend-Load: %s\r\nContent-Length: 0\r\n\r\n", b.id, b.load())
 			continue
@@ -413,12 +424,25 @@
 		b.w.log("backend %s runs %s %s %s (Deadline-Ms %s, %d bytes)", b.id, id, r.Method, r.RequestURI, r.Header.Get("Deadline-Ms"), len(body))
 		keep := err == nil && b.answer(b, c, r, body, id)
 		b.give()
+		if b.isDark() {
+			b.hang(c)
+			return
+		}
 		if !keep {
 			return
 		}
 	}
 }
 
+func (b *backend) isDark() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.dark
+}
+
+// hang keeps a connection open, without a word, until it is closed.
+func (b *backend) hang(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+
 func (b *backend) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
